Add failure scenarios over real processes

Cause: the promises need proof on the real processes. Seen: seven scenarios, two broken promises. cuts_at_every_point: false_not_run 4 (a repeat was told not-run while its key had run). configuration: a change accepted right before an outage reached nobody. Also: a kept connection is checked for staleness before it is used again.

--- a/libs/http/include/ragwort/http/HttpClient.h
+++ b/libs/http/include/ragwort/http/HttpClient.h
@@ -52,6 +52,8 @@
   void close();
 
 private:
+  bool isStale();
+
   struct Impl;
   std::unique_ptr<Impl> State;
 };
--- a/libs/http/src/HttpClient.cpp
+++ b/libs/http/src/HttpClient.cpp
@@ -44,8 +44,20 @@
 
 ClientConnection::~ClientConnection() = default;
 
+bool ClientConnection::isStale() {
+  // A kept connection has nothing to read. Bytes or an end of file mean that
+  // the server closed it or broke the protocol.
+  auto &Socket = State->Stream.socket();
+  error_code Error;
+  Socket.non_blocking(true, Error);
+  char Byte = 0;
+  Socket.receive(asio::buffer(&Byte, 1), asio::socket_base::message_peek,
+                 Error);
+  return Error != asio::error::would_block;
+}
+
 asio::awaitable<absl::Status> ClientConnection::connect(Duration Timeout) {
-  if (State->IsReusable)
+  if (State->IsReusable && !isStale())
     co_return absl::OkStatus();
   co_return co_await reconnect(Timeout);
 }
--- a/testing/load/LoadRun.cpp
+++ b/testing/load/LoadRun.cpp
@@ -166,7 +166,7 @@
   --Open;
 }
 
-asio::awaitable<void> LoadRun::send(const Job &J) {
+asio::awaitable<void> LoadRun::send(Job J) {
   ++Report.Sent;
   http::Request R;
   R.Method = J.Kind->What == Shape::Lookup ? "GET" : "POST";
@@ -191,6 +191,12 @@
   absl::StatusOr<http::ResponseHead> Head =
       absl::UnavailableError("cannot connect");
   absl::Status Ready = co_await Connection->connect(Patience);
+  // Like the platform's balancer: nothing was sent, so another will do.
+  for (size_t I = 0; I < Options.Targets.size() && !Ready.ok(); ++I) {
+    J.Target = Options.Targets[I];
+    Connection = Pool->take(Io, J.Target);
+    Ready = co_await Connection->connect(Patience);
+  }
   if (Ready.ok())
     Head = co_await Connection->sendForHead(R, Patience);
   if (!Head.ok()) {
--- a/testing/load/LoadRun.h
+++ b/testing/load/LoadRun.h
@@ -70,7 +70,7 @@
   struct Connections;
   Job nextJob();
   asio::awaitable<void> run(Job J);
-  asio::awaitable<void> send(const Job &J);
+  asio::awaitable<void> send(Job J);
   void printProgress();
 
   asio::io_context &Io;
--- /dev/null
+++ b/testing/scenarios/run_all.py
@@ -0,0 +1,303 @@
+#!/usr/bin/env python3
+"""Failure scenarios over real processes. Prints what was seen in each.
+
+usage: run_all.py BUILD-FOLDER [SCENARIO ...]
+"""
+
+import json
+import signal
+import sys
+import threading
+import time
+
+from fleet import MIX, SITE, Fleet, http_call
+
+ISSUE_MIX = """kinds:
+  - {name: issue, shape: issue, path: /portal/certificates, organisations: [large, small], weight: 1, repeat_percent: 30, deadline_ms: 4000}
+"""
+LEAVING_BOUND_S = 3.0
+CONFIG_BOUND_S = 5.0
+
+
+class Check:
+    """Collects what a scenario saw and whether each promise held."""
+
+    def __init__(self, name):
+        self.name = name
+        self.failures = []
+
+    def expect(self, condition, text):
+        print(f"  {'ok  ' if condition else 'FAIL'} {text}")
+        if not condition:
+            self.failures.append(f"{self.name}: {text}")
+
+
+def summary(report):
+    keys = ("sent", "completed", "not_run", "unknown", "no_answer", "cut",
+            "wrong", "doubled", "false_not_run", "false_completed")
+    return " ".join(f"{key}={report[key]}" for key in keys if key in report)
+
+
+def expect_truthful(check, report):
+    print("  " + summary(report))
+    for reason, count in report["reasons"].items():
+        print(f"    {reason}: {count}")
+    for key in ("wrong", "doubled", "false_not_run", "false_completed"):
+        check.expect(report[key] == 0, f"{key} is {report[key]}")
+
+
+def owner_of_most_shards(fleet):
+    owners = {}
+    for shard in range(8):
+        _, body, _ = http_call(fleet.address("platform"),
+                               f"/table/row?key=journal/{shard}/head")
+        if body and "value" in json.loads(body):
+            owner = json.loads(json.loads(body)["value"])["owner"]
+            owners[owner] = owners.get(owner, 0) + 1
+    return max(owners, key=owners.get) if owners else fleet.entries[0]
+
+
+def keyed_requests_under_failures(bin_dir, check):
+    """Kills, a freeze, an outage and lost answers under keyed requests."""
+    with Fleet(bin_dir, entries=3, engines=0, plains=3,
+               plain_options={"work_us": 2000}) as fleet:
+        load = fleet.load(ISSUE_MIX, 150, 24)
+        time.sleep(2)
+        print("  kill -9 one agent, restart it after 1 s")
+        fleet.processes["portal-1"].kill()
+        time.sleep(1)
+        fleet.start_agent("portal-1")
+        time.sleep(2)
+        frozen = owner_of_most_shards(fleet)
+        print(f"  SIGSTOP {frozen}, owner of most shards, for 4 s")
+        fleet.processes[frozen].send(signal.SIGSTOP)
+        time.sleep(4)
+        fleet.processes[frozen].send(signal.SIGCONT)
+        time.sleep(2)
+        print("  platform down for 3 s")
+        fleet.faults("platform", down=True)
+        time.sleep(3)
+        fleet.faults("platform", down=False)
+        time.sleep(2)
+        print("  the answers of the next 10 writes are lost")
+        fleet.faults("platform", lose_answers=10)
+        time.sleep(2)
+        killed = owner_of_most_shards(fleet)
+        print(f"  kill -9 {killed}, restart it after 1 s")
+        fleet.processes[killed].kill()
+        time.sleep(1)
+        fleet.start_entry(killed)
+        report = json.loads(load.communicate()[0])
+    expect_truthful(check, report)
+    served = report["completed"] / max(1, report["sent"])
+    print(f"  share of keyed requests that completed: {served:.3f}")
+    check.expect(served > 0.5, "more than half of the requests completed")
+
+
+def cuts_at_every_point(bin_dir, check):
+    """The backend server cuts before, within and after the execution."""
+    with Fleet(bin_dir, entries=2, engines=0, plains=2) as fleet:
+        load = fleet.load(ISSUE_MIX, 200, 8)
+        for cut in ("head", "body", "answer"):
+            time.sleep(1.5)
+            for name in fleet.plains:
+                fleet.faults(name + "/backend", cut=cut, cuts=10)
+        report = json.loads(load.communicate()[0])
+    expect_truthful(check, report)
+    check.expect(report["unknown"] > 0, "cut requests were told as unknown")
+
+
+def rolling_replacement(bin_dir, check):
+    """SIGTERM to every process in turn under load; nothing is cut."""
+    with Fleet(bin_dir, entries=2, engines=2, plains=2) as fleet:
+        load = fleet.load(MIX, 150, 30)
+        time.sleep(2)
+        for name in fleet.engines + fleet.plains + fleet.entries:
+            process = fleet.processes[name]
+            process.send(signal.SIGTERM)
+            process.popen.wait(timeout=30)
+            check.expect(process.popen.returncode == 0, f"{name} exits with 0")
+            if name in fleet.entries:
+                fleet.start_entry(name)
+            else:
+                fleet.start_agent(name)
+            for entry in fleet.entries:
+                fleet.wait(lambda e=entry: fleet.sees_all_agents(e), entry)
+        report = json.loads(load.communicate()[0])
+    expect_truthful(check, report)
+    for key in ("unknown", "no_answer", "cut"):
+        check.expect(report[key] == 0, f"{key} is {report[key]}")
+
+
+def leaving_backend(bin_dir, check):
+    """A leaving agent gets no new work, with list and store of no help."""
+    with Fleet(bin_dir, entries=2, engines=0, plains=2) as fleet:
+        fleet.faults("platform", down=True, list_lag_ms=60000)
+        load = fleet.load(MIX.replace("chat", "lookup").replace(
+            "/v1/lookup/completions", "/portal/x/"), 200, 8)
+        time.sleep(2)
+        fleet.processes["portal-1"].send(signal.SIGSTOP)
+        fleet.processes["portal-1"].send(signal.SIGCONT)
+        before = time.monotonic()
+        fleet.processes["portal-1"].send(signal.SIGTERM)
+        last_change, last_count = before, None
+        while time.monotonic() - before < 4:
+            _, body, _ = http_call(fleet.backend("portal-1"), "/requests")
+            count = json.loads(body)["requests"]
+            if count != last_count:
+                last_change, last_count = time.monotonic(), count
+            time.sleep(0.01)
+        report = json.loads(load.communicate()[0])
+    expect_truthful(check, report)
+    took = last_change - before
+    check.expect(took <= LEAVING_BOUND_S,
+                 f"last new request {took:.2f} s after the signal")
+
+
+def configuration(bin_dir, check):
+    """Racing operators, a lost answer, restarts while the store is down."""
+    with Fleet(bin_dir, entries=2, engines=1, plains=1) as fleet:
+        nodes = fleet.entries + fleet.engines + fleet.plains
+
+        def versions():
+            states = [fleet.state(node) for node in nodes]
+            return [s["config_version"] if s else 0 for s in states]
+
+        results = []
+
+        def race(share):
+            path = fleet.write(f"race-{share}.yaml", fleet.base_text((share, 30)))
+            results.append(fleet.ctl("apply", "base", path, "--expect", "2"))
+
+        threads = [threading.Thread(target=race, args=(s,)) for s in (50, 55, 45)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        accepted = [r for r in results if r.returncode == 0]
+        check.expect(len(accepted) == 1, f"{len(accepted)} of 3 racing writes won")
+        refused = [r for r in results if r.returncode != 0]
+        check.expect(all("refused: the configuration is at version 3" in r.stderr
+                         for r in refused), "the others were told so")
+        begin = time.monotonic()
+        fleet.wait(lambda: min(versions()) == 3, "version 3 everywhere")
+        took = time.monotonic() - begin
+        check.expect(took <= CONFIG_BOUND_S, f"in force everywhere {took:.2f} s later")
+
+        fleet.faults("platform", lose_answers=1)
+        text = fleet.base_text((40, 30))
+        check.expect("accepted as version 4" in fleet.apply("base", text, 3),
+                     "a write whose answer was lost is settled as accepted")
+        fleet.faults("platform", down=True)
+        fleet.processes["entry-1"].kill()
+        fleet.start_entry("entry-1")
+        fleet.wait(lambda: min(versions()) >= 4, "version 4 everywhere")
+        check.expect(min(versions()) == 4,
+                     "a node restarted while the store is down has version 4")
+        bad = fleet.write("bad.yaml", fleet.base_text((90, 30)))
+        fleet.faults("platform", down=False)
+        done = fleet.ctl("apply", "base", bad, "--expect", "4")
+        check.expect(done.returncode == 1 and "over 100%" in done.stderr
+                     and "bad.yaml:" in done.stderr,
+                     "shares over 100% are refused with file and line")
+        check.expect(max(versions()) == 4, "nothing of it took effect")
+
+
+def bad_input(bin_dir, check):
+    """Malformed HTTP, frames and datagrams harm nobody else."""
+    import socket
+    with Fleet(bin_dir, entries=1, engines=0, plains=1) as fleet:
+        entry = fleet.entries[0]
+        host, port = "127.0.0.1", fleet.port(entry + "/callers")
+        peers = fleet.port(entry)
+        for payload in (b"\x00\xff garbage\r\n\r\n",
+                        b"GET / HTTP/1.1\r\nX: " + b"a" * 20000,
+                        b"POST /portal/x HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n"):
+            with socket.create_connection((host, port)) as caller:
+                caller.sendall(payload)
+                caller.settimeout(5)
+                reply = caller.recv(4096)
+                check.expect(b"Ragwort-Outcome: not-run" in reply,
+                             "refused: " + reply.split(b"\r\n")[0].decode())
+        with socket.create_connection((host, peers)) as stranger:
+            stranger.sendall(b"\x10\x00\x00\x00" + b"x" * 16)
+            stranger.settimeout(10)
+            check.expect(stranger.recv(10) == b"", "wrong frame is cut")
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
+            for size in (0, 1, 40, 1400, 5000):
+                udp.sendto(b"z" * size, (host, peers))
+        headers = {"Ragwort-Organisation": "large"}
+        status, _, reply = http_call(fleet.callers(entry), "/portal/plants/1",
+                                     headers=headers)
+        check.expect(status == 200, "the next caller is served")
+        status, _, _ = http_call(fleet.callers(entry), "/portal/plants/1")
+        check.expect(status == 403, "a caller without organisation gets 403")
+        status, _, _ = http_call(fleet.callers(entry), "/nowhere", headers=headers)
+        check.expect(status == 404, "a path of no service gets 404")
+        status, _, _ = http_call(fleet.admin(entry), "/state")
+        check.expect(status == 401, "the state dump needs the token")
+        state = fleet.state(entry)
+        check.expect(state["malformed_requests"] >= 3 and
+                     state["handshakes_rejected"] >= 1 and
+                     state["heartbeat_dropped"] >= 1, "each was counted")
+
+
+def whole_path(bin_dir, check):
+    """A request through all processes, a keyed repeat, the operators' tools."""
+    with Fleet(bin_dir, entries=2, engines=1, plains=1) as fleet:
+        headers = {"Ragwort-Organisation": "large", "Idempotency-Key": "k-1",
+                   "Content-Type": "application/json"}
+        answers = [http_call(fleet.callers(entry), "/portal/certificates",
+                             body="{}", headers=headers, method="POST")
+                   for entry in fleet.entries + fleet.entries]
+        check.expect(all(a[0] == 200 for a in answers), "all repeats answered")
+        check.expect(len({a[1] for a in answers}) == 1, "with one answer")
+        check.expect(fleet.ledger() == {"k-1": 1}, "the ledger has one execution")
+        status, _, _ = http_call(fleet.callers("entry-1"), "/portal/certificates",
+                                 body="{\"other\":1}", headers=headers,
+                                 method="POST")
+        check.expect(status == 422, "the key with another request gets 422")
+        body = json.dumps({"stream": True, "max_tokens": 5,
+                           "messages": [{"role": "user", "content": "hello"}]})
+        status, text, reply = http_call(
+            fleet.callers("entry-2"), "/v1/chat/completions", body=body,
+            headers={"Ragwort-Organisation": "small"}, method="POST")
+        check.expect(status == 200 and text.endswith("data: [DONE]\n\n")
+                     and text.count("data:") == 6, "a stream arrives whole")
+        check.expect(reply.get("Ragwort-Outcome") == "completed",
+                     "with its outcome")
+        request = reply["Ragwort-Request-Id"]
+        explained = fleet.ctl("explain", request, "--site", SITE)
+        check.expect("sent to draft-1" in explained.stdout, "explain names the agent")
+        status = fleet.ctl("status", "--site", SITE, "--json")
+        states = {row["instance"]: row["state"] for row in json.loads(status.stdout)}
+        check.expect(set(states.values()) == {"ready", "serving"},
+                     "status shows every instance")
+
+
+SCENARIOS = [whole_path, bad_input, configuration, leaving_backend,
+             cuts_at_every_point, rolling_replacement,
+             keyed_requests_under_failures]
+
+
+def main():
+    bin_dir, wanted = sys.argv[1], sys.argv[2:]
+    failures = []
+    for scenario in SCENARIOS:
+        if wanted and scenario.__name__ not in wanted:
+            continue
+        print(f"{scenario.__name__}: {scenario.__doc__}")
+        check = Check(scenario.__name__)
+        try:
+            scenario(bin_dir, check)
+        except (TimeoutError, RuntimeError, OSError) as error:
+            check.expect(False, f"ended with {error}")
+        failures += check.failures
+    print(f"{len(failures)} promises broken")
+    for failure in failures:
+        print("  " + failure)
+    return 1 if failures else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/testing/standins/Plain.cpp
+++ b/testing/standins/Plain.cpp
@@ -26,6 +26,11 @@
       co_await X.respond(std::move(Answer));
       co_return;
     }
+    if (Path == "/requests") {
+      http::Response Answer = jsonResponse(200, {{"requests", Requests}});
+      co_await X.respond(std::move(Answer));
+      co_return;
+    }
     if (Path == "/faults") {
       Json Body = Json::parse(R.Body, nullptr, false);
       WorkMicros = Body.value("work_us", WorkMicros);
@@ -35,6 +40,7 @@
       co_await X.respond(std::move(Answer));
       co_return;
     }
+    ++Requests;
     bool IsCut = Cuts > 0 && R.Method == "POST" && Cut != "none";
     if (IsCut)
       --Cuts;
@@ -66,6 +72,7 @@
   std::string Cut = "none";
   int64_t Cuts = 0;
   uint64_t NextSerial = 1;
+  uint64_t Requests = 0;
   std::map<std::string, uint64_t> Ledger;
 };
 
