--- a/libs/entry/src/Backends.cpp
+++ b/libs/entry/src/Backends.cpp
@@ -193,6 +193,14 @@
     Known.Breaker.onFailure(Now);
 }
 
+bool Backends::coversServices(TimePoint Now) const {
+  std::map<std::string, bool> IsCovered;
+  for (const PeerView &Peer : Peers.views(Now))
+    IsCovered[Peer.Identity.Service] |= Peer.State == Liveness::Alive;
+  return std::all_of(IsCovered.begin(), IsCovered.end(),
+                     [](const auto &Pair) { return Pair.second; });
+}
+
 std::vector<BackendRow> Backends::rows(TimePoint Now) const {
   std::vector<BackendRow> Rows;
   for (const PeerView &Peer : Peers.views(Now)) {
--- a/libs/entry/src/Backends.h
+++ b/libs/entry/src/Backends.h
@@ -70,6 +70,8 @@
     return Peers.views(Now);
   }
   std::vector<BackendRow> rows(TimePoint Now) const;
+  /// Whether every service that has agents has a live one.
+  bool coversServices(TimePoint Now) const;
   routing::Random &random() { return Rng; }
 
 private:
--- a/libs/entry/src/BackendsTest.cpp
+++ b/libs/entry/src/BackendsTest.cpp
@@ -12,6 +12,7 @@
   CPPUNIT_TEST(choiceWhenAgentLeavesOrFallsSilentAvoidsIt);
   CPPUNIT_TEST(choiceWhenAgentFailsRepeatedlyAvoidsIt);
   CPPUNIT_TEST(choiceWhenListNamesAReplacementFindsIt);
+  CPPUNIT_TEST(coverWhenAServiceHasNoLiveAgentIsMissing);
   CPPUNIT_TEST(subsetWhenFleetIsLargePrefersItsDataCentre);
   CPPUNIT_TEST_SUITE_END();
 
@@ -88,6 +89,12 @@
     CPPUNIT_ASSERT_EQUAL(std::string("c"), chosen());
   }
 
+  void coverWhenAServiceHasNoLiveAgentIsMissing() {
+    CPPUNIT_ASSERT(!Table.coversServices(Clock.now()));
+    hear("b");
+    CPPUNIT_ASSERT(Table.coversServices(Clock.now()));
+  }
+
   void subsetWhenFleetIsLargePrefersItsDataCentre() {
     for (int I = 0; I < 40; ++I)
       addAgent("far-" + std::to_string(I), "dc-b");
--- a/libs/entry/src/EntryNode.cpp
+++ b/libs/entry/src/EntryNode.cpp
@@ -33,6 +33,8 @@
 constexpr Duration ListTimeout = 2s;
 // The platform's balancer needs this long to see a failed readiness check.
 constexpr Duration ReadinessGrace = 1s;
+constexpr Duration OpenPollInterval = 20ms;
+constexpr Duration OpenPatience = 3s;
 constexpr Duration DrainPollInterval = 50ms;
 constexpr Duration DrainLinger = 300ms;
 constexpr Duration MaxDeadline = 10min;
@@ -87,16 +89,14 @@
       Listening = Heartbeats.listen({Context.Node.Peers.Ip, Frames.port()});
     if (Listening.ok())
       Listening = Admin.listen();
-    if (Listening.ok())
-      Listening = Callers->listen(Context.Node.Callers);
     if (!Listening.ok())
       return Listening;
     Config.start();
     asio::co_spawn(asio::make_strand(Context.Io), beatLoop(), asio::detached);
     asio::co_spawn(asio::make_strand(Context.Io), listLoop(), asio::detached);
+    asio::co_spawn(asio::make_strand(Context.Io), openLoop(), asio::detached);
     logEvent(LogLevel::Info, "entry-started",
-             {{"callers", Callers->port()},
-              {"peers", Frames.port()},
+             {{"peers", Frames.port()},
               {"admin", Admin.port()},
               {"incarnation", Context.Self.Value}});
     return absl::OkStatus();
@@ -110,6 +110,33 @@
   }
 
 private:
+  /// Opens the callers' address once requests can be served. Until then a
+  /// caller is not accepted, so the balancer sends it elsewhere.
+  asio::awaitable<void> openLoop() {
+    std::optional<TimePoint> ConfiguredAt;
+    for (;;) {
+      co_await sleepFor(OpenPollInterval);
+      if (!Config.fleet())
+        continue;
+      if (!ConfiguredAt)
+        ConfiguredAt = Clock.now();
+      std::lock_guard Lock(Mutex);
+      // A service that has no agent at all must not keep the others away.
+      if (Table.coversServices(Clock.now()) ||
+          Clock.now() - *ConfiguredAt > OpenPatience)
+        break;
+    }
+    absl::Status Listening = Callers->listen(Context.Node.Callers);
+    if (!Listening.ok()) {
+      logEvent(LogLevel::Error, "start-failed",
+               {{"reason", std::string(Listening.message())}});
+      Context.Io.stop();
+      co_return;
+    }
+    IsOpen = true;
+    logEvent(LogLevel::Info, "entry-open", {{"callers", Callers->port()}});
+  }
+
   //===--- Callers --------------------------------------------------------===//
 
   std::string nextRequestId() {
@@ -423,7 +450,7 @@
 
   AdminHooks adminHooks() {
     AdminHooks Hooks;
-    Hooks.IsReady = [this] { return !IsDraining && Config.fleet() != nullptr; };
+    Hooks.IsReady = [this] { return !IsDraining && IsOpen; };
     Hooks.StateJson = [this] { return stateJson(); };
     Hooks.ExplainJson = [this](const std::string &Id) { return explain(Id); };
     Hooks.Drain = [this] { drain(); };
@@ -476,7 +503,7 @@
                 {"role", "entry"},
                 {"data_centre", Context.Node.DataCentre},
                 {"incarnation", Context.Self.Value},
-                {"ready", !IsDraining && Config.fleet() != nullptr},
+                {"ready", !IsDraining && IsOpen},
                 {"config_version", Config.version()},
                 {"active_requests", Callers->activeRequests()},
                 {"connections", Callers->connections()},
@@ -519,6 +546,7 @@
   std::atomic<uint64_t> NextRequest = 1;
   std::atomic<int> ForwardedInProgress = 0;
   std::atomic<bool> IsDraining = false;
+  std::atomic<bool> IsOpen = false;
 };
 
 EntryNode::EntryNode(NodeContext &Context)
--- a/testing/experiments/RoutingExperiment.cpp
+++ b/testing/experiments/RoutingExperiment.cpp
@@ -88,8 +88,8 @@
       std::vector<std::string> Names;
       for (int R = 0; R < ReplicaCount; ++R)
         Names.push_back("replica-" + std::to_string(R));
-      for (size_t R :
-           rendezvousPick("entry-" + std::to_string(E), Names, size_t(S.Subset)))
+      for (size_t R : rendezvousPick("entry-" + std::to_string(E), Names,
+                                     size_t(S.Subset)))
         Entries.back().Subset.push_back(int(R));
       for (Candidate &C : Entries.back().View)
         C.Capacity = Slots;
@@ -156,8 +156,8 @@
     std::vector<Candidate> List;
     for (int Index : E.Subset) {
       Candidate C = E.View[size_t(Index)];
-      C.Affinity = E.Affinity.likelihood(
-          R.Prefix, "r" + std::to_string(Index), time());
+      C.Affinity =
+          E.Affinity.likelihood(R.Prefix, "r" + std::to_string(Index), time());
       List.push_back(C);
     }
     RequestTraits Traits;
@@ -187,9 +187,8 @@
       double First = Prefill * R.Slowness;
       FirstTokens.push_back(Now + First - Q.Arrival);
       double Service = First + Q.Tokens * SecondsPerToken * R.Slowness;
-      schedule(Now + Service, [this, Index, Id, Service] {
-        finish(Index, Id, Service);
-      });
+      schedule(Now + Service,
+               [this, Index, Id, Service] { finish(Index, Id, Service); });
     }
   }
 
@@ -274,15 +273,15 @@
 }
 
 void printTable(std::ostream &Out, const std::string &Title, const Setting &S) {
-  Out << "\n" << Title << "\n\n"
+  Out << "\n"
+      << Title << "\n\n"
       << "| policy | first token p95 | p99 | within 1.2 s | cache hits | "
          "load spread |\n|---|---|---|---|---|---|\n";
   for (const NamedPolicy &P : allPolicies()) {
     Result R = Simulation(P.Policy, S, 1).run();
     Out << "| " << P.Name << " | " << fixedText(R.FirstP95, 2) << " s | "
-        << fixedText(R.FirstP99, 2) << " s | "
-        << fixedText(100 * R.Goodput, 1) << "% | "
-        << fixedText(100 * R.HitRate, 1) << "% | "
+        << fixedText(R.FirstP99, 2) << " s | " << fixedText(100 * R.Goodput, 1)
+        << "% | " << fixedText(100 * R.HitRate, 1) << "% | "
         << fixedText(R.LoadSpread, 2) << " |\n";
   }
 }
--- a/testing/experiments/ShareExperiment.cpp
+++ b/testing/experiments/ShareExperiment.cpp
@@ -1,4 +1,188 @@
+//===- ShareExperiment.cpp - Shares of capacity and overload --------------===//
+//
+// Agents queue by weighted fair queueing. Organisations send through entry
+// nodes to random agents; some are always busy, some come and go, and the
+// split is renegotiated in the middle of the run.
+//
+//===----------------------------------------------------------------------===//
 #include "Experiments.h"
+#include "ragwort/shares/FairQueue.h"
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <random>
+
 namespace ragwort::experiments {
-void runShares(std::ostream &, const std::string &) {}
+
+namespace {
+
+using shares::FairQueue;
+using shares::QueueTicket;
+
+constexpr int AgentCount = 16;
+constexpr double ServiceSeconds = 0.05;
+constexpr double StepSeconds = 0.01;
+constexpr double RunSeconds = 240;
+constexpr double ChangeAt = 120;
+constexpr double WindowSeconds = 10;
+constexpr int SmallCount = 1000;
+
+struct Tenant {
+  std::string Name;
+  double ShareBefore;
+  double ShareAfter;
+  /// Offered load as a part of the whole capacity.
+  double Offered;
+};
+
+/// One queued request.
+struct Item {
+  size_t Tenant;
+};
+
+/// Served requests of each tenant in each window.
+using Windows = std::vector<std::vector<double>>;
+
+Windows serve(const std::vector<Tenant> &Tenants, bool IsFair) {
+  std::mt19937_64 Random(7);
+  std::vector<FairQueue<Item>> Queues(AgentCount, FairQueue<Item>(400));
+  std::vector<double> Credit(AgentCount, 0);
+  Windows Served(Tenants.size());
+  double Capacity = AgentCount / ServiceSeconds;
+  std::vector<std::poisson_distribution<int>> Arrivals;
+  for (const Tenant &T : Tenants)
+    Arrivals.emplace_back(std::max(1e-9, T.Offered * Capacity * StepSeconds));
+  for (double Now = 0; Now < RunSeconds; Now += StepSeconds) {
+    for (size_t I = 0; I < Tenants.size(); ++I) {
+      double Share =
+          Now < ChangeAt ? Tenants[I].ShareBefore : Tenants[I].ShareAfter;
+      for (int N = Arrivals[I](Random); N > 0; --N) {
+        QueueTicket Ticket;
+        Ticket.Organisation = IsFair ? Tenants[I].Name : "all";
+        Ticket.Weight = IsFair ? Share : 1;
+        Queues[Random() % AgentCount].push(Ticket, {I});
+      }
+    }
+    auto Window = static_cast<size_t>(Now / WindowSeconds);
+    for (int A = 0; A < AgentCount; ++A) {
+      Credit[size_t(A)] += StepSeconds / ServiceSeconds;
+      while (Credit[size_t(A)] >= 1) {
+        std::optional<Item> Next = Queues[size_t(A)].pop();
+        if (!Next) {
+          Credit[size_t(A)] = std::min(Credit[size_t(A)], 1.0);
+          break;
+        }
+        Credit[size_t(A)] -= 1;
+        Served[Next->Tenant].resize(size_t(RunSeconds / WindowSeconds), 0);
+        Served[Next->Tenant][Window] += 1;
+      }
+    }
+  }
+  for (auto &PerWindow : Served)
+    PerWindow.resize(size_t(RunSeconds / WindowSeconds), 0);
+  return Served;
+}
+
+/// Percentage of all that was served between two times.
+double served(const Windows &W, size_t Tenant, double From, double To) {
+  double Own = 0;
+  double All = 0;
+  for (auto I = static_cast<size_t>(From / WindowSeconds);
+       I < static_cast<size_t>(To / WindowSeconds); ++I)
+    for (size_t T = 0; T < W.size(); ++T) {
+      All += W[T][I];
+      Own += T == Tenant ? W[T][I] : 0;
+    }
+  return 100 * Own / All;
+}
+
+std::vector<Tenant> tenants() {
+  std::vector<Tenant> All = {{"large-1", 40, 20, 0.8},
+                             {"large-2", 30, 50, 0.8},
+                             {"large-3", 20, 20, 0.4}};
+  for (int I = 0; I < SmallCount; ++I)
+    All.push_back({"small-" + std::to_string(I), 0.01, 0.01, 0.3 / SmallCount});
+  return All;
+}
+
+void printShares(std::ostream &Out, const std::string &PlotFolder) {
+  std::vector<Tenant> All = tenants();
+  Out << "\nShares: 16 agents, three large organisations and 1000 small ones "
+         "(10% together), offered 2.3 times the capacity; the split changes "
+         "at 120 s.\n\n| organisation | agreed before / after | one queue | "
+         "fair queues, 60 s window before | after | 10 s window after the "
+         "change |\n|---|---|---|---|---|---|\n";
+  Windows Single = serve(All, false);
+  Windows Fair = serve(All, true);
+  std::vector<Series> Lines;
+  for (size_t I = 0; I < 3; ++I) {
+    Out << "| " << All[I].Name << " | " << All[I].ShareBefore << "% / "
+        << All[I].ShareAfter << "% | "
+        << fixedText(served(Single, I, 60, 120), 1) << "% | "
+        << fixedText(served(Fair, I, 60, 120), 1) << "% | "
+        << fixedText(served(Fair, I, 180, 240), 1) << "% | "
+        << fixedText(served(Fair, I, 120, 130), 1) << "% |\n";
+    Series Line{All[I].Name, {}, {}};
+    for (double From = 0; From < RunSeconds; From += WindowSeconds) {
+      Line.X.push_back(From);
+      Line.Y.push_back(served(Fair, I, From, From + WindowSeconds));
+    }
+    Lines.push_back(std::move(Line));
+  }
+  writePlot(PlotFolder + "/shares.svg",
+            "Served share in windows of 10 s, split changed at 120 s",
+            "seconds", "percent", Lines);
+}
+
+void printOverload(std::ostream &Out) {
+  Out << "\nOverload: one agent, queue of 64, deadline 2 s, requests of "
+         "priority 5 are a fifth of the load. Goodput counts answers within "
+         "the deadline.\n\n| offered | goodput of capacity | refused, "
+         "priority 0 | refused, priority 5 |\n|---|---|---|---|\n";
+  for (double Offered : {0.5, 0.9, 1.2, 1.5, 2.0, 3.0}) {
+    std::mt19937_64 Random(3);
+    struct Waiting {
+      uint32_t Priority;
+    };
+    FairQueue<Waiting> Queue(64);
+    std::poisson_distribution<int> Arrivals(Offered * StepSeconds /
+                                            ServiceSeconds);
+    double Credit = 0;
+    double Good = 0;
+    std::map<uint32_t, double> Sent;
+    std::map<uint32_t, double> Refused;
+    for (int Step = 0; Step < 30'000; ++Step) {
+      TimePoint Now(Duration(int64_t(Step * StepSeconds * 1e6)));
+      for (int N = Arrivals(Random); N > 0; --N) {
+        QueueTicket Ticket;
+        Ticket.Organisation = "org-" + std::to_string(Random() % 10);
+        Ticket.Priority = Random() % 5 == 0 ? 5 : 0;
+        Ticket.Deadline = Now + std::chrono::seconds(2);
+        ++Sent[Ticket.Priority];
+        if (auto Evicted = Queue.push(Ticket, {Ticket.Priority}))
+          ++Refused[Evicted->Priority];
+      }
+      for (const Waiting &Late : Queue.expire(Now))
+        ++Refused[Late.Priority];
+      Credit = std::min(Credit + StepSeconds / ServiceSeconds, 1.0);
+      while (Credit >= 1 && Queue.pop()) {
+        Credit -= 1;
+        ++Good;
+      }
+    }
+    double Capacity = 30'000 * StepSeconds / ServiceSeconds;
+    Out << "| " << fixedText(Offered, 1) << " | "
+        << fixedText(100 * Good / Capacity, 1) << "% | "
+        << fixedText(100 * Refused[0] / Sent[0], 1) << "% | "
+        << fixedText(100 * Refused[5] / Sent[5], 1) << "% |\n";
+  }
+}
+
+} // namespace
+
+void runShares(std::ostream &Out, const std::string &PlotFolder) {
+  printShares(Out, PlotFolder);
+  printOverload(Out);
+}
+
 } // namespace ragwort::experiments
