Deal subsets evenly and keep small shares in full queues

Cause: subsets by rendezvous hashing alone cover replicas unevenly; with 8 entry nodes some replicas had none. And a full queue always evicted the single item of a small organisation. Change: entry nodes deal the agents of their data centre in rounds; eviction measures what an organisation takes of the queue, with one place for everyone.

--- a/libs/entry/src/Backends.cpp
+++ b/libs/entry/src/Backends.cpp
@@ -1,6 +1,6 @@
 //===- Backends.cpp - The backend servers that an entry node uses ---------===//
 #include "Backends.h"
-#include "ragwort/base/Hash.h"
+#include "ragwort/routing/Subset.h"
 #include <algorithm>
 
 namespace ragwort::entry {
@@ -47,17 +47,27 @@
       Chooser(routing::ExpectedWaitChooser()) {}
 
 std::vector<PeerIdentity>
-Backends::subsetOf(std::span<const PeerIdentity> Agents, uint32_t Size) const {
+Backends::subsetOf(const settings::FleetSettings &Fleet,
+                   std::span<const PeerIdentity> Agents) const {
+  size_t Size = Fleet.Limits.Subset;
   std::vector<PeerIdentity> Near;
   std::vector<PeerIdentity> Far;
   for (const PeerIdentity &Agent : Agents)
     (Agent.DataCentre == DataCentre ? Near : Far).push_back(Agent);
+  // The planned entry nodes, not the live ones: the deal stays as it is when
+  // one of them is replaced.
+  std::vector<std::string> Entries;
+  for (const settings::InstanceSettings &Instance : Fleet.Instances)
+    if (Instance.Role == settings::InstanceRole::Entry &&
+        Instance.DataCentre == DataCentre)
+      Entries.push_back(Instance.Name);
   std::vector<PeerIdentity> Result;
   for (const std::vector<PeerIdentity> *Part : {&Near, &Far}) {
     std::vector<std::string> Names;
     for (const PeerIdentity &Agent : *Part)
       Names.push_back(Agent.Name);
-    for (size_t Index : rendezvousPick(Self, Names, Size - Result.size()))
+    for (size_t Index :
+         routing::dealtSubset(Self, Entries, Names, Size - Result.size()))
       Result.push_back((*Part)[Index]);
     if (Result.size() >= Size)
       break;
@@ -91,7 +101,7 @@
   }
   std::vector<PeerIdentity> Subset;
   for (auto &[Service, Agents] : ByService)
-    for (PeerIdentity &Agent : subsetOf(Agents, Fleet.Limits.Subset))
+    for (PeerIdentity &Agent : subsetOf(Fleet, Agents))
       Subset.push_back(std::move(Agent));
   Peers.setPeers(Subset);
   Peers.setSuspectAfter(Fleet.Timing.SuspectAfter);
--- a/libs/entry/src/Backends.h
+++ b/libs/entry/src/Backends.h
@@ -84,8 +84,8 @@
   };
 
   std::vector<membership::PeerIdentity>
-  subsetOf(std::span<const membership::PeerIdentity> Agents,
-           uint32_t Size) const;
+  subsetOf(const settings::FleetSettings &Fleet,
+           std::span<const membership::PeerIdentity> Agents) const;
   void noteIncarnation(const std::string &Agent, Incarnation Current);
 
   const std::string Self;
--- a/libs/shares/include/ragwort/shares/FairQueue.h
+++ b/libs/shares/include/ragwort/shares/FairQueue.h
@@ -132,13 +132,18 @@
   }
 
   std::optional<Item> evict() {
-    // Lowest priority first; among those, the flow with most waiting work for
-    // its weight; in it, the newest item.
+    // Lowest priority first; among those, the flow that takes most of the
+    // queue for its share of it; in it, the newest item.
+    double TotalWeight = 0;
+    for (const auto &[Name, F] : Flows)
+      TotalWeight += F.Entries.empty() ? 0 : F.Weight;
+    double ItemsPerWeight = static_cast<double>(MaxItems) / TotalWeight;
     auto Worst = Flows.end();
     for (auto It = Flows.begin(); It != Flows.end(); ++It) {
       if (It->second.Entries.empty())
         continue;
-      if (Worst == Flows.end() || isWorse(It->second, Worst->second))
+      if (Worst == Flows.end() ||
+          isWorse(It->second, Worst->second, ItemsPerWeight))
         Worst = It;
     }
     Item Evicted = std::move(Worst->second.Entries.back().Value);
@@ -147,12 +152,18 @@
     return Evicted;
   }
 
-  static bool isWorse(const Flow &A, const Flow &B) {
+  static bool isWorse(const Flow &A, const Flow &B, double ItemsPerWeight) {
     uint32_t PriorityA = A.Entries.back().Ticket.Priority;
     uint32_t PriorityB = B.Entries.back().Ticket.Priority;
     if (PriorityA != PriorityB)
       return PriorityA < PriorityB;
-    return A.Entries.size() / A.Weight > B.Entries.size() / B.Weight;
+    // Everyone may hold one item: a small share of a short queue would
+    // otherwise be no place at all.
+    auto Excess = [&](const Flow &F) {
+      return static_cast<double>(F.Entries.size()) /
+             std::max(1.0, F.Weight * ItemsPerWeight);
+    };
+    return Excess(A) > Excess(B);
   }
 
   template <class Predicate> std::vector<Item> removeIf(Predicate Matches) {
--- a/libs/shares/src/FairQueueTest.cpp
+++ b/libs/shares/src/FairQueueTest.cpp
@@ -10,6 +10,7 @@
   CPPUNIT_TEST(queueWhenOrganisationReturnsFromIdleGivesItNoArrears);
   CPPUNIT_TEST(queueWhenFullEvictsTheLowestPriority);
   CPPUNIT_TEST(queueWhenFullEvictsFromTheOrganisationOverItsShare);
+  CPPUNIT_TEST(queueWhenFullKeepsTheOnlyItemOfASmallShare);
   CPPUNIT_TEST(queueWhenDeadlinePassesReturnsTheItem);
   CPPUNIT_TEST(removeWhenItemMatchesTakesOnlyThatItem);
   CPPUNIT_TEST_SUITE_END();
@@ -73,6 +74,14 @@
     CPPUNIT_ASSERT_EQUAL(std::string("g2"), *Q.push(ticket("other", 10), "o1"));
   }
 
+  void queueWhenFullKeepsTheOnlyItemOfASmallShare() {
+    Queue Q(4);
+    Q.push(ticket("small", 0.01), "s1");
+    for (const char *Item : {"l1", "l2", "l3"})
+      Q.push(ticket("large", 90), Item);
+    CPPUNIT_ASSERT_EQUAL(std::string("l4"), *Q.push(ticket("large", 90), "l4"));
+  }
+
   void queueWhenDeadlinePassesReturnsTheItem() {
     Queue Q(3);
     QueueTicket Soon = ticket("a", 1);
