Run the agreement on expert maps in the agents

Cause: the agreement and the planner stood only as libraries. Change: an agent of a rank guards its engine, answers the group's controller and takes the duty up after a silence; the controller plans from the experts' counts, stages weights on all ranks and grants the new map. Conclusion: a frozen agent stalls its group, by design, and the group goes on when it is back or replaced.

--- a/libs/agent/src/AgentNode.cpp
+++ b/libs/agent/src/AgentNode.cpp
@@ -8,6 +8,7 @@
 //===----------------------------------------------------------------------===//
 #include "ragwort/agent/AgentNode.h"
 #include "BackendSlot.h"
+#include "GroupDuty.h"
 #include "WorkQueue.h"
 #include "ragwort/node/AdminServer.h"
 #include "ragwort/node/ConfigKeeper.h"
@@ -77,6 +78,10 @@
     if (!Listening.ok())
       return Listening;
     Config.start();
+    if (!Context.Node.Backend.Group.empty()) {
+      Duty = std::make_shared<agent::GroupDuty>(Context, Config);
+      Duty->start();
+    }
     asio::co_spawn(asio::make_strand(Context.Io), beatLoop(), asio::detached);
     asio::co_spawn(asio::make_strand(Context.Io), expireLoop(), asio::detached);
     logEvent(LogLevel::Info, "agent-started",
@@ -106,6 +111,7 @@
     std::string Node;
     uint64_t Incarnation = 0;
     TimePoint LastHeard;
+    bool IsSubscriber = false;
   };
   struct Subscriber {
     Address At;
@@ -122,7 +128,7 @@
     {
       std::lock_guard Lock(Mutex);
       Id = NextConnection++;
-      Links[Id] = {Connection, Peer.Node, Peer.Incarnation, Clock.now()};
+      Links[Id] = {Connection, Peer.Node, Peer.Incarnation, Clock.now(), false};
     }
     Connection->start(
         [this, Id](wire::Message &&M) { onMessage(Id, std::move(M)); },
@@ -148,6 +154,12 @@
       return onQuery(Link, *Query);
     if (auto *Fetch = std::get_if<wire::ConfigFetch>(&M))
       return send(Link, Config.replyTo(*Fetch));
+    auto *Group = std::get_if<wire::GroupMessage>(&M);
+    if (Group && Duty)
+      Duty->onRequest(std::move(*Group),
+                      [this, Link](wire::GroupMessage Reply) {
+                        send(Link, std::move(Reply));
+                      });
   }
 
   void onStart(uint64_t Link, wire::StartRequest &&Start) {
@@ -354,8 +366,10 @@
         return;
       S = {From, Beat.Incarnation, Beat.Sequence, Clock.now()};
       for (auto &[Id, L] : Links)
-        if (L.Node == Beat.Node && L.Incarnation == Beat.Incarnation)
+        if (L.Node == Beat.Node && L.Incarnation == Beat.Incarnation) {
           L.LastHeard = Clock.now();
+          L.IsSubscriber = true;
+        }
     }
     Config.onAnnounced(Beat.ConfigVersion, Beat.Node, From);
   }
@@ -398,7 +412,8 @@
     {
       std::lock_guard Lock(Mutex);
       for (auto &[Id, L] : Links)
-        if (Clock.now() - L.LastHeard > SilentPeerTimeout)
+        // Other agents send no heartbeats; their orders carry fencing numbers.
+        if (L.IsSubscriber && Clock.now() - L.LastHeard > SilentPeerTimeout)
           ToCut.push_back(L.Connection);
     }
     for (const auto &Connection : ToCut)
@@ -472,6 +487,8 @@
                 {"capacity", Load.Capacity},
                 {"service_us", Load.ServiceMicros},
                 {"attempts", Queue.attempts()},
+                {"group", Context.Node.Backend.Group},
+                {"rank", Context.Node.Backend.Rank},
                 {"connections", Links.size()},
                 {"subscribers", Subs},
                 {"heartbeat_sent_bytes", Heartbeats.sentBytes()},
@@ -505,6 +522,8 @@
   FrameServer Frames;
   HeartbeatSocket Heartbeats;
   AdminServer Admin;
+  /// Set when the backend server is a rank of a group.
+  std::shared_ptr<agent::GroupDuty> Duty;
   Counter &Requests;
   Counter &Refusals;
   Counter &Broken;
--- /dev/null
+++ b/libs/agent/src/GroupDuty.cpp
@@ -0,0 +1,413 @@
+//===- GroupDuty.cpp - An agent's part in its rank group ------------------===//
+#include "GroupDuty.h"
+#include "ragwort/observe/Log.h"
+#include <algorithm>
+
+namespace ragwort::agent {
+
+namespace {
+
+using namespace std::chrono_literals;
+using experts::Placement;
+using wire::GroupMessage;
+using Type = wire::GroupMessage::Type;
+
+constexpr Duration WatchInterval = 100ms;
+constexpr Duration ResendInterval = 200ms;
+constexpr Duration PlanInterval = 1s;
+constexpr Duration AskTimeout = 1s;
+constexpr Duration StageTimeout = 60s;
+// The duty is taken up after this silence; higher ranks wait longer, so that
+// usually one alone tries.
+constexpr Duration DutySilence = 1500ms;
+constexpr Duration DutySilencePerRank = 300ms;
+// Epochs of two takers differ in their lowest part, which is the rank.
+constexpr uint64_t EpochsPerRound = 1024;
+constexpr uint64_t GrantLength = 128; // steps
+constexpr uint64_t GrantRefill = 64;  // steps
+
+experts::HorizonLimits horizon() {
+  experts::HorizonLimits Limits;
+  Limits.Length = GrantLength;
+  Limits.Refill = GrantRefill;
+  return Limits;
+}
+
+std::vector<uint16_t> cellsOf(const Placement &P) {
+  std::vector<uint16_t> Cells;
+  for (uint32_t Rank = 0; Rank < P.ranks(); ++Rank)
+    for (uint32_t Slot = 0; Slot < P.slots(); ++Slot)
+      Cells.push_back(P.at({Rank, Slot}));
+  return Cells;
+}
+
+} // namespace
+
+GroupDuty::GroupDuty(NodeContext &Context, const ConfigKeeper &Config)
+    : Context(Context), Config(Config), Strand(asio::make_strand(Context.Io)),
+      Plans(Context.Metrics.counter("ragwort_group_plans_total")),
+      Moves(Context.Metrics.counter("ragwort_group_moved_experts_total")),
+      Engine(Strand, Context.Node.Backend.Server) {}
+
+void GroupDuty::start() {
+  auto Self = shared_from_this();
+  asio::co_spawn(
+      Strand, [Self] { return Self->watchLoop(); }, asio::detached);
+  asio::co_spawn(
+      Strand, [Self] { return Self->dutyLoop(); }, asio::detached);
+  asio::co_spawn(
+      Strand, [Self] { return Self->planLoop(); }, asio::detached);
+}
+
+std::vector<settings::InstanceSettings> GroupDuty::members() const {
+  std::vector<settings::InstanceSettings> Result;
+  if (ConfigKeeper::Snapshot Fleet = Config.fleet())
+    for (const settings::InstanceSettings &Instance : Fleet->Instances)
+      if (Instance.Group == Context.Node.Backend.Group)
+        Result.push_back(Instance);
+  std::sort(Result.begin(), Result.end(),
+            [](const auto &A, const auto &B) { return A.Rank < B.Rank; });
+  return Result;
+}
+
+//===----------------------------------------------------------------------===//
+// The rank
+//===----------------------------------------------------------------------===//
+
+asio::awaitable<bool> GroupDuty::learnEngine() {
+  absl::StatusOr<RankReport> Report = co_await Engine.report();
+  if (!Report.ok())
+    co_return false;
+  if (!Guard) {
+    Guard.emplace(Context.Self, Report->State);
+    ControllerHeard = Clock.now();
+    logEvent(LogLevel::Info, "rank-guarded",
+             {{"group", Context.Node.Backend.Group},
+              {"rank", Context.Node.Backend.Rank},
+              {"step", Report->State.Step}});
+  }
+  Guard->onStep(Report->State.Step);
+  Latest = std::move(*Report);
+  co_return true;
+}
+
+asio::awaitable<void> GroupDuty::watchLoop() {
+  for (;;) {
+    bool IsKnown = co_await learnEngine();
+    if (IsKnown && Controller) {
+      Controller->onStep(Latest->State.Step);
+      sendOut();
+    }
+    co_await sleepFor(WatchInterval);
+  }
+}
+
+void GroupDuty::onRequest(GroupMessage Request, Replier Answer) {
+  auto Self = shared_from_this();
+  asio::co_spawn(
+      Strand,
+      [Self, Request = std::move(Request),
+       Answer = std::move(Answer)]() -> asio::awaitable<void> {
+        GroupMessage Reply = co_await Self->serve(Request);
+        Answer(std::move(Reply));
+      },
+      asio::detached);
+}
+
+asio::awaitable<GroupMessage> GroupDuty::serve(GroupMessage Request) {
+  GroupMessage Reply;
+  Reply.Stream = Request.Stream;
+  Reply.Group = Request.Group;
+  Reply.By = Request.By;
+  Reply.Incarnation = Context.Self.Value;
+  // Nothing is promised before the engine was asked what it holds.
+  if (!Guard || Request.Group != Context.Node.Backend.Group)
+    co_return Reply;
+  if (Request.By >= Guard->promised().Value)
+    ControllerHeard = Clock.now();
+  switch (Request.Kind) {
+  case Type::PromiseRequest: {
+    experts::PromiseReply P = Guard->onPromise({Epoch{Request.By}});
+    Reply.Kind = Type::PromiseReply;
+    Reply.By = P.Promised.Value;
+    Reply.IsGranted = P.IsPromised;
+    Reply.Step = P.Step;
+    Reply.Chain = P.Chain;
+    break;
+  }
+  case Type::AcceptRequest: {
+    experts::AcceptRequest Accept;
+    Accept.By = Epoch{Request.By};
+    Accept.To = Incarnation{Request.Incarnation};
+    Accept.Chain = Request.Chain;
+    experts::AcceptReply A = Guard->onAccept(Accept);
+    Reply.Kind = Type::AcceptReply;
+    Reply.IsGranted = A.IsAccepted;
+    Reply.Index = A.Index;
+    Reply.Step = A.Step;
+    break;
+  }
+  case Type::CommitNotice: {
+    experts::CommitNotice Notice;
+    Notice.By = Epoch{Request.By};
+    Notice.To = Incarnation{Request.Incarnation};
+    Notice.Index = Request.Index;
+    std::vector<experts::Grant> Usable = Guard->onCommit(Notice);
+    co_await giveOrders(std::move(Usable), Epoch{Request.By});
+    Reply.Kind = Type::CommitNotice;
+    break;
+  }
+  case Type::StageRequest: {
+    Reply.Kind = Type::StageReply;
+    Reply.Version = Request.Version;
+    if (Request.By == Guard->promised().Value) {
+      absl::Status Staged = co_await Engine.stage(
+          Request.Version, Epoch{Request.By}, Request.Placement);
+      Reply.IsGranted = Staged.ok();
+    }
+    break;
+  }
+  default:
+    break;
+  }
+  co_return Reply;
+}
+
+asio::awaitable<void> GroupDuty::giveOrders(std::vector<experts::Grant> Grants,
+                                            Epoch By) {
+  for (const experts::Grant &G : Grants) {
+    // An order that is lost stalls the group until it is given; it never
+    // lets a rank diverge. The engine takes the same order twice.
+    absl::Status Given = co_await Engine.order(G, By);
+    while (!Given.ok() && Guard->promised() == By) {
+      co_await sleepFor(WatchInterval);
+      Given = co_await Engine.order(G, By);
+    }
+  }
+}
+
+//===----------------------------------------------------------------------===//
+// The controller's duty
+//===----------------------------------------------------------------------===//
+
+asio::awaitable<void> GroupDuty::dutyLoop() {
+  for (;;) {
+    co_await sleepFor(ResendInterval);
+    if (!Guard)
+      continue;
+    if (Controller &&
+        Controller->phase() == experts::MapController::Phase::Fenced) {
+      logEvent(LogLevel::Info, "group-duty-lost",
+               {{"epoch", Controller->epoch().Value}});
+      Controller.reset();
+      ControllerHeard = Clock.now();
+    }
+    if (Controller) {
+      ControllerHeard = Clock.now();
+      Controller->resend();
+      sendOut();
+      continue;
+    }
+    Duration Patience =
+        DutySilence + DutySilencePerRank * Context.Node.Backend.Rank;
+    auto Ranks = static_cast<uint32_t>(members().size());
+    if (Ranks > 0 && Clock.now() - ControllerHeard > Patience)
+      takeDutyUp(Ranks);
+  }
+}
+
+void GroupDuty::takeDutyUp(uint32_t Ranks) {
+  uint64_t Round = Guard->promised().Value / EpochsPerRound + 1;
+  Epoch Own{Round * EpochsPerRound + Context.Node.Backend.Rank};
+  logEvent(LogLevel::Info, "group-duty-taken",
+           {{"group", Context.Node.Backend.Group}, {"epoch", Own.Value}});
+  Controller.emplace(Ranks, Own, horizon());
+  InForce.reset();
+  Controller->start();
+  sendOut();
+}
+
+void GroupDuty::sendOut() {
+  if (!Controller)
+    return;
+  for (experts::ToRank &Out : Controller->takeMessages()) {
+    GroupMessage Request;
+    Request.Group = Context.Node.Backend.Group;
+    if (auto *P = std::get_if<experts::PromiseRequest>(&Out.Message)) {
+      Request.Kind = Type::PromiseRequest;
+      Request.By = P->By.Value;
+    } else if (auto *A = std::get_if<experts::AcceptRequest>(&Out.Message)) {
+      Request.Kind = Type::AcceptRequest;
+      Request.By = A->By.Value;
+      Request.Incarnation = A->To.Value;
+      Request.Chain = A->Chain;
+    } else if (auto *C = std::get_if<experts::CommitNotice>(&Out.Message)) {
+      Request.Kind = Type::CommitNotice;
+      Request.By = C->By.Value;
+      Request.Incarnation = C->To.Value;
+      Request.Index = C->Index;
+    }
+    auto Self = shared_from_this();
+    asio::co_spawn(
+        Strand,
+        [Self, Rank = Out.Rank, Request] { return Self->ask(Rank, Request); },
+        asio::detached);
+  }
+}
+
+asio::awaitable<void> GroupDuty::ask(uint32_t Rank, GroupMessage Request) {
+  absl::StatusOr<GroupMessage> Reply =
+      co_await exchange(Rank, std::move(Request), AskTimeout);
+  if (Reply.ok())
+    onReply(Rank, *Reply);
+}
+
+asio::awaitable<absl::StatusOr<GroupMessage>>
+GroupDuty::exchange(uint32_t Rank, GroupMessage Request, Duration Timeout) {
+  if (Rank == Context.Node.Backend.Rank)
+    co_return co_await serve(std::move(Request));
+  std::vector<settings::InstanceSettings> Members = members();
+  if (Rank >= Members.size())
+    co_return absl::NotFoundError("no agent for the rank");
+  std::shared_ptr<PeerChannel> &Channel = Channels[Rank];
+  if (!Channel)
+    Channel = std::make_shared<PeerChannel>(Context.Io, Members[Rank].Peer,
+                                            Members[Rank].Name, Context.Keys,
+                                            Context.hello());
+  std::shared_ptr<PeerChannel> Peer = Channel;
+  absl::StatusOr<wire::Hello> Hello = co_await Peer->connect(AskTimeout);
+  if (!Hello.ok())
+    co_return Hello.status();
+  auto Box = std::make_shared<StreamBox>(Strand, 4);
+  Request.Stream = Peer->open(Box);
+  uint64_t Stream = Request.Stream;
+  Peer->send(std::move(Request));
+  absl::StatusOr<wire::Message> M =
+      co_await Box->receive(std::chrono::steady_clock::now() + Timeout);
+  Peer->closeStream(Stream);
+  if (!M.ok())
+    co_return M.status();
+  if (auto *Reply = std::get_if<GroupMessage>(&*M))
+    co_return std::move(*Reply);
+  co_return absl::InternalError("unexpected message");
+}
+
+void GroupDuty::onReply(uint32_t Rank, const GroupMessage &Reply) {
+  if (!Controller)
+    return;
+  if (Reply.Kind == Type::PromiseReply) {
+    experts::PromiseReply P;
+    P.Rank = Incarnation{Reply.Incarnation};
+    P.Promised = Epoch{Reply.By};
+    P.IsPromised = Reply.IsGranted;
+    P.Step = Reply.Step;
+    P.Chain = Reply.Chain;
+    Controller->onPromiseReply(Rank, P);
+  } else if (Reply.Kind == Type::AcceptReply) {
+    experts::AcceptReply A;
+    A.Rank = Incarnation{Reply.Incarnation};
+    A.By = Epoch{Reply.By};
+    A.IsAccepted = Reply.IsGranted;
+    A.Index = Reply.Index;
+    A.Step = Reply.Step;
+    Controller->onAcceptReply(Rank, A);
+  }
+  sendOut();
+}
+
+asio::awaitable<void> GroupDuty::planLoop() {
+  for (;;) {
+    co_await sleepFor(PlanInterval);
+    bool IsSteady =
+        Controller && Latest &&
+        Controller->phase() == experts::MapController::Phase::Steady;
+    ConfigKeeper::Snapshot Fleet = Config.fleet();
+    if (!IsSteady || !Fleet)
+      continue;
+    std::vector<double> Counts = Latest->ExpertCounts;
+    std::vector<double> Period = Counts;
+    if (CountsBefore.size() == Counts.size())
+      for (size_t E = 0; E < Counts.size(); ++E)
+        Period[E] = std::max(0.0, Counts[E] - CountsBefore[E]);
+    CountsBefore = Counts;
+    Tracker.onPeriod(Period);
+    auto Experts = static_cast<uint32_t>(Counts.size());
+    uint32_t Ranks = Latest->Ranks;
+    if (Experts == 0 || Ranks == 0 || Tracker.popularity().empty())
+      continue;
+    // A controller that has just taken over does not know which placement its
+    // predecessor had: it plans from the default one, at the price of moves.
+    if (!InForce)
+      InForce = Placement::roundRobin(Experts, Ranks, Latest->Slots);
+    experts::PlanWeights Weights{Fleet->Objective.SkewWeight,
+                                 Fleet->Objective.RebalancingWeight};
+    experts::Plan Next = experts::planRebalancing(
+        *InForce, Tracker.popularity(), Weights, experts::PlanLimits());
+    if (Next.Moves == 0)
+      continue;
+    uint64_t Version =
+        std::max(HighestVersion, Controller->versionInForce()) + 1;
+    HighestVersion = Version;
+    bool IsStaged = co_await stageEverywhere(Version, Ranks, Next.Target);
+    if (!IsStaged || !Controller)
+      continue;
+    Plans.add();
+    Moves.add(Next.Moves);
+    logEvent(LogLevel::Info, "map-staged",
+             {{"version", Version},
+              {"moves", Next.Moves},
+              {"skew_before", std::to_string(Next.SkewBefore)},
+              {"skew_after", std::to_string(Next.SkewAfter)}});
+    InForce = Next.Target;
+    Controller->setVersion(Version);
+    Controller->onStep(Latest->State.Step);
+    sendOut();
+  }
+}
+
+asio::awaitable<bool>
+GroupDuty::stageEverywhere(uint64_t Version, uint32_t Ranks, Placement Target) {
+  GroupMessage Request;
+  Request.Kind = Type::StageRequest;
+  Request.Group = Context.Node.Backend.Group;
+  Request.By = Controller->epoch().Value;
+  Request.Version = Version;
+  Request.Placement = cellsOf(Target);
+  auto Pending = std::make_shared<uint32_t>(Ranks);
+  auto Failed = std::make_shared<uint32_t>(0);
+  auto Self = shared_from_this();
+  for (uint32_t Rank = 0; Rank < Ranks; ++Rank)
+    asio::co_spawn(
+        Strand,
+        [Self, Rank, Request, Pending, Failed]() -> asio::awaitable<void> {
+          absl::StatusOr<GroupMessage> Reply =
+              co_await Self->exchange(Rank, Request, StageTimeout);
+          *Failed += !Reply.ok() || !Reply->IsGranted;
+          --*Pending;
+        },
+        asio::detached);
+  while (*Pending > 0)
+    co_await sleepFor(10ms);
+  co_return *Failed == 0;
+}
+
+asio::awaitable<nlohmann::json> GroupDuty::state() {
+  auto Self = shared_from_this();
+  auto Read = [Self]() -> asio::awaitable<nlohmann::json> {
+    nlohmann::json Result = {{"group", Self->Context.Node.Backend.Group},
+                             {"rank", Self->Context.Node.Backend.Rank},
+                             {"is_controller", Self->Controller.has_value()}};
+    if (Self->Guard)
+      Result["promised_epoch"] = Self->Guard->promised().Value;
+    if (Self->Latest)
+      Result["step"] = Self->Latest->State.Step;
+    if (Self->Controller) {
+      Result["version"] = Self->Controller->versionInForce();
+      Result["granted_through"] = Self->Controller->grantedThrough();
+    }
+    co_return Result;
+  };
+  co_return co_await asio::co_spawn(Strand, Read, asio::use_awaitable);
+}
+
+} // namespace ragwort::agent
--- a/libs/entry/src/Backends.cpp
+++ b/libs/entry/src/Backends.cpp
@@ -34,8 +34,10 @@
     return routing::PrefixAffinityChooser();
   case settings::RoutingPolicy::Backpressure:
     return routing::BackpressureChooser();
+  case settings::RoutingPolicy::OwnLoad:
+    return routing::OwnLoadChooser();
   }
-  return routing::ExpectedWaitChooser();
+  return routing::OwnLoadChooser();
 }
 
 } // namespace
@@ -44,7 +46,7 @@
     : Self(Self), DataCentre(std::move(DataCentre)), Rng(Seed),
       Peers(std::move(Self), DefaultSuspectAfter),
       Affinity(AffinityHalfLife, AffinityEntries),
-      Chooser(routing::ExpectedWaitChooser()) {}
+      Chooser(routing::OwnLoadChooser()) {}
 
 std::vector<PeerIdentity>
 Backends::subsetOf(const settings::FleetSettings &Fleet,
--- a/libs/routing/include/ragwort/routing/Choosers.h
+++ b/libs/routing/include/ragwort/routing/Choosers.h
@@ -94,6 +94,14 @@
                 Random &Rng);
 };
 
+/// Smallest expected wait plus prefill, where the work ahead is estimated from
+/// this node's own requests in progress. Those are known without lag; reports
+/// only tell by how much other nodes add to them on average.
+struct OwnLoadChooser {
+  size_t choose(std::span<const Candidate> List, const RequestTraits &Traits,
+                Random &Rng);
+};
+
 /// Backlog differential plus weighted success-rate differential against the
 /// mean; a candidate is preferred over a random one only when its score
 /// exceeds the margin. After the routing score of DEALS, section 3.2.
@@ -110,7 +118,7 @@
 using AnyChooser =
     std::variant<RandomChooser, RoundRobinChooser, LeastOutstandingChooser,
                  TwoChoicesChooser, ExpectedWaitChooser, PrefixAffinityChooser,
-                 BackpressureChooser>;
+                 BackpressureChooser, OwnLoadChooser>;
 
 /// Chooses with whichever chooser \p Any holds.
 size_t choose(AnyChooser &Any, std::span<const Candidate> List,
--- a/libs/routing/src/Choosers.cpp
+++ b/libs/routing/src/Choosers.cpp
@@ -10,6 +10,9 @@
 /// Weight of a busy slot when no request waits anywhere: small against any
 /// real wait, large enough to prefer the emptier server.
 constexpr double UtilisationWeight = 0.05;
+/// The same for estimates from own requests: large enough that a cached prefix
+/// does not draw work to a server that is filling up.
+constexpr double OwnLoadWeight = 0.5;
 /// Below this a prefix counts as gone.
 constexpr double LeastAffinity = 0.2;
 
@@ -101,6 +104,24 @@
   return Best;
 }
 
+size_t OwnLoadChooser::choose(std::span<const Candidate> List,
+                              const RequestTraits &Traits, Random &Rng) {
+  double Reported = 0;
+  double Own = 0;
+  for (const Candidate &C : List) {
+    Reported += C.Active + C.Queued;
+    Own += C.Outstanding;
+  }
+  double Scale = Own > 0 ? std::max(1.0, Reported / Own) : 1;
+  return smallest(List, Rng, [&](const Candidate &C) {
+    double Slots = std::max(C.Capacity, 1.0);
+    double Ahead = Scale * C.Outstanding;
+    double Wait = std::max(0.0, Ahead + 1 - Slots) * C.ServiceSeconds / Slots;
+    return Wait + OwnLoadWeight * C.ServiceSeconds * Ahead / Slots +
+           (1 - C.Affinity) * Traits.PrefillSeconds;
+  });
+}
+
 size_t BackpressureChooser::choose(std::span<const Candidate> List,
                                    const RequestTraits &, Random &Rng) {
   double MeanBacklog = 0;
--- a/libs/routing/src/ChoosersTest.cpp
+++ b/libs/routing/src/ChoosersTest.cpp
@@ -8,12 +8,13 @@
 static_assert(Chooser<RandomChooser> && Chooser<RoundRobinChooser> &&
               Chooser<LeastOutstandingChooser> && Chooser<TwoChoicesChooser> &&
               Chooser<ExpectedWaitChooser> && Chooser<PrefixAffinityChooser> &&
-              Chooser<BackpressureChooser>);
+              Chooser<BackpressureChooser> && Chooser<OwnLoadChooser>);
 
 class ChoosersTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ChoosersTest);
   CPPUNIT_TEST(everyChooserWhenOnlyOneCandidateTakesIt);
   CPPUNIT_TEST(expectedWaitWhenReportIsStaleCountsWhatWasSent);
+  CPPUNIT_TEST(ownLoadWhenReportsAreStaleUsesItsOwnRequests);
   CPPUNIT_TEST(affinityWhenHolderIsFreeTakesIt);
   CPPUNIT_TEST(affinityWhenHolderIsSwampedGoesElsewhere);
   CPPUNIT_TEST(backpressureWhenDifferenceIsWithinTheMarginSpreads);
@@ -30,7 +31,7 @@
           AnyChooser(LeastOutstandingChooser()),
           AnyChooser(TwoChoicesChooser()), AnyChooser(ExpectedWaitChooser()),
           AnyChooser(PrefixAffinityChooser()),
-          AnyChooser(BackpressureChooser())})
+          AnyChooser(BackpressureChooser()), AnyChooser(OwnLoadChooser())})
       CPPUNIT_ASSERT_EQUAL(size_t(0), choose(Any, One, Traits, Rng));
   }
 
@@ -43,6 +44,15 @@
       CPPUNIT_ASSERT_EQUAL(size_t(1), Subject.choose(Two, Traits, Rng));
   }
 
+  void ownLoadWhenReportsAreStaleUsesItsOwnRequests() {
+    std::vector<Candidate> Two(2);
+    Two[0].Outstanding = 3;
+    Two[1].Active = 2; // An old report.
+    OwnLoadChooser Subject;
+    for (int I = 0; I < 20; ++I)
+      CPPUNIT_ASSERT_EQUAL(size_t(1), Subject.choose(Two, Traits, Rng));
+  }
+
   void affinityWhenHolderIsFreeTakesIt() {
     std::vector<Candidate> Many(16);
     Many[11].Affinity = 0.9;
--- a/libs/settings/include/ragwort/settings/FleetSettings.h
+++ b/libs/settings/include/ragwort/settings/FleetSettings.h
@@ -74,6 +74,9 @@
   Address Admin;
   /// Service of the backend server beside an agent.
   std::string Service;
+  /// Rank group of that backend server, or empty, and its rank there.
+  std::string Group;
+  uint32_t Rank = 0;
   Origin Where;
 };
 
@@ -86,6 +89,7 @@
   ExpectedWait,
   PrefixAffinity,
   Backpressure,
+  OwnLoad,
 };
 
 struct LimitSettings {
@@ -144,7 +148,7 @@
   TimingSettings Timing;
   JournalSettings Journal;
   ObjectiveSettings Objective;
-  RoutingPolicy Routing = RoutingPolicy::ExpectedWait;
+  RoutingPolicy Routing = RoutingPolicy::OwnLoad;
 
   const OrganisationSettings *organisation(std::string_view Name) const;
   const ServiceSettings *service(std::string_view Name) const;
--- a/libs/settings/src/FleetSettings.cpp
+++ b/libs/settings/src/FleetSettings.cpp
@@ -24,7 +24,7 @@
 
 const std::vector<std::string> PolicyNames = {
     "random",        "round-robin",     "least-outstanding", "two-choices",
-    "expected-wait", "prefix-affinity", "backpressure"};
+    "expected-wait", "prefix-affinity", "backpressure",      "own-load"};
 
 struct SparseDataCentre {
   std::string Name;
@@ -56,6 +56,8 @@
   std::optional<Address> Peer;
   std::optional<Address> Admin;
   std::optional<std::string> Service;
+  std::optional<std::string> Group;
+  std::optional<uint64_t> Rank;
   Origin Where;
 };
 
@@ -119,6 +121,8 @@
   Instance.Peer = Map.address("peer");
   Instance.Admin = Map.address("admin");
   Instance.Service = Map.name("service");
+  Instance.Group = Map.name("group");
+  Instance.Rank = Map.number("rank", 0, 1023);
   Instance.Where = Map.origin();
   return Instance;
 }
@@ -242,6 +246,8 @@
   overlay(Base.Peer, Top.Peer);
   overlay(Base.Admin, Top.Admin);
   overlay(Base.Service, Top.Service);
+  overlay(Base.Group, Top.Group);
+  overlay(Base.Rank, Top.Rank);
 }
 
 template <class T>
@@ -334,6 +340,8 @@
     Instance.Peer = Entry.Peer.value_or(Address());
     Instance.Admin = Entry.Admin.value_or(Address());
     Instance.Service = Entry.Service.value_or("");
+    Instance.Group = Entry.Group.value_or("");
+    Instance.Rank = static_cast<uint32_t>(Entry.Rank.value_or(0));
     Instance.Where = Entry.Where;
     if (Instance.Role == InstanceRole::Agent && !Entry.Service)
       report(Entry.Where, "service", "is missing for an agent");
@@ -359,6 +367,24 @@
     }
   }
 
+  /// The ranks of a group are numbered from 0 without gaps.
+  void checkGroups() {
+    std::map<std::string, std::map<uint32_t, const InstanceSettings *>> Groups;
+    for (const InstanceSettings &Instance : Fleet.Instances) {
+      if (Instance.Group.empty())
+        continue;
+      bool IsNew =
+          Groups[Instance.Group].emplace(Instance.Rank, &Instance).second;
+      if (!IsNew)
+        report(Instance.Where, "rank",
+               "is taken twice in group '" + Instance.Group + "'");
+    }
+    for (const auto &[Name, Ranks] : Groups)
+      if (Ranks.rbegin()->first + 1 != Ranks.size())
+        report(Ranks.rbegin()->second->Where, "rank",
+               "leaves a gap in group '" + Name + "'");
+  }
+
   void checkShares() {
     double Sum = 0;
     for (const OrganisationSettings &Organisation : Fleet.Organisations) {
@@ -475,6 +501,7 @@
        mergeLists(std::move(Bottom.Instances), std::move(Top.Instances), Found))
     Assembly.addInstance(Entry);
   Assembly.checkNames();
+  Assembly.checkGroups();
   Assembly.checkShares();
   Assembly.checkTiming();
   if (!Found.empty())
--- a/libs/settings/src/FleetSettingsTest.cpp
+++ b/libs/settings/src/FleetSettingsTest.cpp
@@ -10,6 +10,7 @@
   CPPUNIT_TEST(overlayWhenItNamesAnOrganisationReplacesOnlyItsKeys);
   CPPUNIT_TEST(sharesWhenTheyExceedHundredAreRefusedWithFileAndLine);
   CPPUNIT_TEST(namesWhenDanglingAreRefused);
+  CPPUNIT_TEST(groupWhenRanksHaveAGapIsRefused);
   CPPUNIT_TEST(everyProblemWhenSeveralIsReported);
   CPPUNIT_TEST(routeWhenPrefixesNestTakesTheLongest);
   CPPUNIT_TEST(routeWhenPathOnlySharesLettersDoesNotMatch);
@@ -79,6 +80,13 @@
     expectProblem(load(Base, Lost), "names no service 'nothing'");
   }
 
+  void groupWhenRanksHaveAGapIsRefused() {
+    std::string Gap = "instances:\n  - {name: a, role: agent, data_centre: "
+                      "dc-a, peer: \"127.0.0.1:1\", service: portal, "
+                      "group: g, rank: 1}\n";
+    expectProblem(load(Base, Gap), "leaves a gap in group 'g'");
+  }
+
   void everyProblemWhenSeveralIsReported() {
     std::string Wrong = "limits: {max_body: 64, typo: 1}\n"
                         "timing: {heartbeat_interval: 5}\n";
--- a/libs/wire/include/ragwort/wire/Messages.h
+++ b/libs/wire/include/ragwort/wire/Messages.h
@@ -10,6 +10,7 @@
 #include "ragwort/base/HeaderField.h"
 #include "ragwort/base/Ids.h"
 #include "ragwort/base/Outcome.h"
+#include "ragwort/experts/MapGrant.h"
 #include "ragwort/wire/Bounded.h"
 #include <cstdint>
 #include <string>
@@ -24,6 +25,15 @@
   wire::transferText(Ar, Field.Value, wire::MaxTextBytes);
 }
 
+namespace experts {
+
+/// Grants travel in group messages as they are.
+template <class Archive> void serialize(Archive &Ar, Grant &G) {
+  Ar(G.Index, G.Version, G.From, G.Through, G.By.Value);
+}
+
+} // namespace experts
+
 } // namespace ragwort
 
 namespace ragwort::wire {
@@ -293,11 +303,49 @@
   }
 };
 
+/// One message of the agreement on expert maps between the agents of a group.
+/// `Kind` tells which fields count.
+struct GroupMessage {
+  enum class Type : uint8_t {
+    PromiseRequest,
+    PromiseReply,
+    AcceptRequest,
+    AcceptReply,
+    CommitNotice,
+    /// Load the weights of `Version` placed as `Placement`.
+    StageRequest,
+    /// `IsGranted` tells whether they are loaded.
+    StageReply,
+  };
+  uint64_t Stream = 0;
+  Type Kind = Type::PromiseRequest;
+  std::string Group;
+  /// Epoch of the controller; in a promise reply the promised one.
+  uint64_t By = 0;
+  /// Incarnation of the sender of a reply, or of the addressee of a request.
+  uint64_t Incarnation = 0;
+  bool IsGranted = false;
+  uint64_t Index = 0;
+  uint64_t Step = 0;
+  uint64_t Version = 0;
+  std::vector<experts::Grant> Chain;
+  /// Expert of each slot, rank after rank.
+  std::vector<uint16_t> Placement;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Stream, Kind);
+    transferText(Ar, Group, MaxNameBytes);
+    Ar(By, Incarnation, IsGranted, Index, Step, Version);
+    transferList(Ar, Chain, MaxHeaders);
+    transferList(Ar, Placement, MaxListLength);
+  }
+};
+
 /// Any message of a TCP connection.
 using Message =
     std::variant<Hello, StartRequest, CancelRequest, Answer, AnswerHead,
                  AnswerChunk, AnswerEnd, Refusal, BrokenAnswer, AttemptQuery,
-                 AttemptReport, ConfigFetch, ConfigReply, Accepted, Redirect>;
+                 AttemptReport, ConfigFetch, ConfigReply, Accepted, Redirect,
+                 GroupMessage>;
 
 /// The stream that \p M belongs to, or zero for a Hello.
 uint64_t streamOf(const Message &M);
--- a/testing/standins/Standin.h
+++ b/testing/standins/Standin.h
@@ -31,6 +31,10 @@
 /// A plain service with a ledger of executions by key.
 std::unique_ptr<Service> makePlain(asio::io_context &Io, const Json &Options);
 
+/// All ranks of a group; rank R is called on \p FirstPort + R.
+std::unique_ptr<Service> makeGroup(asio::io_context &Io, const Json &Options,
+                                   uint16_t FirstPort);
+
 /// Value of \p Name in the query part of \p Target.
 std::string queryValue(std::string_view Target, std::string_view Name);
 /// \p Target without its query part.
