Share the virtual-time runs and the verdict messages; take limits from settings

Cause: the event queue and seed list stood in two tests, listening in two servers, and the two directions of verdict messages in two files; three limits were read but not used. Change: testing/unit/VirtualRun.h, transport/Listen.h, entry/KeyedMessages; server bounds and the agent's queue follow the settings.

--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,11 @@
 # Two commands do everything on a fresh Debian machine: make test, make demo.
 BUILD ?= build
 JOBS ?= $(shell nproc)
+SECONDS ?= 60
 SECONDS_OF_SOAK = $(SECONDS)
 
-.PHONY: deps build test demo soak scenarios experiments lint format bench
+.PHONY: deps build test demo soak scenarios experiments lint \
+  format bench prove-failing
 
 deps:
 	scripts/install-dependencies
@@ -21,10 +23,21 @@
 # Fresh seeds for the randomised runs: make soak SECONDS=60
 soak: build
 	RAGWORT_SOAK_SECONDS=$(SECONDS_OF_SOAK) $(BUILD)/libs/journal/journal_tests
+	RAGWORT_SOAK_SECONDS=$(SECONDS_OF_SOAK) $(BUILD)/libs/experts/experts_tests
 
 scenarios: build
 	python3 testing/scenarios/run_all.py $(BUILD)
 
+experiments: build
+	for name in placement routing shares capacity; do \
+	  $(BUILD)/testing/experiments/ragwort-experiments $$name docs/results; done
+
+bench: build
+	python3 testing/scenarios/bench.py $(BUILD) docs/results/speed.md
+
+prove-failing: build
+	scripts/prove-failing $(BUILD)
+
 lint: build
 	scripts/lint $(BUILD)
 
--- a/libs/agent/src/AgentNode.cpp
+++ b/libs/agent/src/AgentNode.cpp
@@ -48,7 +48,11 @@
   explicit Impl(NodeContext &Context)
       : Context(Context), Queue(Context.Self, {Context.Node.Backend.Capacity,
                                                agent::QueueLimits().MaxQueued}),
-        Config(Context, [](const ConfigKeeper::Snapshot &) {}),
+        Config(Context,
+               [this](const ConfigKeeper::Snapshot &Fleet) {
+                 std::lock_guard Lock(Mutex);
+                 Queue.setMaxQueued(Fleet->Limits.AgentQueue);
+               }),
         Frames(Context.Io, Context.Keys, Context.hello(),
                [this](std::shared_ptr<FrameConnection> Connection,
                       const wire::Hello &Peer) {
--- a/libs/agent/src/WorkQueue.h
+++ b/libs/agent/src/WorkQueue.h
@@ -76,6 +76,9 @@
   Decisions cancelConnection(uint64_t Connection, TimePoint Now);
   /// Refuses what waited past its deadline.
   Decisions expire(TimePoint Now);
+  void setMaxQueued(uint32_t MaxQueued) {
+    Queue.setMaxItems(MaxQueued + Limits.Capacity);
+  }
   /// From now on nothing new is taken in; what is queued is still run.
   void leave() { IsLeaving = true; }
 
--- a/libs/entry/src/EntryNode.cpp
+++ b/libs/entry/src/EntryNode.cpp
@@ -7,6 +7,7 @@
 #include "ragwort/entry/EntryNode.h"
 #include "Backends.h"
 #include "DecisionLog.h"
+#include "KeyedMessages.h"
 #include "KeyedService.h"
 #include "Refusals.h"
 #include "RequestRunner.h"
@@ -81,9 +82,6 @@
         Latency(Context.Metrics.histogram("ragwort_entry_request_seconds")) {}
 
   absl::Status start() {
-    Callers = std::make_unique<http::Server>(
-        Context.Io, [this](http::Exchange &X) { return handle(X); },
-        http::ServerLimits());
     absl::Status Listening = Frames.listen(Context.Node.Peers);
     if (Listening.ok())
       Listening = Heartbeats.listen({Context.Node.Peers.Ip, Frames.port()});
@@ -126,6 +124,15 @@
           Clock.now() - *ConfiguredAt > OpenPatience)
         break;
     }
+    // Bounds of the server are those of the first settings; a later change of
+    // them needs a replaced entry node.
+    const settings::LimitSettings Limits = Config.fleet()->Limits;
+    http::ServerLimits Bounds;
+    Bounds.MaxBodyBytes = Limits.MaxBodyBytes;
+    Bounds.MaxHeaderBytes = static_cast<uint32_t>(Limits.MaxHeaderBytes);
+    Bounds.MaxConnections = Limits.MaxConnections;
+    Callers = std::make_unique<http::Server>(
+        Context.Io, [this](http::Exchange &X) { return handle(X); }, Bounds);
     absl::Status Listening = Callers->listen(Context.Node.Callers);
     if (!Listening.ok()) {
       logEvent(LogLevel::Error, "start-failed",
@@ -331,41 +338,6 @@
     co_return co_await Keyed.runForwarded(std::move(Request), Target, Deadline);
   }
 
-  static wire::Message messageOf(uint64_t Stream, journal::Verdict V) {
-    if (auto *Said = std::get_if<journal::Answered>(&V)) {
-      wire::Answer Answer;
-      Answer.Stream = Stream;
-      Answer.Status = Said->Answer.Status;
-      Answer.Headers.push_back({"Content-Type", Said->Answer.ContentType});
-      if (Said->IsReplay)
-        Answer.Headers.push_back({"Ragwort-Replay", "1"});
-      if (!Said->Answer.IsKept)
-        Answer.Headers.push_back({"Ragwort-Lost", "1"});
-      Answer.Body = std::move(Said->Answer.Body);
-      return Answer;
-    }
-    if (auto *Not = std::get_if<journal::NotRun>(&V)) {
-      wire::Refusal Refusal;
-      Refusal.Stream = Stream;
-      Refusal.Reason = Not->Reason;
-      return Refusal;
-    }
-    if (auto *To = std::get_if<journal::Redirected>(&V)) {
-      wire::Redirect Redirect;
-      Redirect.Stream = Stream;
-      Redirect.OwnerEpoch = To->Owner.Current.Value;
-      Redirect.Owner = To->Owner.Owner;
-      Redirect.OwnerIncarnation = To->Owner.OwnerIncarnation.Value;
-      Redirect.OwnerAddress = toString(To->Owner.OwnerAddress);
-      return Redirect;
-    }
-    wire::BrokenAnswer Lost;
-    Lost.Stream = Stream;
-    Lost.Detail = std::get<journal::OutcomeUnknown>(V).Detail;
-    Lost.IsJournalDown = std::get<journal::OutcomeUnknown>(V).IsJournalDown;
-    return Lost;
-  }
-
   //===--- Membership and configuration -----------------------------------===//
 
   void configure(const ConfigKeeper::Snapshot &Fleet) {
@@ -435,6 +407,10 @@
 
   asio::awaitable<void> drainLoop() {
     co_await sleepFor(ReadinessGrace);
+    if (!IsOpen) {
+      Context.Io.stop();
+      co_return;
+    }
     Callers->stopAccepting();
     TimePoint Limit = Clock.now() + Context.Node.DrainTimeout;
     while (Clock.now() < Limit &&
@@ -505,9 +481,9 @@
                 {"incarnation", Context.Self.Value},
                 {"ready", !IsDraining && IsOpen},
                 {"config_version", Config.version()},
-                {"active_requests", Callers->activeRequests()},
-                {"connections", Callers->connections()},
-                {"malformed_requests", Callers->malformed()},
+                {"active_requests", IsOpen ? Callers->activeRequests() : 0},
+                {"connections", IsOpen ? Callers->connections() : 0},
+                {"malformed_requests", IsOpen ? Callers->malformed() : 0},
                 {"handshakes_rejected", Frames.rejected()},
                 {"heartbeat_sent_bytes", Heartbeats.sentBytes()},
                 {"heartbeat_received_bytes", Heartbeats.receivedBytes()},
@@ -533,6 +509,7 @@
   FrameServer Frames;
   HeartbeatSocket Heartbeats;
   AdminServer Admin;
+  // Set before IsOpen and not changed after it.
   std::unique_ptr<http::Server> Callers;
   DurationHistogram &Latency;
   // Indexed by Outcome.
--- a/libs/entry/src/KeyedService.cpp
+++ b/libs/entry/src/KeyedService.cpp
@@ -1,5 +1,6 @@
 //===- KeyedService.cpp - Requests with an idempotency key ----------------===//
 #include "KeyedService.h"
+#include "KeyedMessages.h"
 #include "ragwort/observe/Log.h"
 
 namespace ragwort::entry {
@@ -20,33 +21,6 @@
   return journal::OutcomeUnknown{Detail, true};
 }
 
-/// The verdict that a final message of the owner stands for.
-std::optional<Verdict> verdictOf(wire::Message &&M) {
-  if (auto *Answer = std::get_if<wire::Answer>(&M)) {
-    journal::Answered Said;
-    Said.Answer.Status = Answer->Status;
-    Said.Answer.ContentType =
-        std::string(findHeader(Answer->Headers, "Content-Type"));
-    Said.Answer.Body = std::move(Answer->Body);
-    Said.IsReplay = !findHeader(Answer->Headers, "Ragwort-Replay").empty();
-    Said.Answer.IsKept = findHeader(Answer->Headers, "Ragwort-Lost").empty();
-    return Said;
-  }
-  if (auto *Said = std::get_if<wire::Refusal>(&M))
-    return journal::NotRun{Said->Reason};
-  if (auto *Lost = std::get_if<wire::BrokenAnswer>(&M))
-    return journal::OutcomeUnknown{Lost->Detail, Lost->IsJournalDown};
-  if (auto *To = std::get_if<wire::Redirect>(&M)) {
-    journal::Head Owner;
-    Owner.Current = Epoch{To->OwnerEpoch};
-    Owner.Owner = To->Owner;
-    Owner.OwnerIncarnation = Incarnation{To->OwnerIncarnation};
-    Owner.OwnerAddress = parseAddress(To->OwnerAddress).value_or(Address());
-    return journal::Redirected{Owner};
-  }
-  return std::nullopt;
-}
-
 } // namespace
 
 KeyedService::KeyedService(NodeContext &Context, ChannelPool &Channels,
--- a/libs/experts/src/MapRunTest.cpp
+++ b/libs/experts/src/MapRunTest.cpp
@@ -9,15 +9,13 @@
 // fresh seeds for that long.
 //
 //===----------------------------------------------------------------------===//
+#include "VirtualRun.h"
 #include "ragwort/experts/MapController.h"
 #include "ragwort/experts/RankGuard.h"
-#include <chrono>
 #include <cppunit/extensions/HelperMacros.h>
-#include <cstdlib>
 #include <functional>
 #include <iostream>
 #include <memory>
-#include <queue>
 #include <random>
 
 namespace ragwort::experts {
@@ -47,11 +45,7 @@
       at(Random() % RunLength, [this] { injectFault(); });
     for (int I = 0; I < 30; ++I)
       at(Random() % RunLength, [this] { changeMap(); });
-    while (!Events.empty() && Failure.empty()) {
-      Event Next = Events.top();
-      Events.pop();
-      Now = Next.At;
-      Next.Act();
+    while (Failure.empty() && Events.runNext()) {
     }
     return Failure;
   }
@@ -60,14 +54,6 @@
   uint64_t switches() const { return Switches; }
 
 private:
-  struct Event {
-    uint64_t At;
-    uint64_t Order;
-    std::function<void()> Act;
-    bool operator<(const Event &Other) const {
-      return std::tie(At, Order) > std::tie(Other.At, Other.Order);
-    }
-  };
   /// A rank's engine and the agent beside it.
   struct Rank {
     EngineState Engine;
@@ -82,17 +68,18 @@
   };
   using ControllerPtr = std::shared_ptr<Controller>;
 
+  uint64_t now() const { return Events.now(); }
   void at(uint64_t When, std::function<void()> Act) {
     if (When <= RunLength)
-      Events.push({When, NextOrder++, std::move(Act)});
+      Events.at(When, std::move(Act));
   }
   void after(uint64_t Delay, std::function<void()> Act) {
-    at(Now + Delay, std::move(Act));
+    at(now() + Delay, std::move(Act));
   }
   bool chance(int Percent) { return int(Random() % 100) < Percent; }
   void trace(const std::string &Line) {
     if (IsTraced)
-      std::cout << Now << " " << Line << "\n";
+      std::cout << now() << " " << Line << "\n";
   }
 
   // Sends over a network that delays, loses, doubles and reorders.
@@ -107,7 +94,7 @@
     Rank &R = Ranks[I];
     R.Agent = Incarnation{NextIncarnation++};
     R.Guard = std::make_unique<RankGuard>(R.Agent, R.Engine);
-    R.FrozenUntil = Now;
+    R.FrozenUntil = now();
     trace("agent " + std::to_string(I) + " starts at step " +
           std::to_string(R.Engine.Step));
   }
@@ -119,7 +106,7 @@
       return restartAgent(I);
     case 1:
       trace("freeze agent " + std::to_string(I));
-      Ranks[I].FrozenUntil = Now + Random() % 4000;
+      Ranks[I].FrozenUntil = now() + Random() % 4000;
       return;
     case 2:
     case 3:
@@ -177,7 +164,7 @@
   template <class Message>
   void rankReceives(const ControllerPtr &C, uint32_t I, const Message &M) {
     Rank &R = Ranks[I];
-    if (R.FrozenUntil > Now)
+    if (R.FrozenUntil > now())
       return at(R.FrozenUntil, [=, this] { rankReceives(C, I, M); });
     handle(C, I, M);
   }
@@ -207,7 +194,7 @@
     if (!isHostUp(C))
       return;
     uint64_t Thaw = Ranks[C->Host].FrozenUntil;
-    if (Thaw > Now)
+    if (Thaw > now())
       return at(Thaw, [=, this] { controllerReceives(C, Act); });
     Act(C->Machine);
     flush(C);
@@ -216,7 +203,7 @@
   void resendLoop() {
     bool HasLive = false;
     for (const ControllerPtr &C : Controllers) {
-      if (!isHostUp(C) || Ranks[C->Host].FrozenUntil > Now)
+      if (!isHostUp(C) || Ranks[C->Host].FrozenUntil > now())
         continue;
       HasLive |= C->Machine.phase() != MapController::Phase::Fenced;
       C->Machine.resend();
@@ -259,11 +246,11 @@
       R.Engine.Step = Step;
       std::erase_if(R.Engine.Orders,
                     [&](const Grant &G) { return G.Through + 64 < Step; });
-      if (R.FrozenUntil <= Now)
+      if (R.FrozenUntil <= now())
         R.Guard->onStep(Step);
     }
     for (const ControllerPtr &C : Controllers)
-      if (isHostUp(C) && Ranks[C->Host].FrozenUntil <= Now) {
+      if (isHostUp(C) && Ranks[C->Host].FrozenUntil <= now()) {
         C->Machine.onStep(Step);
         flush(C);
       }
@@ -272,24 +259,17 @@
   std::mt19937_64 Random;
   const bool IsTraced;
   bool ChecksFencing = true;
-  uint64_t Now = 0;
-  uint64_t NextOrder = 0;
   uint64_t NextIncarnation = 1;
   uint64_t LastVersion = 1;
   uint64_t LastUsed = 0;
   uint64_t Step = 0;
   uint64_t Switches = 0;
-  std::priority_queue<Event> Events;
+  testing::EventQueue<uint64_t> Events;
   std::vector<Rank> Ranks;
   std::vector<ControllerPtr> Controllers;
   std::string Failure;
 };
 
-uint64_t numberFromEnvironment(const char *Name) {
-  const char *Text = std::getenv(Name);
-  return Text ? std::strtoull(Text, nullptr, 10) : 0;
-}
-
 } // namespace
 
 class MapRunTest : public CppUnit::TestFixture {
@@ -315,18 +295,10 @@
 
 public:
   void ranksWhenEverythingFailsUseOneMapInAStep() {
-    if (uint64_t Seed = numberFromEnvironment("RAGWORT_SEED"))
-      return runSeed(Seed, true);
-    uint64_t Soak = numberFromEnvironment("RAGWORT_SOAK_SECONDS");
-    if (Soak > 0) {
-      auto End = std::chrono::steady_clock::now() + std::chrono::seconds(Soak);
-      for (uint64_t Seed = std::random_device()();
-           std::chrono::steady_clock::now() < End; ++Seed)
-        runSeed(Seed, false);
-    } else {
-      for (uint64_t Seed = 1; Seed <= 300; ++Seed)
-        runSeed(Seed, false);
-    }
+    bool IsList = testing::runSeeds(
+        300, [&](uint64_t Seed, bool IsTraced) { runSeed(Seed, IsTraced); });
+    if (!IsList)
+      return;
     std::cout << " runs=" << Runs << " steps=" << Steps
               << " of=" << Runs * (RunLength / StepLength)
               << " switches=" << Switches;
--- a/libs/http/src/HttpServer.cpp
+++ b/libs/http/src/HttpServer.cpp
@@ -1,5 +1,6 @@
 //===- HttpServer.cpp - Sessions over Boost.Beast -------------------------===//
 #include "ragwort/http/HttpServer.h"
+#include "ragwort/transport/Listen.h"
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <optional>
@@ -269,18 +270,9 @@
 Server::~Server() = default;
 
 absl::Status Server::listen(const Address &Local) {
-  auto Endpoint = endpointOf<asio::ip::tcp>(Local);
-  error_code Error;
-  State->Acceptor.open(Endpoint.protocol(), Error);
-  if (!Error)
-    State->Acceptor.set_option(asio::socket_base::reuse_address(true), Error);
-  if (!Error)
-    State->Acceptor.bind(Endpoint, Error);
-  if (!Error)
-    State->Acceptor.listen(asio::socket_base::max_listen_connections, Error);
-  if (Error)
-    return absl::UnavailableError("cannot listen on " + toString(Local) + ": " +
-                                  Error.message());
+  absl::Status Listening = listenOn(State->Acceptor, Local);
+  if (!Listening.ok())
+    return Listening;
   State->Port = State->Acceptor.local_endpoint().port();
   asio::co_spawn(
       State->Acceptor.get_executor(),
--- a/libs/journal/src/JournalRunTest.cpp
+++ b/libs/journal/src/JournalRunTest.cpp
@@ -10,13 +10,12 @@
 // fresh seeds for that long.
 //
 //===----------------------------------------------------------------------===//
+#include "VirtualRun.h"
 #include "ragwort/attempts/AttemptTable.h"
 #include "ragwort/journal/ShardOwner.h"
 #include <cppunit/extensions/HelperMacros.h>
-#include <cstdlib>
 #include <functional>
 #include <iostream>
-#include <queue>
 #include <random>
 #include <utility>
 
@@ -61,11 +60,7 @@
       at(TimePoint(pickDuration(RunLength)), [this] { callerSends(); });
     for (int I = 0; I < 30; ++I)
       at(TimePoint(pickDuration(RunLength)), [this] { injectFault(); });
-    while (!Events.empty() && Failure.empty()) {
-      Event Next = Events.top();
-      Events.pop();
-      Now = Next.At;
-      Next.Act();
+    while (Failure.empty() && Events.runNext()) {
     }
     if (Failure.empty())
       checkHistory();
@@ -75,14 +70,6 @@
   const Tally &tally() const { return Told; }
 
 private:
-  struct Event {
-    TimePoint At;
-    uint64_t Order;
-    std::function<void()> Act;
-    bool operator<(const Event &Other) const {
-      return std::tie(At, Order) > std::tie(Other.At, Other.Order);
-    }
-  };
   struct Entry {
     Incarnation Self;
     std::unique_ptr<ShardOwner> Owner;
@@ -101,11 +88,12 @@
   };
 
   // Scheduling.
+  TimePoint now() const { return Events.now(); }
   void at(TimePoint When, std::function<void()> Act) {
-    Events.push({When, NextOrder++, std::move(Act)});
+    Events.at(When, std::move(Act));
   }
   void after(Duration Delay, std::function<void()> Act) {
-    at(Now + Delay, std::move(Act));
+    at(now() + Delay, std::move(Act));
   }
   Duration pickDuration(Duration Below) {
     return Duration(
@@ -114,7 +102,7 @@
   bool chance(int Percent) { return int(Random() % 100) < Percent; }
   void trace(const std::string &Line) {
     if (IsTraced)
-      std::cout << Now.time_since_epoch().count() << " " << Line << "\n";
+      std::cout << now().time_since_epoch().count() << " " << Line << "\n";
   }
   void fail(const std::string &Reason) {
     trace("FAILED " + Reason);
@@ -128,7 +116,7 @@
     Entry &E = *Entries[I];
     if (!E.IsUp || E.Self != For)
       return;
-    if (E.FrozenUntil > Now)
+    if (E.FrozenUntil > now())
       return at(E.FrozenUntil, [=, this] { onEntry(I, For, Act); });
     Act(E);
     carryOut(I);
@@ -147,14 +135,14 @@
                       {"127.0.0.1", uint16_t(I + 1)}},
         Limits);
     E.IsUp = true;
-    E.FrozenUntil = Now;
+    E.FrozenUntil = now();
     trace("entry " + std::to_string(I) + " starts");
   }
   void restartAgent(int I) {
     Agent &A = *Agents[I];
     A.Self = Incarnation{NextIncarnation++};
     A.Table = std::make_unique<AttemptTable>(A.Self, attempts::TableLimits());
-    A.FrozenUntil = Now;
+    A.FrozenUntil = now();
     trace("agent " + std::to_string(I) + " starts");
   }
   void injectFault() {
@@ -167,21 +155,21 @@
       return after(pickDuration(3s), [this, I] { restartEntry(I); });
     case 1:
       trace("freeze entry " + std::to_string(I));
-      Entries[I]->FrozenUntil = Now + pickDuration(15s);
+      Entries[I]->FrozenUntil = now() + pickDuration(15s);
       return;
     case 2:
       return restartAgent(J);
     case 3:
       trace("freeze agent " + std::to_string(J));
-      Agents[J]->FrozenUntil = Now + pickDuration(5s);
+      Agents[J]->FrozenUntil = now() + pickDuration(5s);
       return;
     case 4:
       trace("store down");
-      StoreDownUntil = Now + pickDuration(8s);
+      StoreDownUntil = now() + pickDuration(8s);
       return;
     case 5:
       trace("store loses answers");
-      LosesAnswersUntil = Now + pickDuration(8s);
+      LosesAnswersUntil = now() + pickDuration(8s);
       return;
     }
   }
@@ -192,13 +180,13 @@
   void callStore(std::function<Result()> Effect,
                  std::function<void(std::optional<Result>)> Answer) {
     after(pickDuration(20ms), [=, this] {
-      if (Now < StoreDownUntil) {
+      if (now() < StoreDownUntil) {
         if (chance(10))
           Effect();
         return after(2s, [=] { Answer(std::nullopt); });
       }
       Result R = Effect();
-      if (Now < LosesAnswersUntil && chance(50))
+      if (now() < LosesAnswersUntil && chance(50))
         return after(2s, [=] { Answer(std::nullopt); });
       after(pickDuration(20ms), [=] { Answer(R); });
     });
@@ -211,10 +199,10 @@
       std::visit([&](auto &What) { act(I, Self, What); }, A);
     std::optional<TimePoint> Timer = Entries[I]->Owner->nextTimer();
     if (Timer)
-      at(std::max(*Timer, Now + 1ms), [=, this] {
+      at(std::max(*Timer, now() + 1ms), [=, this] {
         onEntry(I, Self, [this](Entry &E) {
-          if (E.Owner->nextTimer() && *E.Owner->nextTimer() <= Now)
-            E.Owner->onTimer(Now);
+          if (E.Owner->nextTimer() && *E.Owner->nextTimer() <= now())
+            E.Owner->onTimer(now());
         });
       });
   }
@@ -225,9 +213,9 @@
                       [=, this](std::optional<Result> R) {
                         onEntry(I, Self, [=, this](Entry &E) {
                           if (R)
-                            E.Owner->onHead(R->first, R->second, Now);
+                            E.Owner->onHead(R->first, R->second, now());
                           else
-                            E.Owner->onHead(std::nullopt, 0, Now);
+                            E.Owner->onHead(std::nullopt, 0, now());
                         });
                       });
   }
@@ -258,7 +246,7 @@
         },
         [=, this](std::optional<Result> R) {
           onEntry(I, Self, [=, this](Entry &E) {
-            E.Owner->onLog(R, R && R->size() < 5, Now);
+            E.Owner->onLog(R, R && R->size() < 5, now());
           });
         });
   }
@@ -273,7 +261,7 @@
         },
         [=, this](std::optional<WriteResult> R) {
           onEntry(I, Self, [=, this](Entry &E) {
-            E.Owner->onAppended(R.value_or(WriteResult::Unknown), Now);
+            E.Owner->onAppended(R.value_or(WriteResult::Unknown), now());
           });
         });
   }
@@ -288,7 +276,7 @@
         },
         [=, this](std::optional<Result> R) {
           onEntry(I, Self, [=, this](Entry &E) {
-            E.Owner->onBatchRead(R.has_value(), R ? *R : std::nullopt, Now);
+            E.Owner->onBatchRead(R.has_value(), R ? *R : std::nullopt, now());
           });
         });
   }
@@ -309,12 +297,12 @@
     after(pickDuration(50ms), [=, this] {
       int J = agentIndex(Ask.What);
       Agent &A = *Agents[J];
-      if (A.FrozenUntil > Now || chance(5))
+      if (A.FrozenUntil > now() || chance(5))
         return after(1s, [=, this] {
           reported(I, Self, Ask.What, AgentAnswer::Unreachable, {});
         });
       std::optional<attempts::Report> R =
-          A.Table->query(Ask.What.Attempt, Ask.What.To.Addressee, Now);
+          A.Table->query(Ask.What.Attempt, Ask.What.To.Addressee, now());
       AgentAnswer Said = AgentAnswer::CannotVouch;
       KeyedAnswer Answer;
       if (R) {
@@ -352,7 +340,7 @@
   void reported(int I, Incarnation Self, const Intent &What, AgentAnswer Said,
                 const KeyedAnswer &Answer) {
     onEntry(I, Self, [=, this](Entry &E) {
-      E.Owner->onAgentReport(What.Key, What.Attempt, Said, Answer, Now);
+      E.Owner->onAgentReport(What.Key, What.Attempt, Said, Answer, now());
     });
   }
   void ended(int I, Incarnation Self, const Intent &What, Ending How,
@@ -362,7 +350,7 @@
       Next = pickTarget();
     onEntry(I, Self, [=, this](Entry &E) {
       E.Owner->onAttemptEnded(What.Key, What.Attempt, How, Answer, Reason, Next,
-                              Now);
+                              now());
     });
   }
 
@@ -377,13 +365,13 @@
   void agentReceives(int I, Incarnation Self, const Intent &What) {
     int J = agentIndex(What);
     Agent &A = *Agents[J];
-    if (A.FrozenUntil > Now)
+    if (A.FrozenUntil > now())
       return at(A.FrozenUntil, [=, this] { agentReceives(I, Self, What); });
-    auto Admitted = A.Table->admit(What.Attempt, What.To.Addressee, Now);
+    auto Admitted = A.Table->admit(What.Attempt, What.To.Addressee, now());
     if (Admitted == attempts::Admission::Duplicate)
       return;
     bool IsBusy = Admitted == attempts::Admission::Admitted && chance(5) &&
-                  A.Table->cancel(What.Attempt, Now);
+                  A.Table->cancel(What.Attempt, now());
     if (Admitted != attempts::Admission::Admitted || IsBusy)
       return after(pickDuration(50ms), [=, this] {
         ended(I, Self, What, Ending::NeverStarted, {}, RefusalReason::Leaving);
@@ -400,9 +388,9 @@
           return;
         KeyedAnswer Answer{200, "", Serial, true};
         if (IsBroken)
-          Agents[J]->Table->markBroken(What.Attempt, Now);
+          Agents[J]->Table->markBroken(What.Attempt, now());
         else
-          Agents[J]->Table->complete(What.Attempt, {200, "", Serial}, Now);
+          Agents[J]->Table->complete(What.Attempt, {200, "", Serial}, now());
         after(pickDuration(50ms), [=, this] {
           ended(I, Self, What, IsBroken ? Ending::Unknown : Ending::Completed,
                 Answer, RefusalReason::Cancelled);
@@ -439,14 +427,14 @@
     R.To = pickTarget();
     R.TakeOverFrom = TakeOverFrom;
     onEntry(I, Entries[I]->Self,
-            [=, this](Entry &E) { E.Owner->onRequest(R, Now); });
+            [=, this](Entry &E) { E.Owner->onRequest(R, now()); });
   }
   void redirect(int I, Incarnation, uint64_t Ticket, const Head &To) {
     if (++Calls[Ticket].Hops > 6)
       return tell(Ticket, NotRun{RefusalReason::NotOwner});
     int Other = To.Owner.back() - '0';
     bool IsReachable = Entries[Other]->IsUp &&
-                       Entries[Other]->FrozenUntil <= Now && !chance(10);
+                       Entries[Other]->FrozenUntil <= now() && !chance(10);
     if (IsReachable)
       return submit(Other, Ticket, std::nullopt);
     after(1s, [=, this] { submit(I, Ticket, To.Current); });
@@ -484,9 +472,7 @@
 
   std::mt19937_64 Random;
   const bool IsTraced;
-  TimePoint Now{};
-  std::priority_queue<Event> Events;
-  uint64_t NextOrder = 0;
+  testing::EventQueue<TimePoint> Events;
   uint64_t NextIncarnation = 1;
   uint64_t NextTicket = 1;
   uint64_t NextSerial = 1;
@@ -506,11 +492,6 @@
   std::string Failure;
 };
 
-uint64_t numberFromEnvironment(const char *Name) {
-  const char *Text = std::getenv(Name);
-  return Text ? std::strtoull(Text, nullptr, 10) : 0;
-}
-
 } // namespace
 
 class JournalRunTest : public CppUnit::TestFixture {
@@ -534,19 +515,11 @@
 public:
   void keysWhenEverythingFailsRunAtMostOnce() {
     Tally Sum;
-    if (uint64_t Seed = numberFromEnvironment("RAGWORT_SEED"))
-      return runSeed(Seed, true, Sum);
-    uint64_t Soak = numberFromEnvironment("RAGWORT_SOAK_SECONDS");
-    uint64_t Seed = 1;
-    if (Soak > 0) {
-      auto End = std::chrono::steady_clock::now() + std::chrono::seconds(Soak);
-      Seed = std::random_device()();
-      for (; std::chrono::steady_clock::now() < End; ++Seed)
-        runSeed(Seed, false, Sum);
-    } else {
-      for (; Seed <= 300; ++Seed)
-        runSeed(Seed, false, Sum);
-    }
+    bool IsList = testing::runSeeds(300, [&](uint64_t Seed, bool IsTraced) {
+      runSeed(Seed, IsTraced, Sum);
+    });
+    if (!IsList)
+      return;
     std::cout << " answered=" << Sum.Answered << " not-run=" << Sum.NotRun
               << " unknown=" << Sum.Unknown << " timed-out=" << Sum.TimedOut;
     CPPUNIT_ASSERT(Sum.Answered > 0 && Sum.NotRun > 0 && Sum.Unknown > 0);
--- a/libs/shares/include/ragwort/shares/FairQueue.h
+++ b/libs/shares/include/ragwort/shares/FairQueue.h
@@ -105,6 +105,8 @@
   }
 
   size_t size() const { return Count; }
+  /// Applies to the next push; what is queued beyond it stays.
+  void setMaxItems(size_t Most) { MaxItems = Most; }
 
 private:
   struct Entry {
@@ -194,7 +196,7 @@
     });
   }
 
-  const size_t MaxItems;
+  size_t MaxItems;
   size_t Count = 0;
   // Invariant: never decreases.
   double VirtualTime = 0;
--- a/libs/transport/src/FrameServer.cpp
+++ b/libs/transport/src/FrameServer.cpp
@@ -1,5 +1,6 @@
 //===- FrameServer.cpp - Accept loop for frames ---------------------------===//
 #include "ragwort/transport/FrameServer.h"
+#include "ragwort/transport/Listen.h"
 
 namespace ragwort {
 
@@ -19,18 +20,9 @@
       OnConnection(std::move(OnConnection)), Acceptor(asio::make_strand(Io)) {}
 
 absl::Status FrameServer::listen(const Address &Local) {
-  auto Endpoint = endpointOf<asio::ip::tcp>(Local);
-  error_code Error;
-  Acceptor.open(Endpoint.protocol(), Error);
-  if (!Error)
-    Acceptor.set_option(asio::socket_base::reuse_address(true), Error);
-  if (!Error)
-    Acceptor.bind(Endpoint, Error);
-  if (!Error)
-    Acceptor.listen(asio::socket_base::max_listen_connections, Error);
-  if (Error)
-    return absl::UnavailableError("cannot listen on " + toString(Local) + ": " +
-                                  Error.message());
+  absl::Status Listening = listenOn(Acceptor, Local);
+  if (!Listening.ok())
+    return Listening;
   BoundPort = Acceptor.local_endpoint().port();
   asio::co_spawn(Acceptor.get_executor(), acceptLoop(), asio::detached);
   return absl::OkStatus();
--- a/testing/experiments/Experiments.h
+++ b/testing/experiments/Experiments.h
@@ -20,6 +20,9 @@
 /// Shares of capacity under saturation, and overload.
 void runShares(std::ostream &Out, const std::string &PlotFolder);
 
+/// Times and sizes of single decisions at several sizes.
+void runCapacity(std::ostream &Out, const std::string &PlotFolder);
+
 /// One line of a plot.
 struct Series {
   std::string Name;
--- a/testing/experiments/Main.cpp
+++ b/testing/experiments/Main.cpp
@@ -12,7 +12,7 @@
   using namespace ragwort::experiments;
   if (Argc != 3) {
     std::cerr << "usage: ragwort-experiments "
-                 "placement|routing|shares OUTPUT-FOLDER\n";
+                 "placement|routing|shares|capacity OUTPUT-FOLDER\n";
     return 2;
   }
   std::string Name = Argv[1];
@@ -29,6 +29,8 @@
     runRouting(Out, Folder);
   else if (Name == "shares")
     runShares(Out, Folder);
+  else if (Name == "capacity")
+    runCapacity(Out, Folder);
   else
     return 2;
   return 0;
--- /dev/null
+++ b/testing/fuzz/Fuzz_frame.cpp
@@ -0,0 +1,48 @@
+//===- Fuzz_frame.cpp - Frames, messages and heartbeats -------------------===//
+//
+// Parses the input as a message and as a datagram. A message that parses must
+// serialize again to something that parses.
+//
+//===----------------------------------------------------------------------===//
+#include "Target.h"
+#include "ragwort/wire/Codec.h"
+#include <cstdlib>
+
+extern "C" int LLVMFuzzerTestOneInput(const uint8_t *Data, size_t Size) {
+  using namespace ragwort::wire;
+  std::string_view Input(reinterpret_cast<const char *>(Data), Size);
+  absl::StatusOr<Message> M = parseMessage(Input);
+  if (M.ok()) {
+    absl::StatusOr<std::string> Again = serializeMessage(*M);
+    if (!Again.ok() || !parseMessage(*Again).ok())
+      std::abort();
+  }
+  const Keyring Keys{{1, "fuzz"}};
+  FrameCodec Frames(Keys, Direction::FromServer);
+  (void)Frames.decode(Input).ok();
+  DatagramCodec Datagrams(Keys);
+  (void)Datagrams.decode(Input).ok();
+  return 0;
+}
+
+namespace ragwort::fuzz {
+
+std::vector<std::string> samples() {
+  wire::StartRequest Start;
+  Start.Headers = {{"Content-Type", "application/json"}};
+  Start.Body = "{}";
+  wire::GroupMessage Group;
+  Group.Chain = {{1, 2, 3, 4, Epoch{5}}};
+  Group.Placement = {1, 2, 3};
+  wire::ConfigReply Config;
+  Config.Changes.resize(2);
+  Config.Documents = {{"base", "site: x"}};
+  std::vector<std::string> Result;
+  for (const wire::Message &M :
+       {wire::Message(Start), wire::Message(Group), wire::Message(Config),
+        wire::Message(wire::Hello()), wire::Message(wire::AttemptReport())})
+    Result.push_back(wire::serializeMessage(M).value());
+  return Result;
+}
+
+} // namespace ragwort::fuzz
--- a/testing/scenarios/bench.py
+++ b/testing/scenarios/bench.py
@@ -10,7 +10,7 @@
 import sys
 import time
 
-from fleet import Fleet
+from fleet import Fleet, http_call
 
 LOOKUP_MIX = """kinds:
   - {name: lookup, shape: lookup, path: /portal/plants/, organisations: [large]}
@@ -82,11 +82,40 @@
                              f"{sent / IDLE_SECONDS:.0f} B/s"))
 
 
+KEYED_MIX = """kinds:
+  - {name: issue, shape: issue, path: /portal/certificates, organisations: [large]}
+"""
+
+
+def measure_cost_per_request(bin_dir, rows):
+    for kind, mix in (("lookup", LOOKUP_MIX), ("keyed", KEYED_MIX)):
+        for rate in (500, 1000, 2000):
+            with Fleet(bin_dir, entries=1, engines=0, plains=1,
+                       capacity=256) as fleet:
+                pids = {n: fleet.processes[n].popen.pid
+                        for n in ("entry-1", "portal-1")}
+                before = {n: cpu_seconds(p) for n, p in pids.items()}
+                done = report(fleet.load(mix, rate, 5))
+                sent = max(1, done["sent"])
+                costs = ", ".join(
+                    f"{n} {1e6 * (cpu_seconds(p) - before[n]) / sent:.0f} us"
+                    for n, p in pids.items())
+                _, body, _ = http_call(fleet.address("platform"), "/calls")
+                writes = json.loads(body).get("/table/transaction", 0)
+                rows.append((f"{kind} requests at {rate}/s: processor time a "
+                             "request", costs))
+                if kind == "keyed":
+                    rows.append((f"keyed requests at {rate}/s: table writes",
+                                 f"{writes / 5:.0f}/s, {writes / sent:.2f} a "
+                                 f"request, p50 {done['whole_answer']['p50_ms']:.1f} ms"))
+
+
 def main():
     bin_dir, output = sys.argv[1], sys.argv[2]
     rows = []
     measure_latency(bin_dir, rows)
     measure_throughput(bin_dir, rows)
+    measure_cost_per_request(bin_dir, rows)
     measure_idle(bin_dir, rows)
     lines = ["<!-- Written by make bench. -->", "", "| measured | figure |",
              "|---|---|"]
