--- a/testing/experiments/RoutingExperiment.cpp
+++ b/testing/experiments/RoutingExperiment.cpp
@@ -81,6 +81,7 @@
   Simulation(AnyChooser Policy, Setting S, uint64_t Seed)
       : S(S), Rng(Seed), Replicas(ReplicaCount) {
     std::vector<std::string> EntryNames;
+    EntryNames.reserve(size_t(S.EntryCount));
     for (int E = 0; E < S.EntryCount; ++E)
       EntryNames.push_back("entry-" + std::to_string(E));
     for (int E = 0; E < S.EntryCount; ++E) {
@@ -89,6 +90,7 @@
                          AffinityTable(std::chrono::seconds(60), 20'000),
                          std::vector<Candidate>(ReplicaCount)});
       std::vector<std::string> Names;
+      Names.reserve(ReplicaCount);
       for (int R = 0; R < ReplicaCount; ++R)
         Names.push_back("replica-" + std::to_string(R));
       for (size_t R : dealtSubset(EntryNames[size_t(E)], EntryNames, Names,
