--- /dev/null
+++ b/libs/gateway/include/ragwort/gateway/LoadBoard.h
@@ -0,0 +1,125 @@
+//===- LoadBoard.h - Load and health of backend servers -------------------===//
+//
+// Chooses the backend server for a request. The load it answers to is what the
+// fleet has in flight at each server: this node's requests exactly, the other
+// nodes' from their heartbeats. Servers that fail are left out for a while and
+// come back by trial; at most half of a service is left out at a time.
+//
+//===----------------------------------------------------------------------===//
+#ifndef RAGWORT_GATEWAY_LOADBOARD_H
+#define RAGWORT_GATEWAY_LOADBOARD_H
+
+#include "ragwort/gateway/BackendDirectory.h"
+#include <random>
+#include <span>
+#include <unordered_map>
+
+namespace ragwort::gateway {
+
+/// How a send failed, as evidence about its server.
+enum class ServerFault : uint8_t {
+  /// No connection, or the connection broke.
+  Unreachable,
+  /// No byte within the time that the service usually takes.
+  Silent,
+  /// Bytes that are no answer to the request.
+  Garbled,
+  /// An answer that reports a failure.
+  Failure,
+  /// It has not run the request since its group is broken or it is leaving.
+  Unavailable,
+  /// It has not run the request since its queue is full.
+  Full,
+};
+
+/// Requests in flight at one server, as a peer reports them.
+struct InFlightReport {
+  uint64_t InstanceKey = 0;
+  uint32_t Count = 0;
+};
+
+/// A server to send to. Valid until the board next changes.
+struct Choice {
+  const BackendInstance *Server = nullptr;
+  /// Requests in flight there by the fleet's view, without this one.
+  uint32_t InFlight = 0;
+  /// It has a free slot by that view.
+  bool HasFreeSlot = false;
+};
+
+/// Room of a service by this node's view.
+struct ServiceRoom {
+  uint32_t Slots = 0;
+  uint32_t InFlight = 0;
+  uint32_t Servers = 0;
+};
+
+class LoadBoard {
+public:
+  /// Heartbeats older than this no longer count.
+  static constexpr Duration ReportLife = std::chrono::milliseconds(1500);
+  /// First time that a failing server is left out; doubles up to MaxEjection.
+  static constexpr Duration FirstEjection = std::chrono::milliseconds(1000);
+  static constexpr Duration MaxEjection = std::chrono::milliseconds(8000);
+
+  LoadBoard(std::string LocalDataCentre, uint64_t Seed)
+      : LocalDataCentre(std::move(LocalDataCentre)), Random(Seed) {}
+
+  /// Takes the directory's entries; what is known of servers that stay is kept.
+  void sync(const BackendDirectory &Directory);
+
+  /// The least loaded usable server of \p Service that is not in \p Excluded.
+  std::optional<Choice> choose(std::string_view Service,
+                               std::span<const std::string> Excluded,
+                               TimePoint Now);
+  ServiceRoom room(std::string_view Service, TimePoint Now) const;
+
+  void onStarted(std::string_view Id);
+  void onEnded(std::string_view Id);
+  /// The server answered with success after \p Latency.
+  void onAnswered(std::string_view Id, Duration Latency);
+  void onFault(std::string_view Id, ServerFault Fault, TimePoint Now);
+  /// A peer's whole report.
+  void onPeerReport(std::string_view Peer, std::vector<InFlightReport> Report,
+                    TimePoint Now);
+
+  /// This node's report for its peers.
+  std::vector<InFlightReport> ownReport() const;
+  uint32_t inFlight(std::string_view Id) const;
+  /// One line a server, for the state dump.
+  std::string describe(TimePoint Now) const;
+
+private:
+  struct Server {
+    BackendInstance Entry;
+    uint64_t Key = 0;
+    uint32_t Own = 0;
+    uint32_t OfPeers = 0;
+    // Share of failures among recent answers, between 0 and 1.
+    double FailureRate = 0;
+    // Recent answers' latency in milliseconds, 0 before the first.
+    double LatencyMillis = 0;
+    TimePoint EjectedUntil{};
+    Duration NextEjection = FirstEjection;
+  };
+  struct PeerReport {
+    std::vector<InFlightReport> Counts;
+    TimePoint At;
+  };
+
+  Server *find(std::string_view Id);
+  void eject(Server &S, TimePoint Now);
+  void recountPeers(TimePoint Now);
+  double typicalLatency(std::string_view Service) const;
+  double score(const Server &S, double TypicalLatency);
+
+  const std::string LocalDataCentre;
+  std::mt19937_64 Random;
+  std::map<std::string, Server, std::less<>> Servers;
+  std::unordered_map<uint64_t, std::string> IdOfKey;
+  std::map<std::string, PeerReport, std::less<>> Peers;
+};
+
+} // namespace ragwort::gateway
+
+#endif
--- /dev/null
+++ b/libs/gateway/include/ragwort/gateway/TrafficConfig.h
@@ -0,0 +1,143 @@
+//===- TrafficConfig.h - Routes, services and organisations in force ------===//
+//
+// One version of what the operators want, as a plain value. It is built once
+// and then shared read-only by the requests that were accepted under it.
+//
+//===----------------------------------------------------------------------===//
+#ifndef RAGWORT_GATEWAY_TRAFFICCONFIG_H
+#define RAGWORT_GATEWAY_TRAFFICCONFIG_H
+
+#include "ragwort/base/Time.h"
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace ragwort::gateway {
+
+/// What a route's requests allow after a send whose outcome is unknown.
+enum class Repeatability : uint8_t {
+  /// May run any number of times.
+  Idempotent,
+  /// Runs at most once.
+  AtMostOnce,
+  /// A stream that another run may continue behind its last event.
+  Resumable,
+};
+
+/// A service and its part of a route's traffic.
+struct WeightedService {
+  std::string Service;
+  uint32_t Weight = 1;
+};
+
+/// Where requests of one host and path prefix go, and how.
+struct Route {
+  std::string Name;
+  std::string Host;
+  std::string PathPrefix;
+  Repeatability Repeat = Repeatability::AtMostOnce;
+  bool IsStream = false;
+  /// Callers need no API key.
+  bool IsPublic = false;
+  uint32_t MaxAttempts = 1;
+  Duration Timeout = std::chrono::seconds(10);
+  /// Until the answer, or a stream's first event, is on time.
+  Duration TargetLatency = std::chrono::milliseconds(500);
+  /// Longest pause between two events of a stream that is on time.
+  Duration TargetGap{0};
+  /// 0 is served first.
+  uint32_t Priority = 0;
+  /// Never empty.
+  std::vector<WeightedService> Split;
+};
+
+/// How fast an engine works, as its operators publish it.
+struct EngineFigures {
+  uint32_t Slots = 0;
+  uint64_t KvCapacityTokens = 0;
+  double StepMillis = 0;
+  double StepMillisPerSequence = 0;
+  double StepMillisPerThousandContext = 0;
+  double PrefillTokensPerSecond = 0;
+  /// Token steps in one pass, and thus tokens in one event.
+  uint32_t StepsPerPass = 1;
+  uint32_t UsualPromptTokens = 0;
+  uint32_t UsualOutputTokens = 0;
+};
+
+/// A kind of backend server.
+struct Service {
+  std::string Name;
+  uint32_t MaxConnections = 0;
+  std::optional<EngineFigures> Engine;
+};
+
+/// What callers may send and how long they may take.
+struct CallerLimits {
+  uint32_t MaxHeaderBytes = 16384;
+  uint64_t MaxBodyBytes = 4194304;
+  Duration HeaderTimeout = std::chrono::seconds(3);
+  Duration IdleTimeout = std::chrono::seconds(15);
+};
+
+/// A partner whose callers share its keys.
+struct Organisation {
+  std::string Name;
+  std::optional<uint32_t> Priority;
+};
+
+/// One version of the configuration.
+///
+/// \code
+///   if (const Route *R = Config.findRoute(Host, Path))
+///     forward(R->Split);
+/// \endcode
+class TrafficConfig {
+public:
+  uint64_t Version = 0;
+  CallerLimits Limits;
+
+  void addRoute(Route R);
+  void addService(Service S);
+  /// Declares that callers need a key on routes that are not public.
+  void requireKeys() { AreKeysRequired = true; }
+  void addOrganisation(Organisation O, std::vector<std::string> ApiKeys);
+
+  /// The route of \p Host with the longest prefix of \p Path, or null.
+  const Route *findRoute(std::string_view Host, std::string_view Path) const;
+  const Service *findService(std::string_view Name) const;
+  const Organisation *findByKey(std::string_view ApiKey) const;
+  bool areKeysRequired() const { return AreKeysRequired; }
+  size_t routeCount() const { return Routes.size(); }
+
+private:
+  struct ViewHash {
+    using is_transparent = void;
+    size_t operator()(std::string_view Text) const {
+      return std::hash<std::string_view>()(Text);
+    }
+  };
+  template <class T>
+  using ByName = std::unordered_map<std::string, T, ViewHash, std::equal_to<>>;
+
+  std::vector<Route> Routes;
+  std::vector<Organisation> Organisations;
+  ByName<Service> Services;
+  // Host -> path prefix -> index into Routes. Hosts are lower case, prefixes
+  // end with a slash.
+  ByName<ByName<size_t>> RouteIndex;
+  // API key -> index into Organisations.
+  ByName<size_t> KeyIndex;
+  bool AreKeysRequired = false;
+};
+
+/// The service that the request \p RequestId takes on \p R. The same id takes
+/// the same service at every node.
+std::string_view chooseService(const Route &R, std::string_view RequestId);
+
+} // namespace ragwort::gateway
+
+#endif
--- /dev/null
+++ b/libs/gateway/src/CallerSession.cpp
@@ -0,0 +1,261 @@
+//===- CallerSession.cpp - One caller connection --------------------------===//
+#include "ragwort/gateway/CallerSession.h"
+#include "ragwort/base/Bytes.h"
+#include "ragwort/observe/Log.h"
+#include <boost/beast/http/status.hpp>
+#include <charconv>
+#include <cmath>
+
+namespace ragwort::gateway {
+
+namespace {
+
+// Bytes of later requests that a caller may send ahead of an answer.
+constexpr size_t MaxReadAhead = 64 * KiB;
+
+TimePoint now() { return SteadyClock().now(); }
+
+std::string statusLine(unsigned Status) {
+  auto Reason =
+      boost::beast::http::obsolete_reason(
+          static_cast<boost::beast::http::status>(Status));
+  return "HTTP/1.1 " + std::to_string(Status) + " " + std::string(Reason) +
+         "\r\n";
+}
+
+// Seconds with three decimals.
+std::string secondsText(Duration Length) {
+  int64_t Millis = Length.count() / 1000;
+  std::string Fraction = std::to_string(Millis % 1000);
+  Fraction.insert(0, 3 - Fraction.size(), '0');
+  return std::to_string(Millis / 1000) + "." + Fraction;
+}
+
+std::string chunkHeader(size_t Size) {
+  char Digits[2 * sizeof(size_t)];
+  auto End = std::to_chars(Digits, Digits + sizeof(Digits), Size, 16).ptr;
+  return std::string(Digits, End) + "\r\n";
+}
+
+uint64_t declaredLength(const http::Request &R) {
+  std::string_view Text = R.header("Content-Length");
+  uint64_t Length = 0;
+  std::from_chars(Text.data(), Text.data() + Text.size(), Length);
+  return Length;
+}
+
+} // namespace
+
+CallerSession::CallerSession(RequestDesk &Desk, asio::io_context &Io)
+    : Desk(Desk), Socket(std::make_shared<StreamSocket>(Io)) {}
+
+CallerSession::~CallerSession() { Socket->close(); }
+
+void CallerSession::start(asio::ip::tcp::socket Accepted) {
+  IdleSince = now();
+  Socket->use(this);
+  Socket->adopt(std::move(Accepted));
+}
+
+void CallerSession::onBytes(std::string_view Bytes) {
+  auto Self = shared_from_this();
+  Unparsed += Bytes;
+  if (Active) {
+    if (Unparsed.size() > MaxReadAhead)
+      Socket->pauseReading();
+    return;
+  }
+  readRequests();
+}
+
+void CallerSession::readRequests() {
+  // An answer that is finished within begin() returns here by itself.
+  if (IsReading)
+    return;
+  IsReading = true;
+  while (!Active && !IsClosed && !Unparsed.empty() && readOne()) {
+  }
+  IsReading = false;
+}
+
+bool CallerSession::readOne() {
+  const CallerLimits Limits = Desk.limits();
+  if (!Parser) {
+    Parser = std::make_unique<RequestParser>(Limits.MaxHeaderBytes);
+    ReadSince = now();
+    HasContinued = false;
+  }
+  Unparsed.erase(0, Parser->feed(Unparsed));
+  ParseStage Stage = Parser->stage();
+  if (Stage == ParseStage::Failed) {
+    bool IsTooLarge = Parser->failure() == ParseFailure::HeadTooLarge;
+    refuse(IsTooLarge ? 431 : 400, IsTooLarge ? "header-too-large"
+                                              : "malformed-request");
+    return false;
+  }
+  if (Stage == ParseStage::Head)
+    return false;
+  const http::Request &R = Parser->request();
+  if (declaredLength(R) > Limits.MaxBodyBytes ||
+      R.Body.size() > Limits.MaxBodyBytes) {
+    refuse(413, "body-too-large");
+    return false;
+  }
+  if (Stage == ParseStage::Body) {
+    if (!HasContinued && isSameHeaderName(R.header("Expect"), "100-continue")) {
+      HasContinued = true;
+      Socket->write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    return false;
+  }
+  begin();
+  return true;
+}
+
+void CallerSession::refuse(unsigned Status, std::string_view Reason) {
+  // The rest of a request that was not read whole cannot be told from the next
+  // one.
+  CallerKeepsOpen = false;
+  RequestId.clear();
+  logEvent(LogLevel::Warning, "request-refused",
+           {{"status", Status}, {"reason", Reason}});
+  answerOwn({Status, Reason, std::nullopt});
+}
+
+void CallerSession::begin() {
+  CallerKeepsOpen = Parser->keepsConnection();
+  http::Request Message = Parser->takeRequest();
+  Parser.reset();
+  RequestId = Message.header(Desk.context().Names.RequestId);
+  auto Result = Desk.accept(std::move(Message), ReadSince);
+  if (OwnAnswer *Own = std::get_if<OwnAnswer>(&Result)) {
+    logEvent(LogLevel::Warning, "request-refused",
+             {{"request", RequestId},
+              {"status", Own->Status},
+              {"reason", Own->Reason}});
+    answerOwn(*Own);
+    return;
+  }
+  Active = std::make_shared<Forwarding>(
+      Desk.context(), std::move(std::get<AcceptedRequest>(Result)), *this);
+  // Kept here as well, since the answer may end within start().
+  auto Started = Active;
+  Started->start();
+}
+
+bool CallerSession::closesAfterAnswer() const {
+  return !CallerKeepsOpen || Desk.isDraining();
+}
+
+std::string CallerSession::headText(const http::ResponseHead &Head) const {
+  std::string Text = statusLine(Head.Status);
+  std::string_view PerConnection = Head.header("Connection");
+  for (const HeaderField &Field : Head.Headers) {
+    if (http::isHopByHop(Field.Name) ||
+        (!PerConnection.empty() && !isSameHeaderName(PerConnection, "close") &&
+         isSameHeaderName(PerConnection, Field.Name)))
+      continue;
+    Text += Field.Name + ": " + Field.Value + "\r\n";
+  }
+  if (closesAfterAnswer())
+    Text += "Connection: close\r\n";
+  return Text;
+}
+
+void CallerSession::answerOwn(const OwnAnswer &A) {
+  std::string Body = "{\"status\":" + std::to_string(A.Status) +
+                     ",\"reason\":\"" + std::string(A.Reason) + "\"}\n";
+  http::ResponseHead Head;
+  Head.Status = A.Status;
+  Head.Headers.push_back({"Content-Type", "application/problem+json"});
+  if (!RequestId.empty())
+    Head.Headers.push_back({Desk.context().Names.RequestId, RequestId});
+  if (A.RetryAfter)
+    Head.Headers.push_back({"Retry-After", secondsText(*A.RetryAfter)});
+  answerWhole(Head, Body);
+}
+
+void CallerSession::answerWhole(const http::ResponseHead &Head,
+                                std::string_view Body) {
+  std::string Text = headText(Head);
+  bool HasNoBody = Head.Status == 204 || Head.Status == 304;
+  if (!HasNoBody)
+    Text += "Content-Length: " + std::to_string(Body.size()) + "\r\n";
+  Text += "\r\n";
+  Text += Body;
+  Socket->write(Text);
+  finishAnswer();
+}
+
+void CallerSession::beginStream(const http::ResponseHead &Head) {
+  Socket->write(headText(Head) + "Transfer-Encoding: chunked\r\n\r\n");
+}
+
+void CallerSession::continueStream(std::string_view Bytes) {
+  std::string Text = chunkHeader(Bytes.size());
+  Text += Bytes;
+  Text += "\r\n";
+  Socket->write(Text);
+}
+
+void CallerSession::endStream() {
+  Socket->write("0\r\n\r\n");
+  finishAnswer();
+}
+
+void CallerSession::finishAnswer() {
+  bool Closes = closesAfterAnswer();
+  Active.reset();
+  RequestId.clear();
+  IdleSince = now();
+  if (Closes) {
+    IsClosed = true;
+    Socket->closeAfterWrite();
+    return;
+  }
+  Socket->resumeReading();
+  readRequests();
+}
+
+void CallerSession::cut() {
+  Active.reset();
+  close();
+}
+
+void CallerSession::close() {
+  IsClosed = true;
+  Socket->close();
+}
+
+void CallerSession::onEnd(SocketEnd) {
+  auto Self = shared_from_this();
+  IsClosed = true;
+  if (auto Last = std::move(Active))
+    Last->onCallerGone();
+}
+
+void CallerSession::onDrained() {
+  if (Active)
+    Active->onSinkDrained();
+}
+
+void CallerSession::onTick(TimePoint Now) {
+  if (IsClosed || Active)
+    return;
+  auto Self = shared_from_this();
+  const CallerLimits Limits = Desk.limits();
+  if (Parser) {
+    if (Now - ReadSince > Limits.HeaderTimeout)
+      refuse(408, "request-read-timeout");
+    return;
+  }
+  if (Now - IdleSince > Limits.IdleTimeout)
+    close();
+}
+
+void CallerSession::closeIfIdle() {
+  if (!IsClosed && !Active && !Parser && Unparsed.empty())
+    close();
+}
+
+} // namespace ragwort::gateway
--- /dev/null
+++ b/libs/gateway/src/Dispatcher.cpp
@@ -0,0 +1,132 @@
+//===- Dispatcher.cpp - Send, wait or refuse ------------------------------===//
+#include "ragwort/gateway/Dispatcher.h"
+#include <algorithm>
+
+namespace ragwort::gateway {
+
+namespace {
+
+// Requests beyond its slots that a batching server is given, so that a slot
+// that frees between two heartbeats is filled at once.
+constexpr uint32_t BatchedMargin = 2;
+// Part of the latency target that may pass in the queue with the answer still
+// on time.
+constexpr double OnTimeQueueFraction = 0.5;
+// Part of the caller's patience after which waiting is given up: the rest is
+// needed for the answer itself.
+constexpr double GiveUpFraction = 0.6;
+// Bounds of the return time that is told.
+constexpr Duration MinRetryAfter = std::chrono::milliseconds(200);
+constexpr Duration MaxRetryAfter = std::chrono::milliseconds(2500);
+// Callers that were refused together return spread by this part of the time.
+constexpr double RetryAfterSpread = 0.5;
+
+Duration scaled(Duration Length, double Factor) {
+  return Duration(
+      static_cast<int64_t>(static_cast<double>(Length.count()) * Factor));
+}
+
+} // namespace
+
+Dispatcher::Dispatcher(std::string LocalDataCentre, RetryBudgetLimits Budget,
+                       uint64_t Seed)
+    : Board(std::move(LocalDataCentre), Seed), Budget(Budget), Random(~Seed) {}
+
+Dispatcher::Desk &Dispatcher::desk(std::string_view Service) {
+  auto Found = Desks.find(Service);
+  if (Found == Desks.end())
+    Found = Desks.emplace(std::string(Service), Desk(Budget)).first;
+  return Found->second;
+}
+
+bool Dispatcher::hasRoom(const Choice &C, bool IsBatched) const {
+  uint32_t Slots = C.Server->Slots;
+  return C.InFlight < Slots + (IsBatched ? BatchedMargin : Slots);
+}
+
+Duration Dispatcher::retryAfter(Desk &D, TimePoint Now) {
+  Duration Wait =
+      D.Drain.timeFor(D.Queue.size() + 1, Now).value_or(NoServerRetryAfter);
+  std::uniform_real_distribution<double> Spread(1.0, 1.0 + RetryAfterSpread);
+  return scaled(std::clamp(Wait, MinRetryAfter, MaxRetryAfter), Spread(Random));
+}
+
+Placement Dispatcher::place(const PlacementRequest &R, TimePoint Now) {
+  Desk &D = desk(R.Service);
+  D.IsBatched = R.IsBatched;
+  Placement P;
+  std::optional<Choice> Best = Board.choose(R.Service, R.Excluded, Now);
+  if (!Best) {
+    P.Why = PlacementRefusal::NoServer;
+    P.RetryAfter = NoServerRetryAfter;
+    return P;
+  }
+  if (hasRoom(*Best, R.IsBatched)) {
+    P.What = Placement::Verdict::Send;
+    P.Server = *Best->Server;
+    P.InFlight = Best->InFlight;
+    return P;
+  }
+  TimePoint GiveUpAt = R.Arrived + scaled(R.UselessAt - R.Arrived,
+                                          GiveUpFraction);
+  std::optional<Duration> Wait = D.Drain.timeFor(D.Queue.size() + 1, Now);
+  if (D.Queue.size() >= MaxWaiting || Now >= GiveUpAt ||
+      (Wait && Now + *Wait >= GiveUpAt)) {
+    P.Why = PlacementRefusal::Overloaded;
+    P.RetryAfter = retryAfter(D, Now);
+    return P;
+  }
+  P.What = Placement::Verdict::Wait;
+  P.Ticket = NextTicket++;
+  D.Queue.push({P.Ticket, R.Priority, Now,
+                R.Arrived + scaled(R.TargetLatency, OnTimeQueueFraction),
+                GiveUpAt});
+  return P;
+}
+
+void Dispatcher::cancelWait(std::string_view Service, uint64_t Ticket) {
+  desk(Service).Queue.remove(Ticket);
+}
+
+std::vector<Called> Dispatcher::call(TimePoint Now) {
+  std::vector<Called> Result;
+  for (auto &[Service, D] : Desks) {
+    for (uint64_t Ticket : D.Queue.takeExpired(Now))
+      Result.push_back({Ticket, true, retryAfter(D, Now)});
+    if (D.Queue.size() == 0)
+      continue;
+    std::optional<Choice> Best = Board.choose(Service, {}, Now);
+    if (!Best || !hasRoom(*Best, D.IsBatched))
+      continue;
+    if (std::optional<uint64_t> Ticket = D.Queue.pop(Now))
+      Result.push_back({*Ticket, false, Duration(0)});
+  }
+  return Result;
+}
+
+size_t Dispatcher::waiting() const {
+  size_t Total = 0;
+  for (const auto &[Service, D] : Desks)
+    Total += D.Queue.size();
+  return Total;
+}
+
+void Dispatcher::onEnded(std::string_view Service, std::string_view Id,
+                         TimePoint Now) {
+  Board.onEnded(Id);
+  desk(Service).Drain.record(Now);
+}
+
+void Dispatcher::onRequest(std::string_view Service, TimePoint Now) {
+  desk(Service).Budget.recordRequest(Now);
+}
+
+bool Dispatcher::hasRepeatBudget(std::string_view Service, TimePoint Now) {
+  return desk(Service).Budget.hasRoom(Now, Nodes);
+}
+
+void Dispatcher::onRepeat(std::string_view Service, TimePoint Now) {
+  desk(Service).Budget.spend(Now);
+}
+
+} // namespace ragwort::gateway
--- /dev/null
+++ b/libs/gateway/src/EventStream.cpp
@@ -0,0 +1,79 @@
+//===- EventStream.cpp - Whole events of a server-sent stream -------------===//
+#include "ragwort/gateway/EventStream.h"
+#include <charconv>
+
+namespace ragwort::gateway {
+
+namespace {
+
+// The end of the first event in Text, behind its blank line, or npos.
+size_t eventEnd(std::string_view Text, size_t From) {
+  for (size_t At = Text.find('\n', From); At != std::string_view::npos;
+       At = Text.find('\n', At + 1)) {
+    size_t Next = At + 1;
+    if (Next < Text.size() && Text[Next] == '\r')
+      ++Next;
+    if (Next < Text.size() && Text[Next] == '\n')
+      return Next + 1;
+  }
+  return std::string_view::npos;
+}
+
+std::optional<uint64_t> idOf(std::string_view Event) {
+  constexpr std::string_view Field = "id:";
+  size_t At = 0;
+  while (At < Event.size()) {
+    size_t End = Event.find('\n', At);
+    if (End == std::string_view::npos)
+      End = Event.size();
+    std::string_view Line = Event.substr(At, End - At);
+    At = End + 1;
+    if (!Line.starts_with(Field))
+      continue;
+    Line.remove_prefix(Field.size());
+    if (Line.starts_with(' '))
+      Line.remove_prefix(1);
+    uint64_t Id = 0;
+    auto Parsed = std::from_chars(Line.data(), Line.data() + Line.size(), Id);
+    if (Parsed.ec == std::errc())
+      return Id;
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+bool EventStream::acceptEvent(std::string_view Event) {
+  if (std::optional<uint64_t> Id = idOf(Event)) {
+    if (LastId && *Id != *LastId + 1)
+      return false;
+    LastId = Id;
+  }
+  ++Events;
+  Whole += Event;
+  return true;
+}
+
+bool EventStream::push(std::string_view Bytes) {
+  size_t From = Partial.size() < 2 ? 0 : Partial.size() - 2;
+  Partial += Bytes;
+  size_t Begin = 0;
+  for (size_t End = eventEnd(Partial, From); End != std::string::npos;
+       End = eventEnd(Partial, Begin)) {
+    if (!acceptEvent(std::string_view(Partial).substr(Begin, End - Begin)))
+      return false;
+    Begin = End;
+  }
+  Partial.erase(0, Begin);
+  return true;
+}
+
+std::string EventStream::takeWhole() {
+  std::string Result;
+  Result.swap(Whole);
+  return Result;
+}
+
+void EventStream::beginNextRun() { Partial.clear(); }
+
+} // namespace ragwort::gateway
--- /dev/null
+++ b/libs/gateway/src/Gateway.cpp
@@ -0,0 +1,252 @@
+//===- Gateway.cpp - Accepts callers and owns what their requests share ---===//
+#include "ragwort/gateway/Gateway.h"
+#include "ragwort/observe/Log.h"
+#include <algorithm>
+#include <charconv>
+
+namespace ragwort::gateway {
+
+namespace {
+
+// How often time limits are applied and waiting requests are called.
+constexpr Duration TickInterval = std::chrono::milliseconds(100);
+// Pause after a failed accept, such as one without a free descriptor.
+constexpr Duration AcceptPause = std::chrono::milliseconds(50);
+// Return time told by a node that has no configuration yet.
+constexpr Duration StartingRetryAfter = std::chrono::milliseconds(500);
+// Priority of requests whose route and organisation name none.
+constexpr std::string_view BearerScheme = "Bearer ";
+
+std::optional<Duration> parseMillis(std::string_view Text) {
+  int64_t Millis = 0;
+  auto Parsed = std::from_chars(Text.data(), Text.data() + Text.size(), Millis);
+  // Above a day it is no time that anybody waits.
+  if (Parsed.ec != std::errc() || Millis <= 0 || Millis > 86'400'000)
+    return std::nullopt;
+  return std::chrono::milliseconds(Millis);
+}
+
+size_t count(const HeaderFields &Fields, std::string_view Name) {
+  return static_cast<size_t>(std::count_if(
+      Fields.begin(), Fields.end(), [Name](const HeaderField &Field) {
+        return isSameHeaderName(Field.Name, Name);
+      }));
+}
+
+} // namespace
+
+Gateway::Gateway(asio::io_context &Io, GatewayOptions Given,
+                 ProtocolNames Spelled, MetricsRegistry &Metrics)
+    : Io(Io), Options(std::move(Given)), Names(std::move(Spelled)),
+      Metrics(Metrics), Acceptor(Io), Ticker(Io),
+      Dispatch(Options.DataCentre, Options.RepeatBudget, Options.Seed),
+      Context{Io,
+              Names,
+              Dispatch,
+              Pool,
+              Metrics,
+              [this](uint64_t Ticket, std::weak_ptr<Forwarding> Request) {
+                Waiting.emplace(Ticket, std::move(Request));
+              },
+              [this] { scheduleCall(); },
+              [this] { return Directory.version(); }} {}
+
+Gateway::~Gateway() = default;
+
+absl::Status Gateway::listen() {
+  auto Endpoint = endpointOf<asio::ip::tcp>(Options.Listen);
+  error_code Error;
+  Acceptor.open(Endpoint.protocol(), Error);
+  if (!Error)
+    Acceptor.set_option(asio::socket_base::reuse_address(true), Error);
+  if (!Error)
+    Acceptor.bind(Endpoint, Error);
+  if (!Error)
+    Acceptor.listen(asio::socket_base::max_listen_connections, Error);
+  if (Error)
+    return absl::UnavailableError("cannot listen on " +
+                                  toString(Options.Listen) + ": " +
+                                  Error.message());
+  acceptNext();
+  tick();
+  return absl::OkStatus();
+}
+
+uint16_t Gateway::port() const { return Acceptor.local_endpoint().port(); }
+
+void Gateway::acceptNext() {
+  Acceptor.async_accept([this](error_code Error, asio::ip::tcp::socket Peer) {
+    if (Error == asio::error::operation_aborted)
+      return;
+    if (Error) {
+      logEvent(LogLevel::Warning, "accept-failed",
+               {{"reason", Error.message()}});
+      auto Pause = std::make_shared<asio::steady_timer>(Io, AcceptPause);
+      Pause->async_wait([this, Pause](error_code Stopped) {
+        if (!Stopped && Acceptor.is_open())
+          acceptNext();
+      });
+      return;
+    }
+    if (Sessions.size() < Options.MaxCallers) {
+      auto Session = std::make_shared<CallerSession>(*this, Io);
+      Sessions.insert(Session);
+      Session->start(std::move(Peer));
+    } else {
+      logEvent(LogLevel::Warning, "caller-turned-away",
+               {{"connections", Sessions.size()}});
+    }
+    acceptNext();
+  });
+}
+
+void Gateway::tick() {
+  Ticker.expires_after(TickInterval);
+  Ticker.async_wait([this](error_code Error) {
+    if (Error)
+      return;
+    TimePoint Now = SteadyClock().now();
+    for (auto It = Sessions.begin(); It != Sessions.end();) {
+      auto Session = *It;
+      Session->onTick(Now);
+      It = Session->isClosed() ? Sessions.erase(It) : std::next(It);
+    }
+    if (Directory.expire(Now) > 0)
+      onDirectoryChanged();
+    Pool.expire(Now);
+    callWaiting();
+    tick();
+  });
+}
+
+bool Gateway::useConfig(std::shared_ptr<const TrafficConfig> Newer) {
+  if (Config && Newer->Version <= Config->Version)
+    return false;
+  logEvent(LogLevel::Info, "config-in-force",
+           {{"version", Newer->Version},
+            {"before", configVersion()},
+            {"routes", Newer->routeCount()}});
+  Config = std::move(Newer);
+  return true;
+}
+
+void Gateway::onDirectoryChanged() {
+  Dispatch.board().sync(Directory);
+  scheduleCall();
+}
+
+void Gateway::onPeerReport(std::string_view Peer,
+                           std::vector<InFlightReport> Report) {
+  Dispatch.board().onPeerReport(Peer, std::move(Report), SteadyClock().now());
+  if (!Waiting.empty())
+    scheduleCall();
+}
+
+void Gateway::scheduleCall() {
+  if (IsCallScheduled || Waiting.empty())
+    return;
+  IsCallScheduled = true;
+  asio::post(Io, [this] {
+    IsCallScheduled = false;
+    callWaiting();
+  });
+}
+
+void Gateway::callWaiting() {
+  // Each started request changes the loads that decide about the next one.
+  for (bool IsAny = true; IsAny && !Waiting.empty();) {
+    std::vector<Called> Now = Dispatch.call(SteadyClock().now());
+    IsAny = !Now.empty();
+    for (const Called &C : Now) {
+      auto Found = Waiting.find(C.Ticket);
+      if (Found == Waiting.end())
+        continue;
+      auto Request = Found->second.lock();
+      Waiting.erase(Found);
+      if (Request)
+        Request->onCalled(C);
+    }
+  }
+  std::erase_if(Waiting,
+                [](const auto &Item) { return Item.second.expired(); });
+}
+
+bool Gateway::isReady() const {
+  return Config && Directory.isKnown() && !IsDraining;
+}
+
+void Gateway::beginDrain() { IsDraining = true; }
+
+void Gateway::closeIdle() {
+  error_code Error; // Closing twice is harmless.
+  Acceptor.close(Error);
+  for (const auto &Session : Sessions)
+    Session->closeIfIdle();
+}
+
+size_t Gateway::activeRequests() const {
+  return static_cast<size_t>(std::count_if(
+      Sessions.begin(), Sessions.end(), [](const auto &Session) {
+        return !Session->isClosed() && Session->isAnswering();
+      }));
+}
+
+void Gateway::onSuspended(Duration Gap) {
+  logEvent(LogLevel::Warning, "process-suspended",
+           {{"gap_ms", Gap.count() / 1000}, {"kept", Pool.size()}});
+  Pool.closeAll();
+}
+
+CallerLimits Gateway::limits() const {
+  return Config ? Config->Limits : CallerLimits();
+}
+
+std::variant<AcceptedRequest, OwnAnswer>
+Gateway::accept(http::Request Message, TimePoint Arrived) {
+  if (!Config || !Directory.isKnown())
+    return OwnAnswer{503, "starting", StartingRetryAfter};
+  std::string_view Host = Message.header("Host");
+  std::string_view RequestId = Message.header(Names.RequestId);
+  if (count(Message.Headers, "Host") != 1 ||
+      count(Message.Headers, Names.RequestId) != 1 || RequestId.empty())
+    return OwnAnswer{400, "host-or-request-id-missing", std::nullopt};
+  const Route *Target = Config->findRoute(Host, Message.Target);
+  if (!Target)
+    return OwnAnswer{404, "no-route", std::nullopt};
+  AcceptedRequest Result;
+  Result.Priority = Target->Priority;
+  if (Config->areKeysRequired() && !Target->IsPublic) {
+    std::string_view Key = Message.header("Authorization");
+    const Organisation *Holder = nullptr;
+    if (Key.starts_with(BearerScheme))
+      Holder = Config->findByKey(Key.substr(BearerScheme.size()));
+    if (!Holder)
+      return OwnAnswer{401, "unknown-key", std::nullopt};
+    Result.Organisation = Holder->Name;
+    Result.Priority = Holder->Priority.value_or(Target->Priority);
+  }
+  Duration Time = Target->Timeout;
+  if (auto Patience = parseMillis(Message.header(Names.TimeLeftMillis)))
+    Time = std::min(Time, *Patience);
+  Result.RequestId = RequestId;
+  Result.Arrived = Arrived;
+  Result.Deadline = Arrived + Time;
+  Result.Config = Config;
+  Result.Target = Target;
+  Result.Message = std::move(Message);
+  return Result;
+}
+
+std::string Gateway::describe() const {
+  return "ready=" + std::to_string(isReady()) +
+         " draining=" + std::to_string(IsDraining) +
+         " config=" + std::to_string(configVersion()) +
+         " directory=" + std::to_string(Directory.version()) +
+         " callers=" + std::to_string(Sessions.size()) +
+         " active=" + std::to_string(activeRequests()) +
+         " waiting=" + std::to_string(Dispatch.waiting()) +
+         " kept=" + std::to_string(Pool.size()) + "\n" +
+         Dispatch.board().describe(SteadyClock().now());
+}
+
+} // namespace ragwort::gateway
--- /dev/null
+++ b/libs/gateway/src/LoadBoard.cpp
@@ -0,0 +1,228 @@
+//===- LoadBoard.cpp - Load and health of backend servers -----------------===//
+#include "ragwort/gateway/LoadBoard.h"
+#include "ragwort/base/Hash.h"
+#include <algorithm>
+#include <cmath>
+
+namespace ragwort::gateway {
+
+namespace {
+
+// Weight of the newest answer in the moving averages.
+constexpr double AverageWeight = 0.2;
+// A server whose recent answers fail more often than this is left out. Above
+// the failures that services report in normal work.
+constexpr double EjectAboveFailureRate = 0.55;
+// Load that a server in another data centre must be lower by, in slots' share.
+constexpr double RemotePenalty = 0.03;
+// Bounds of the factor by which a slow server's load counts more.
+constexpr double MaxSlowFactor = 4.0;
+
+bool contains(std::span<const std::string> Ids, std::string_view Id) {
+  return std::find(Ids.begin(), Ids.end(), Id) != Ids.end();
+}
+
+} // namespace
+
+void LoadBoard::sync(const BackendDirectory &Directory) {
+  for (auto It = Servers.begin(); It != Servers.end();) {
+    if (Directory.instances().count(It->first)) {
+      ++It;
+      continue;
+    }
+    IdOfKey.erase(It->second.Key);
+    It = Servers.erase(It);
+  }
+  for (const auto &[Id, Entry] : Directory.instances()) {
+    Server &S = Servers[Id];
+    if (S.Entry == Entry)
+      continue;
+    // A new run under a known id starts without the former one's history.
+    if (S.Entry.BornMillis != Entry.BornMillis ||
+        S.Entry.Address != Entry.Address) {
+      uint32_t Own = S.Own;
+      S = Server();
+      S.Own = Own;
+    }
+    S.Entry = Entry;
+    S.Key = hash64(Id);
+    IdOfKey[S.Key] = Id;
+  }
+}
+
+LoadBoard::Server *LoadBoard::find(std::string_view Id) {
+  auto Found = Servers.find(Id);
+  return Found == Servers.end() ? nullptr : &Found->second;
+}
+
+void LoadBoard::onStarted(std::string_view Id) {
+  if (Server *S = find(Id))
+    ++S->Own;
+}
+
+void LoadBoard::onEnded(std::string_view Id) {
+  Server *S = find(Id);
+  if (S && S->Own > 0)
+    --S->Own;
+}
+
+void LoadBoard::onAnswered(std::string_view Id, Duration Latency) {
+  Server *S = find(Id);
+  if (!S)
+    return;
+  double Millis = static_cast<double>(Latency.count()) / 1000.0;
+  S->LatencyMillis = S->LatencyMillis == 0
+                         ? Millis
+                         : (1 - AverageWeight) * S->LatencyMillis +
+                               AverageWeight * Millis;
+  S->FailureRate *= 1 - AverageWeight;
+  S->NextEjection = FirstEjection;
+}
+
+void LoadBoard::eject(Server &S, TimePoint Now) {
+  if (Now < S.EjectedUntil)
+    return;
+  S.EjectedUntil = Now + S.NextEjection;
+  S.NextEjection = std::min(2 * S.NextEjection, MaxEjection);
+}
+
+void LoadBoard::onFault(std::string_view Id, ServerFault Fault, TimePoint Now) {
+  Server *S = find(Id);
+  if (!S || Fault == ServerFault::Full)
+    return;
+  S->FailureRate = (1 - AverageWeight) * S->FailureRate + AverageWeight;
+  switch (Fault) {
+  case ServerFault::Unreachable:
+  case ServerFault::Unavailable:
+  case ServerFault::Silent:
+    eject(*S, Now);
+    break;
+  case ServerFault::Garbled:
+  case ServerFault::Failure:
+    if (S->FailureRate > EjectAboveFailureRate)
+      eject(*S, Now);
+    break;
+  case ServerFault::Full:
+    break;
+  }
+}
+
+void LoadBoard::onPeerReport(std::string_view Peer,
+                             std::vector<InFlightReport> Report,
+                             TimePoint Now) {
+  Peers.insert_or_assign(std::string(Peer), PeerReport{std::move(Report), Now});
+  recountPeers(Now);
+}
+
+void LoadBoard::recountPeers(TimePoint Now) {
+  std::erase_if(Peers, [Now](const auto &Item) {
+    return Now - Item.second.At > ReportLife;
+  });
+  for (auto &[Id, S] : Servers)
+    S.OfPeers = 0;
+  for (const auto &[Peer, Report] : Peers)
+    for (const InFlightReport &Part : Report.Counts) {
+      auto Id = IdOfKey.find(Part.InstanceKey);
+      if (Id != IdOfKey.end())
+        Servers[Id->second].OfPeers += Part.Count;
+    }
+}
+
+double LoadBoard::typicalLatency(std::string_view Service) const {
+  std::vector<double> Known;
+  for (const auto &[Id, S] : Servers)
+    if (S.Entry.Service == Service && S.LatencyMillis > 0)
+      Known.push_back(S.LatencyMillis);
+  if (Known.empty())
+    return 0;
+  auto Middle = Known.begin() + static_cast<ptrdiff_t>(Known.size() / 2);
+  std::nth_element(Known.begin(), Middle, Known.end());
+  return *Middle;
+}
+
+double LoadBoard::score(const Server &S, double TypicalLatency) {
+  double Load = (S.Own + S.OfPeers + 1.0) / std::max(1u, S.Entry.Slots);
+  double Slow = TypicalLatency > 0 && S.LatencyMillis > 0
+                    ? std::clamp(S.LatencyMillis / TypicalLatency, 1.0,
+                                 MaxSlowFactor)
+                    : 1.0;
+  double Remote = S.Entry.DataCentre == LocalDataCentre ? 0.0 : RemotePenalty;
+  std::uniform_real_distribution<double> Tie(0, 0.01);
+  return Load * Slow + S.FailureRate + Remote + Tie(Random);
+}
+
+std::optional<Choice> LoadBoard::choose(std::string_view Service,
+                                        std::span<const std::string> Excluded,
+                                        TimePoint Now) {
+  size_t Usable = 0;
+  size_t Ejected = 0;
+  for (const auto &[Id, S] : Servers) {
+    if (S.Entry.Service != Service || S.Entry.IsDraining)
+      continue;
+    ++Usable;
+    Ejected += Now < S.EjectedUntil;
+  }
+  // Where most of a service seems to fail the evidence is about something
+  // else, and leaving servers out would only overload the rest.
+  bool HonoursEjection = Ejected * 2 <= Usable;
+  double Typical = typicalLatency(Service);
+  const Server *Best = nullptr;
+  double BestScore = 0;
+  for (const auto &[Id, S] : Servers) {
+    if (S.Entry.Service != Service || S.Entry.IsDraining ||
+        contains(Excluded, Id) ||
+        (HonoursEjection && Now < S.EjectedUntil))
+      continue;
+    double Score = score(S, Typical);
+    if (!Best || Score < BestScore) {
+      Best = &S;
+      BestScore = Score;
+    }
+  }
+  if (!Best)
+    return std::nullopt;
+  uint32_t InFlight = Best->Own + Best->OfPeers;
+  return Choice{&Best->Entry, InFlight, InFlight < Best->Entry.Slots};
+}
+
+ServiceRoom LoadBoard::room(std::string_view Service, TimePoint Now) const {
+  ServiceRoom Result;
+  for (const auto &[Id, S] : Servers) {
+    if (S.Entry.Service != Service || S.Entry.IsDraining ||
+        Now < S.EjectedUntil)
+      continue;
+    Result.Slots += S.Entry.Slots;
+    Result.InFlight += S.Own + S.OfPeers;
+    ++Result.Servers;
+  }
+  return Result;
+}
+
+std::vector<InFlightReport> LoadBoard::ownReport() const {
+  std::vector<InFlightReport> Result;
+  for (const auto &[Id, S] : Servers)
+    if (S.Own > 0)
+      Result.push_back({S.Key, S.Own});
+  return Result;
+}
+
+uint32_t LoadBoard::inFlight(std::string_view Id) const {
+  auto Found = Servers.find(Id);
+  return Found == Servers.end() ? 0 : Found->second.Own + Found->second.OfPeers;
+}
+
+std::string LoadBoard::describe(TimePoint Now) const {
+  std::string Text;
+  for (const auto &[Id, S] : Servers) {
+    Text += Id + " service=" + S.Entry.Service + " own=" +
+            std::to_string(S.Own) + " peers=" + std::to_string(S.OfPeers) +
+            " slots=" + std::to_string(S.Entry.Slots) + " failure_percent=" +
+            std::to_string(std::lround(S.FailureRate * 100)) +
+            " latency_ms=" + std::to_string(std::lround(S.LatencyMillis)) +
+            (S.Entry.IsDraining ? " draining" : "") +
+            (Now < S.EjectedUntil ? " ejected" : "") + "\n";
+  }
+  return Text;
+}
+
+} // namespace ragwort::gateway
--- /dev/null
+++ b/libs/gateway/src/MessageParser.cpp
@@ -0,0 +1,193 @@
+//===- MessageParser.cpp - Incremental HTTP/1.1 parsing over Boost.Beast --===//
+#include "ragwort/gateway/MessageParser.h"
+#include <boost/beast/http/basic_parser.hpp>
+#include <limits>
+
+namespace ragwort::gateway {
+
+namespace {
+
+namespace beast = boost::beast;
+namespace bhttp = boost::beast::http;
+using boost::system::error_code;
+
+// Responses come from our own backend servers; their heads are small.
+constexpr uint32_t MaxResponseHeadBytes = 65536;
+
+// The callbacks that both directions share: collects header fields and body.
+template <bool IsRequest>
+class Collector : public bhttp::basic_parser<IsRequest> {
+public:
+  Collector() {
+    this->eager(true);
+    this->body_limit(boost::none);
+  }
+
+  size_t feedBytes(std::string_view Bytes) {
+    size_t Taken = 0;
+    while (Taken < Bytes.size() && !Failed && !this->is_done()) {
+      error_code Error;
+      size_t Now = this->put(
+          boost::asio::const_buffer(Bytes.data() + Taken, Bytes.size() - Taken),
+          Error);
+      Taken += Now;
+      if (Error == bhttp::error::need_more)
+        break;
+      if (Error) {
+        Failed = true;
+        FailedBy = Error;
+      }
+      if (Now == 0)
+        break;
+    }
+    return Taken;
+  }
+
+  ParseStage stage() const {
+    if (Failed)
+      return ParseStage::Failed;
+    if (this->is_done())
+      return ParseStage::Done;
+    return IsHeadDone ? ParseStage::Body : ParseStage::Head;
+  }
+
+  HeaderFields Fields;
+  std::string Body;
+  bool Failed = false;
+  error_code FailedBy;
+  bool IsHeadDone = false;
+  uint32_t LengthFields = 0;
+  uint32_t EncodingFields = 0;
+
+protected:
+  void on_field_impl(bhttp::field Name, beast::string_view Text,
+                     beast::string_view Value, error_code &Error) override {
+    if (IsHeadDone)
+      return; // Trailers are not passed on.
+    LengthFields += Name == bhttp::field::content_length;
+    EncodingFields += Name == bhttp::field::transfer_encoding;
+    // Two readers may pick different ones of several framing fields.
+    if (LengthFields + EncodingFields > 1) {
+      Error = bhttp::error::bad_content_length;
+      return;
+    }
+    Fields.push_back({std::string(Text), std::string(Value)});
+  }
+  void on_header_impl(error_code &) override { IsHeadDone = true; }
+  void on_body_init_impl(boost::optional<uint64_t> const &,
+                         error_code &) override {}
+  size_t on_body_impl(beast::string_view Bytes, error_code &) override {
+    Body.append(Bytes.data(), Bytes.size());
+    return Bytes.size();
+  }
+  void on_chunk_header_impl(uint64_t, beast::string_view,
+                            error_code &) override {}
+  size_t on_chunk_body_impl(uint64_t, beast::string_view Bytes,
+                            error_code &) override {
+    Body.append(Bytes.data(), Bytes.size());
+    return Bytes.size();
+  }
+  void on_finish_impl(error_code &) override {}
+};
+
+} // namespace
+
+struct RequestParser::Impl final : Collector<true> {
+  explicit Impl(uint32_t MaxHeaderBytes) { header_limit(MaxHeaderBytes); }
+
+  void on_request_impl(bhttp::verb, beast::string_view MethodText,
+                       beast::string_view TargetText, int,
+                       error_code &) override {
+    Message.Method = std::string(MethodText);
+    Message.Target = std::string(TargetText);
+  }
+  void on_response_impl(int, beast::string_view, int, error_code &) override {}
+
+  http::Request Message;
+};
+
+RequestParser::RequestParser(uint32_t MaxHeaderBytes)
+    : State(std::make_unique<Impl>(MaxHeaderBytes)) {}
+RequestParser::~RequestParser() = default;
+
+size_t RequestParser::feed(std::string_view Bytes) {
+  size_t Taken = State->feedBytes(Bytes);
+  if (!State->Fields.empty() && State->IsHeadDone &&
+      State->Message.Headers.empty())
+    State->Message.Headers.swap(State->Fields);
+  if (!State->Body.empty()) {
+    if (State->Message.Body.empty())
+      State->Message.Body.swap(State->Body);
+    else
+      State->Message.Body += State->Body;
+    State->Body.clear();
+  }
+  return Taken;
+}
+
+ParseStage RequestParser::stage() const { return State->stage(); }
+
+ParseFailure RequestParser::failure() const {
+  if (!State->Failed)
+    return ParseFailure::None;
+  return State->FailedBy == bhttp::error::header_limit
+             ? ParseFailure::HeadTooLarge
+             : ParseFailure::Malformed;
+}
+
+const http::Request &RequestParser::request() const { return State->Message; }
+http::Request RequestParser::takeRequest() { return std::move(State->Message); }
+bool RequestParser::keepsConnection() const { return State->keep_alive(); }
+
+struct ResponseParser::Impl final : Collector<false> {
+  Impl() { header_limit(MaxResponseHeadBytes); }
+
+  void on_request_impl(bhttp::verb, beast::string_view, beast::string_view, int,
+                       error_code &) override {}
+  void on_response_impl(int Code, beast::string_view, int,
+                        error_code &) override {
+    Head.Status = static_cast<unsigned>(Code);
+  }
+
+  http::ResponseHead Head;
+};
+
+ResponseParser::ResponseParser() : State(std::make_unique<Impl>()) {}
+ResponseParser::~ResponseParser() = default;
+ResponseParser::ResponseParser(ResponseParser &&) noexcept = default;
+ResponseParser &ResponseParser::operator=(ResponseParser &&) noexcept = default;
+
+void ResponseParser::expectNoBody() { State->skip(true); }
+
+size_t ResponseParser::feed(std::string_view Bytes) {
+  size_t Taken = State->feedBytes(Bytes);
+  if (State->IsHeadDone && State->Head.Headers.empty())
+    State->Head.Headers.swap(State->Fields);
+  return Taken;
+}
+
+void ResponseParser::feedEnd() {
+  error_code Error;
+  State->put_eof(Error);
+  if (Error)
+    State->Failed = true;
+}
+
+ParseStage ResponseParser::stage() const { return State->stage(); }
+const http::ResponseHead &ResponseParser::head() const { return State->Head; }
+
+std::string ResponseParser::takeBody() {
+  std::string Result;
+  Result.swap(State->Body);
+  return Result;
+}
+
+bool ResponseParser::keepsConnection() const {
+  return State->keep_alive() && !State->need_eof();
+}
+
+bool ResponseParser::isInterim() const {
+  return State->IsHeadDone && State->Head.Status < 200;
+}
+
+} // namespace ragwort::gateway
--- /dev/null
+++ b/libs/gateway/src/PeerExchange.cpp
@@ -0,0 +1,275 @@
+//===- PeerExchange.cpp - Loads and versions between gateway nodes --------===//
+#include "ragwort/gateway/PeerExchange.h"
+#include "ragwort/http/HttpClient.h"
+#include "ragwort/observe/Log.h"
+
+namespace ragwort::gateway {
+
+namespace {
+
+constexpr std::string_view ConfigPath = "/config";
+constexpr std::string_view DirectoryPath = "/directory";
+constexpr std::string_view VersionHeader = "Ragwort-Version";
+
+TimePoint now() { return SteadyClock().now(); }
+
+http::ServerLimits documentLimits() {
+  http::ServerLimits Limits;
+  Limits.MaxConnections = 64;
+  Limits.IdleTimeout = std::chrono::seconds(5);
+  Limits.WriteTimeout = std::chrono::seconds(5);
+  return Limits;
+}
+
+} // namespace
+
+PeerExchange::PeerExchange(asio::io_context &Io, PeerOptions Given,
+                           Gateway &Node,
+                           std::function<void(ConfigDocument)> UseConfig)
+    : Io(Io), Options(std::move(Given)), Node(Node),
+      UseConfig(std::move(UseConfig)), Socket(Io),
+      Documents(
+          Io, [this](http::Exchange &X) { return answer(X); },
+          documentLimits()) {}
+
+absl::Status PeerExchange::listen() {
+  auto Endpoint = endpointOf<asio::ip::udp>(Options.Listen);
+  error_code Error;
+  Socket.open(Endpoint.protocol(), Error);
+  if (!Error)
+    Socket.bind(Endpoint, Error);
+  if (!Error)
+    Socket.non_blocking(true, Error);
+  if (Error)
+    return absl::UnavailableError("cannot bind UDP " +
+                                  toString(Options.Listen) + ": " +
+                                  Error.message());
+  asio::co_spawn(Io, receiveLoop(), asio::detached);
+  asio::co_spawn(Io, beatLoop(), asio::detached);
+  return Documents.listen(Options.Listen);
+}
+
+void PeerExchange::addPeer(const std::string &Ip) {
+  if (Ip == Options.Listen.Ip)
+    return;
+  auto [At, IsNew] = Peers.try_emplace(Ip);
+  if (IsNew)
+    At->second.AddedAt = now();
+}
+
+void PeerExchange::offerConfig(ConfigDocument Document) {
+  if (Document.Version > Offered.Version)
+    Offered = std::move(Document);
+}
+
+void PeerExchange::announceLeaving() {
+  IsLeaving = true;
+  sendBeats();
+}
+
+void PeerExchange::sendBeats() {
+  PeerBeat Beat;
+  Beat.Node = Options.Node;
+  Beat.Incarnation = Options.Incarnation;
+  Beat.IsLeaving = IsLeaving;
+  Beat.ConfigVersion = Offered.Version;
+  Beat.DirectoryVersion = Node.directory().version();
+  Beat.InFlight = Node.dispatcher().board().ownReport();
+  for (const auto &[Ip, P] : Peers)
+    if (Beat.PeerIps.size() < MaxNamedPeers && P.HeardAt != TimePoint())
+      Beat.PeerIps.push_back(Ip);
+  std::string Bytes = encodeBeat(Beat);
+  if (Bytes.size() > MaxBeatBytes) {
+    Beat.PeerIps.clear();
+    Bytes = encodeBeat(Beat);
+  }
+  for (const auto &[Ip, P] : Peers) {
+    error_code Error; // A lost heartbeat is made up for by the next.
+    Socket.send_to(asio::buffer(Bytes),
+                   endpointOf<asio::ip::udp>({Ip, Options.Listen.Port}), 0,
+                   Error);
+  }
+}
+
+asio::awaitable<void> PeerExchange::beatLoop() {
+  while (Socket.is_open()) {
+    sendBeats();
+    TimePoint At = now();
+    forgetSilent(At);
+    catchUp(At);
+    co_await sleepFor(BeatInterval);
+  }
+}
+
+asio::awaitable<void> PeerExchange::receiveLoop() {
+  std::array<char, MaxBeatBytes + 1> Buffer;
+  while (Socket.is_open()) {
+    asio::ip::udp::endpoint From;
+    error_code Error;
+    size_t Count = co_await Socket.async_receive_from(
+        asio::buffer(Buffer), From,
+        asio::redirect_error(asio::use_awaitable, Error));
+    if (Error == asio::error::operation_aborted)
+      co_return;
+    // Errors of earlier sends (port unreachable) surface here; go on.
+    if (Error)
+      continue;
+    absl::StatusOr<PeerBeat> Beat =
+        decodeBeat(std::string_view(Buffer.data(), Count));
+    if (Beat.ok())
+      onBeat(*Beat, From.address().to_string());
+  }
+}
+
+void PeerExchange::onBeat(const PeerBeat &Beat, const std::string &Ip) {
+  TimePoint At = now();
+  auto [Found, IsNew] = Peers.try_emplace(Ip);
+  Peer &P = Found->second;
+  if (IsNew)
+    P.AddedAt = At;
+  if (P.HeardAt == TimePoint() || P.Incarnation != Beat.Incarnation)
+    logEvent(LogLevel::Info, "peer-heard",
+             {{"peer", Beat.Node}, {"incarnation", Beat.Incarnation}});
+  P.Node = Beat.Node;
+  P.Incarnation = Beat.Incarnation;
+  P.HeardAt = At;
+  P.ConfigVersion = Beat.ConfigVersion;
+  P.DirectoryVersion = Beat.DirectoryVersion;
+  P.IsLeaving = Beat.IsLeaving;
+  for (const std::string &Known : Beat.PeerIps)
+    if (parseAddress(Known + ":1"))
+      addPeer(Known);
+  Node.onPeerReport(Beat.Node, Beat.InFlight);
+}
+
+size_t PeerExchange::livePeers() const {
+  TimePoint At = now();
+  size_t Live = 0;
+  for (const auto &[Ip, P] : Peers)
+    Live += P.HeardAt != TimePoint() && At - P.HeardAt < ShareAfter;
+  return Live;
+}
+
+void PeerExchange::forgetSilent(TimePoint Now) {
+  std::erase_if(Peers, [Now](const auto &Item) {
+    TimePoint Last = std::max(Item.second.HeardAt, Item.second.AddedAt);
+    return Now - Last > ForgetAfter;
+  });
+  Node.dispatcher().setNodes(livePeers() + 1);
+}
+
+void PeerExchange::catchUp(TimePoint Now) {
+  constexpr Duration Fresh = std::chrono::milliseconds(1000);
+  const Peer *Config = nullptr;
+  const Peer *Directory = nullptr;
+  std::string ConfigIp;
+  std::string DirectoryIp;
+  for (const auto &[Ip, P] : Peers) {
+    if (P.HeardAt == TimePoint() || Now - P.HeardAt > Fresh)
+      continue;
+    if (P.ConfigVersion > Offered.Version &&
+        (!Config || P.ConfigVersion > Config->ConfigVersion)) {
+      Config = &P;
+      ConfigIp = Ip;
+    }
+    if (P.DirectoryVersion > Node.directory().version() &&
+        (!Directory || P.DirectoryVersion > Directory->DirectoryVersion)) {
+      Directory = &P;
+      DirectoryIp = Ip;
+    }
+  }
+  if (!Config)
+    ConfigBehindSince = Now;
+  else if (Now - ConfigBehindSince >= BehindConfig && !IsFetchingConfig)
+    asio::co_spawn(Io, fetchConfig(ConfigIp), asio::detached);
+  bool IsAdvancing = Node.directory().version() != DirectorySeen;
+  DirectorySeen = Node.directory().version();
+  if (!Directory || IsAdvancing)
+    DirectoryBehindSince = Now;
+  else if (Now - DirectoryBehindSince >= BehindDirectory &&
+           !IsFetchingDirectory)
+    asio::co_spawn(Io, fetchDirectory(DirectoryIp), asio::detached);
+}
+
+asio::awaitable<void> PeerExchange::fetchConfig(std::string Ip) {
+  IsFetchingConfig = true;
+  http::Request R;
+  R.Target = ConfigPath;
+  absl::StatusOr<http::Response> Answer = co_await http::fetch(
+      {Ip, Options.Listen.Port}, std::move(R), FetchTimeout);
+  IsFetchingConfig = false;
+  if (!Answer.ok() || Answer->Head.Status != 200) {
+    logEvent(LogLevel::Warning, "peer-config-failed",
+             {{"peer", Ip},
+              {"reason", Answer.ok() ? std::to_string(Answer->Head.Status)
+                                     : std::string(Answer.status().message())}});
+    co_return;
+  }
+  ConfigDocument Document;
+  Document.Version = std::strtoull(
+      std::string(Answer->Head.header(VersionHeader)).c_str(), nullptr, 10);
+  Document.Bytes = std::move(Answer->Body);
+  logEvent(LogLevel::Info, "peer-config-taken",
+           {{"peer", Ip}, {"version", Document.Version}});
+  if (Document.Version > Offered.Version)
+    UseConfig(std::move(Document));
+}
+
+asio::awaitable<void> PeerExchange::fetchDirectory(std::string Ip) {
+  IsFetchingDirectory = true;
+  http::Request R;
+  R.Target = DirectoryPath;
+  absl::StatusOr<http::Response> Answer = co_await http::fetch(
+      {Ip, Options.Listen.Port}, std::move(R), FetchTimeout);
+  IsFetchingDirectory = false;
+  absl::StatusOr<DirectorySnapshot> Snapshot =
+      Answer.ok() ? decodeDirectory(Answer->Body) : Answer.status();
+  if (!Snapshot.ok()) {
+    logEvent(LogLevel::Warning, "peer-directory-failed",
+             {{"peer", Ip},
+              {"reason", std::string(Snapshot.status().message())}});
+    co_return;
+  }
+  logEvent(LogLevel::Info, "peer-directory-taken",
+           {{"peer", Ip},
+            {"version", Snapshot->Version},
+            {"servers", Snapshot->Instances.size()}});
+  if (Node.directory().replaceAll(std::move(Snapshot->Instances),
+                                  Snapshot->Version, now(),
+                                  BackendDirectory::Completeness::Settled))
+    Node.onDirectoryChanged();
+}
+
+asio::awaitable<void> PeerExchange::answer(http::Exchange &X) {
+  http::Response R;
+  if (X.request().Target == ConfigPath && Offered.Version > 0) {
+    R = http::makeResponse(200, "application/octet-stream", Offered.Bytes);
+    R.Head.Headers.push_back(
+        {std::string(VersionHeader), std::to_string(Offered.Version)});
+  } else if (X.request().Target == DirectoryPath &&
+             Node.directory().isKnown()) {
+    R = http::makeResponse(
+        200, "application/octet-stream",
+        encodeDirectory(
+            {Node.directory().version(), Node.directory().snapshot()}));
+  } else {
+    R = http::makeResponse(404, "text/plain", "not known here\n");
+  }
+  co_await X.respond(std::move(R));
+}
+
+std::string PeerExchange::describe() const {
+  std::string Text;
+  TimePoint At = now();
+  for (const auto &[Ip, P] : Peers)
+    Text += "peer " + Ip + " node=" + P.Node + " age_ms=" +
+            (P.HeardAt == TimePoint()
+                 ? std::string("never")
+                 : std::to_string((At - P.HeardAt).count() / 1000)) +
+            " config=" + std::to_string(P.ConfigVersion) +
+            " directory=" + std::to_string(P.DirectoryVersion) +
+            (P.IsLeaving ? " leaving" : "") + "\n";
+  return Text;
+}
+
+} // namespace ragwort::gateway
--- /dev/null
+++ b/libs/gateway/src/RequestFlow.cpp
@@ -0,0 +1,85 @@
+//===- RequestFlow.cpp - What a request may do next -----------------------===//
+#include "ragwort/gateway/RequestFlow.h"
+#include <cstdlib>
+
+namespace ragwort::gateway {
+
+std::string_view toString(Step Value) {
+  switch (Value) {
+  case Step::Continue:
+    return "continue";
+  case Step::TryAnother:
+    return "try-another";
+  case Step::RelayAnswer:
+    return "relay";
+  case Step::RefuseNotRun:
+    return "refuse-not-run";
+  case Step::FailUnknown:
+    return "fail-unknown";
+  case Step::FailTimeout:
+    return "fail-timeout";
+  case Step::CutAnswer:
+    return "cut";
+  case Step::Abandon:
+    return "abandon";
+  }
+  return "invalid";
+}
+
+Step RequestFlow::giveUp() const {
+  if (IsAnswerBegun)
+    return Step::CutAnswer;
+  return mayHaveRun() ? Step::FailUnknown : Step::RefuseNotRun;
+}
+
+bool RequestFlow::canSendAgain(RetryMeans Means) const {
+  if (Sends >= MaxAttempts || !Means.IsTimeLeft || !Means.IsBudgetLeft)
+    return false;
+  // An answer that has begun continues only where a stream can be resumed.
+  return !IsAnswerBegun || Repeat == Repeatability::Resumable;
+}
+
+Step RequestFlow::onNoBackend() { return giveUp(); }
+
+Step RequestFlow::onConnectFailed(RetryMeans Means) {
+  // A connection that never opened is no send and takes nothing of the budget.
+  return Means.IsTimeLeft ? Step::TryAnother : giveUp();
+}
+
+void RequestFlow::onSent() {
+  // A second run of an at-most-once request is the one thing that must never
+  // happen; stopping the process is the lesser harm.
+  if (Repeat == Repeatability::AtMostOnce && UnknownSends > 0)
+    std::abort();
+  ++Sends;
+  ++UnknownSends;
+}
+
+Step RequestFlow::onDeclined(RetryMeans Means) {
+  --UnknownSends;
+  return canSendAgain(Means) ? Step::TryAnother : giveUp();
+}
+
+Step RequestFlow::onFailureAnswer(RetryMeans Means) {
+  if (IsAnswerBegun)
+    return canSendAgain(Means) ? Step::TryAnother : Step::CutAnswer;
+  if (isRepeatable() && canSendAgain(Means))
+    return Step::TryAnother;
+  return Step::RelayAnswer;
+}
+
+Step RequestFlow::onBroken(RetryMeans Means) {
+  if (isRepeatable() && canSendAgain(Means))
+    return Step::TryAnother;
+  return giveUp();
+}
+
+Step RequestFlow::onTimeUp() {
+  if (IsAnswerBegun)
+    return Step::CutAnswer;
+  return mayHaveRun() ? Step::FailTimeout : Step::RefuseNotRun;
+}
+
+Step RequestFlow::onCallerGone() { return Step::Abandon; }
+
+} // namespace ragwort::gateway
--- /dev/null
+++ b/libs/gateway/src/StreamSocket.cpp
@@ -0,0 +1,203 @@
+//===- StreamSocket.cpp - Buffered TCP connection for one event loop ------===//
+#include "ragwort/gateway/StreamSocket.h"
+#include "ragwort/base/Bytes.h"
+#include <array>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace ragwort::gateway {
+
+namespace {
+
+// Probes find a peer that fell silent without a reset within about three
+// seconds: shorter than the time callers wait for a stream's next event would
+// be dear in packets, much longer would hold dead connections in the pools.
+constexpr int KeepAliveIdleSeconds = 1;
+constexpr int KeepAliveIntervalSeconds = 1;
+constexpr int KeepAliveProbes = 2;
+constexpr int UserTimeoutMillis = 2000;
+
+constexpr size_t ReadBytes = 64 * KiB;
+
+template <int Level, int Name>
+using IntOption = asio::detail::socket_option::integer<Level, Name>;
+
+void setOptions(asio::ip::tcp::socket &Socket) {
+  error_code Error; // A connection without an option still works.
+  Socket.non_blocking(true, Error);
+  Socket.set_option(asio::ip::tcp::no_delay(true), Error);
+  Socket.set_option(asio::socket_base::keep_alive(true), Error);
+  Socket.set_option(
+      IntOption<IPPROTO_TCP, TCP_KEEPIDLE>(KeepAliveIdleSeconds), Error);
+  Socket.set_option(
+      IntOption<IPPROTO_TCP, TCP_KEEPINTVL>(KeepAliveIntervalSeconds), Error);
+  Socket.set_option(IntOption<IPPROTO_TCP, TCP_KEEPCNT>(KeepAliveProbes),
+                    Error);
+  Socket.set_option(
+      IntOption<IPPROTO_TCP, TCP_USER_TIMEOUT>(UserTimeoutMillis), Error);
+}
+
+} // namespace
+
+void StreamSocket::connect(const asio::ip::tcp::endpoint &To,
+                           Duration Timeout) {
+  State = Stage::Connecting;
+  error_code Error;
+  Socket.open(To.protocol(), Error);
+  if (Error) {
+    asio::post(Socket.get_executor(),
+               [Self = shared_from_this()] { Self->end(SocketEnd::Broken); });
+    return;
+  }
+  ConnectTimer.expires_after(Timeout);
+  ConnectTimer.async_wait([Self = shared_from_this()](error_code Failed) {
+    if (!Failed && Self->State == Stage::Connecting)
+      Self->end(SocketEnd::Broken);
+  });
+  Socket.async_connect(To, [Self = shared_from_this()](error_code Failed) {
+    if (Self->State != Stage::Connecting)
+      return;
+    Self->ConnectTimer.cancel();
+    if (Failed) {
+      Self->end(SocketEnd::Broken);
+      return;
+    }
+    Self->open();
+    if (Self->User)
+      Self->User->onConnected();
+  });
+}
+
+void StreamSocket::adopt(asio::ip::tcp::socket Accepted) {
+  Socket = std::move(Accepted);
+  open();
+}
+
+void StreamSocket::open() {
+  State = Stage::Open;
+  setOptions(Socket);
+  waitReadable();
+}
+
+void StreamSocket::waitReadable() {
+  if (IsReadWaiting || IsPaused || State != Stage::Open)
+    return;
+  IsReadWaiting = true;
+  Socket.async_wait(asio::ip::tcp::socket::wait_read,
+                    [Self = shared_from_this()](error_code Error) {
+                      Self->IsReadWaiting = false;
+                      if (!Error)
+                        Self->onReadable();
+                    });
+}
+
+void StreamSocket::onReadable() {
+  if (State != Stage::Open || IsPaused)
+    return;
+  // One loop, one thread: the bytes are consumed before the next read.
+  static thread_local std::array<char, ReadBytes> Shared;
+  error_code Error;
+  size_t Count = Socket.read_some(asio::buffer(Shared), Error);
+  if (Error == asio::error::would_block || Error == asio::error::try_again) {
+    waitReadable();
+    return;
+  }
+  if (Error) {
+    end(Error == asio::error::eof ? SocketEnd::Closed : SocketEnd::Broken);
+    return;
+  }
+  auto Self = shared_from_this();
+  if (User)
+    User->onBytes(std::string_view(Shared.data(), Count));
+  waitReadable();
+}
+
+void StreamSocket::resumeReading() {
+  IsPaused = false;
+  waitReadable();
+}
+
+void StreamSocket::write(std::string_view Bytes) {
+  if (State != Stage::Open)
+    return;
+  if (unsent() > 0) {
+    Out += Bytes;
+    return;
+  }
+  error_code Error;
+  size_t Taken =
+      Socket.write_some(asio::buffer(Bytes.data(), Bytes.size()), Error);
+  if (Error && Error != asio::error::would_block) {
+    // The pending read reports the end, behind bytes that came before it.
+    Taken = Bytes.size();
+  }
+  if (Taken == Bytes.size())
+    return;
+  Out.assign(Bytes.substr(Taken));
+  OutTaken = 0;
+  waitWritable();
+}
+
+void StreamSocket::waitWritable() {
+  if (IsWriteWaiting || State != Stage::Open)
+    return;
+  IsWriteWaiting = true;
+  Socket.async_wait(asio::ip::tcp::socket::wait_write,
+                    [Self = shared_from_this()](error_code Error) {
+                      Self->IsWriteWaiting = false;
+                      if (!Error)
+                        Self->flush();
+                    });
+}
+
+void StreamSocket::flush() {
+  if (State != Stage::Open)
+    return;
+  error_code Error;
+  OutTaken += Socket.write_some(
+      asio::buffer(Out.data() + OutTaken, unsent()), Error);
+  if (Error && Error != asio::error::would_block) {
+    end(SocketEnd::Broken);
+    return;
+  }
+  if (unsent() > 0) {
+    waitWritable();
+    return;
+  }
+  Out.clear();
+  OutTaken = 0;
+  if (ClosesAfterWrite) {
+    close();
+    return;
+  }
+  if (User)
+    User->onDrained();
+}
+
+void StreamSocket::close() {
+  User = nullptr;
+  if (State == Stage::Closed)
+    return;
+  State = Stage::Closed;
+  ConnectTimer.cancel();
+  error_code Error; // The socket is given up whatever the kernel says.
+  Socket.close(Error);
+}
+
+void StreamSocket::closeAfterWrite() {
+  User = nullptr;
+  if (unsent() == 0)
+    close();
+  else
+    ClosesAfterWrite = true;
+}
+
+void StreamSocket::end(SocketEnd How) {
+  SocketUser *Last = User;
+  auto Self = shared_from_this();
+  close();
+  if (Last)
+    Last->onEnd(How);
+}
+
+} // namespace ragwort::gateway
--- a/libs/observe/include/ragwort/observe/Log.h
+++ b/libs/observe/include/ragwort/observe/Log.h
@@ -36,10 +36,14 @@
 /// Called once, before other threads start.
 void configureLog(LogLevel Lowest, std::string_view Node);
 
+/// Sends all lines through a bounded buffer that never blocks: routine lines
+/// (below warning) are dropped before others when the reader is slow.
+void boundLog(int Descriptor);
+
 /// Parses debug, info, warning or error; anything else gives \p Default.
 LogLevel parseLogLevel(std::string_view Name, LogLevel Default);
 
-/// Writes one event to standard error.
+/// Writes one event to standard output.
 ///
 /// \code
 ///   logEvent(LogLevel::Info, "request-finished",
--- a/libs/observe/src/Log.cpp
+++ b/libs/observe/src/Log.cpp
@@ -1,5 +1,6 @@
 //===- Log.cpp - Event lines over easylogging++ ---------------------------===//
 #include "ragwort/observe/Log.h"
+#include "ragwort/observe/BoundedOutput.h"
 #include <atomic>
 #include <cstdio>
 #include <easylogging++.h>
@@ -46,8 +47,35 @@
   }
 }
 
+/// Takes the place of easylogging's own output.
+class BoundedDispatch : public el::LogDispatchCallback {
+public:
+  static std::unique_ptr<BoundedOutput> &output() {
+    static std::unique_ptr<BoundedOutput> Output;
+    return Output;
+  }
+
+protected:
+  void handle(const el::LogDispatchData *Data) override {
+    const el::LogMessage *Message = Data->logMessage();
+    bool IsRoutine = Message->level() == el::Level::Info ||
+                     Message->level() == el::Level::Debug;
+    output()->write(Message->logger()->logBuilder()->build(Message, true),
+                    IsRoutine ? LineClass::Routine : LineClass::Important,
+                    SteadyClock().now());
+  }
+};
+
 } // namespace
 
+void boundLog(int Descriptor) {
+  BoundedDispatch::output() = std::make_unique<BoundedOutput>(
+      Descriptor, BoundedOutput::Limits());
+  el::Helpers::uninstallLogDispatchCallback<
+      el::base::DefaultLogDispatchCallback>("DefaultLogDispatchCallback");
+  el::Helpers::installLogDispatchCallback<BoundedDispatch>("bounded-output");
+}
+
 void configureLog(LogLevel Lowest, std::string_view Node) {
   LowestLevel = Lowest;
   nodeName() = Node;
