--- a/libs/gateway/src/MessageParser.cpp
+++ b/libs/gateway/src/MessageParser.cpp
@@ -20,7 +20,8 @@
 public:
   Collector() {
     this->eager(true);
-    this->body_limit(boost::none);
+    // The shells bound what they keep; Boost 1.74 reads "no limit" as zero.
+    this->body_limit(std::numeric_limits<uint64_t>::max());
   }
 
   size_t feedBytes(std::string_view Bytes) {
