Keep aggregates out of co_await expressions in the peer exchange

Cause: g++ 12 destroys an aggregate temporary of a co_await expression twice; nodes aborted in free() when they fetched the configuration from a peer. Ruled out: the store's client (it passes named values).

--- a/libs/gateway/src/PeerExchange.cpp
+++ b/libs/gateway/src/PeerExchange.cpp
@@ -195,8 +195,10 @@
   IsFetchingConfig = true;
   http::Request R;
   R.Target = ConfigPath;
-  absl::StatusOr<http::Response> Answer = co_await http::fetch(
-      {Ip, Options.Listen.Port}, std::move(R), FetchTimeout);
+  // g++ 12 destroys an aggregate made inside a co_await expression twice.
+  Address From{Ip, Options.Listen.Port};
+  absl::StatusOr<http::Response> Answer =
+      co_await http::fetch(From, std::move(R), FetchTimeout);
   IsFetchingConfig = false;
   if (!Answer.ok() || Answer->Head.Status != 200) {
     logEvent(LogLevel::Warning, "peer-config-failed",
@@ -219,8 +221,10 @@
   IsFetchingDirectory = true;
   http::Request R;
   R.Target = DirectoryPath;
-  absl::StatusOr<http::Response> Answer = co_await http::fetch(
-      {Ip, Options.Listen.Port}, std::move(R), FetchTimeout);
+  // g++ 12 destroys an aggregate made inside a co_await expression twice.
+  Address From{Ip, Options.Listen.Port};
+  absl::StatusOr<http::Response> Answer =
+      co_await http::fetch(From, std::move(R), FetchTimeout);
   IsFetchingDirectory = false;
   absl::StatusOr<DirectorySnapshot> Snapshot =
       Answer.ok() ? decodeDirectory(Answer->Body) : Answer.status();
