--- a/libs/gateway/include/ragwort/gateway/TrafficConfig.h
+++ b/libs/gateway/include/ragwort/gateway/TrafficConfig.h
@@ -8,6 +8,7 @@
 #define RAGWORT_GATEWAY_TRAFFICCONFIG_H
 
 #include "ragwort/base/Time.h"
+#include "ragwort/rankgroup/GroupShape.h"
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -66,6 +67,8 @@
   uint32_t StepsPerPass = 1;
   uint32_t UsualPromptTokens = 0;
   uint32_t UsualOutputTokens = 0;
+  /// How the experts of a group of ranks are arranged.
+  rankgroup::GroupShape Experts;
 };
 
 /// A kind of backend server.
--- /dev/null
+++ b/libs/rankgroup/include/ragwort/rankgroup/GroupAgent.h
@@ -0,0 +1,488 @@
+//===- GroupAgent.h - The process beside one engine -----------------------===//
+//
+// Reads its own engine, where that is free, and reports to the controller of
+// the engine's group. Beside the first rank it is the controller itself and
+// gives the group's orders.
+//
+//===----------------------------------------------------------------------===//
+#ifndef RAGWORT_RANKGROUP_GROUPAGENT_H
+#define RAGWORT_RANKGROUP_GROUPAGENT_H
+
+#include "ragwort/observe/Log.h"
+#include "ragwort/observe/Metrics.h"
+#include "ragwort/rankgroup/AgentMessage.h"
+#include "ragwort/transport/Asio.h"
+#include <absl/status/status.h>
+#include <array>
+#include <concepts>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace ragwort::rankgroup {
+
+/// Control interface of one engine. An error status means that the call may
+/// still take effect.
+template <class T>
+concept Engine = requires(T &E, RankOrder Order, uint32_t Sets,
+                          uint32_t Experts) {
+  { E.report() } -> std::same_as<asio::awaitable<absl::StatusOr<EngineReport>>>;
+  {
+    E.counts(Sets, Experts)
+  } -> std::same_as<asio::awaitable<absl::StatusOr<ExpertCounts>>>;
+  {
+    E.experts()
+  } -> std::same_as<asio::awaitable<absl::StatusOr<RankExperts>>>;
+  {
+    E.order(Order)
+  } -> std::same_as<asio::awaitable<absl::StatusOr<OrderAnswer>>>;
+};
+
+struct AgentOptions {
+  /// Where this agent listens; the others have the same port.
+  Address Listen;
+  /// The engine beside this agent.
+  Address OwnEngine;
+  uint64_t Incarnation = 0;
+};
+
+/// \p MakeEngine makes a client of the engine at an address.
+template <Engine EngineClient> class GroupAgent {
+public:
+  using MakeEngine = std::function<std::unique_ptr<EngineClient>(Address)>;
+
+  static constexpr Duration BeatInterval = std::chrono::milliseconds(150);
+  static constexpr Duration CallInterval = std::chrono::milliseconds(600);
+  /// How often a controller looks at an ongoing change.
+  static constexpr Duration DriveInterval = std::chrono::milliseconds(10);
+  /// How often it looks while there is none.
+  static constexpr Duration IdleInterval = std::chrono::milliseconds(50);
+  /// A member that does not answer a request for its report for so long is
+  /// asked at its engine. Engines may show strangers a state that is this old.
+  static constexpr Duration RemoteReportAge = std::chrono::milliseconds(600);
+
+  GroupAgent(asio::io_context &Io, AgentOptions Options,
+             MakeEngine Make, MetricsRegistry &Metrics)
+      : Io(Io), Options(std::move(Options)), Make(std::move(Make)),
+        Metrics(Metrics), Own(this->Make(this->Options.OwnEngine)),
+        Socket(Io) {}
+
+  absl::Status listen() {
+    auto Endpoint = endpointOf<asio::ip::udp>(Options.Listen);
+    error_code Error;
+    Socket.open(Endpoint.protocol(), Error);
+    if (!Error)
+      Socket.bind(Endpoint, Error);
+    if (!Error)
+      Socket.non_blocking(true, Error);
+    if (Error)
+      return absl::UnavailableError("cannot bind UDP " +
+                                    toString(Options.Listen) + ": " +
+                                    Error.message());
+    asio::co_spawn(Io, receiveLoop(), asio::detached);
+    asio::co_spawn(Io, beatLoop(), asio::detached);
+    asio::co_spawn(Io, controlLoop(), asio::detached);
+    return absl::OkStatus();
+  }
+
+  /// How the experts of the engine's service are arranged.
+  void setShape(GroupShape NewShape) { Shape = NewShape; }
+  /// IP numbers of the instances that may run agents of the service.
+  void setNeighbours(std::set<std::string> Ips) { Neighbours = std::move(Ips); }
+
+  /// Starts no further change.
+  void beginStop() { IsStopping = true; }
+  /// Whether a change is under way that must not be left alone.
+  bool isBusy() const {
+    return Controller &&
+           Controller->mapSwitch().phase() != SwitchPhase::Idle;
+  }
+
+private:
+  struct Member {
+    std::string Ip;
+    std::unique_ptr<EngineClient> Client;
+    std::string Engine;
+    bool IsCalling = false;
+    bool IsReading = false;
+  };
+
+  TimePoint now() const { return SteadyClock().now(); }
+
+  asio::awaitable<void> beatLoop() {
+    while (true) {
+      TimePoint Begun = now();
+      co_await beat(0);
+      Duration Rest = BeatInterval - (now() - Begun);
+      if (Rest.count() > 0)
+        co_await sleepFor(Rest);
+    }
+  }
+
+  /// Reads the own engine and reports to the controller.
+  asio::awaitable<void> beat(uint64_t Token) {
+    if (IsBeating) {
+      // A report that was read before the request does not answer it.
+      PendingToken = std::max(PendingToken, Token);
+      co_return;
+    }
+    IsBeating = true;
+    absl::StatusOr<EngineReport> Report = co_await Own->report();
+    if (Report.ok()) {
+      noteReport(*Report);
+      if (LastExperts.MapVersion != Report->MapVersion ||
+          LastExperts.Sets.empty())
+        co_await readExperts();
+      std::vector<std::vector<uint64_t>> Chosen;
+      if (Shape.isKnown() && Token == 0 && Report->Step != LastCountedStep)
+        Chosen = co_await readCounts(*Report);
+      sendBeat(*Report, Token, Chosen);
+    } else if (IsEngineReached) {
+      IsEngineReached = false;
+      logEvent(LogLevel::Warning, "engine-lost",
+               {{"reason", std::string(Report.status().message())}});
+    }
+    IsBeating = false;
+    if (uint64_t Next = std::exchange(PendingToken, 0))
+      co_await beat(Next);
+  }
+
+  void noteReport(const EngineReport &Report) {
+    if (!IsEngineReached || Report.Epoch != OwnReport.Epoch ||
+        Report.IsOpen != OwnReport.IsOpen)
+      logEvent(LogLevel::Info, "engine-state",
+               {{"group", Report.Group},
+                {"rank", Report.Rank},
+                {"epoch", Report.Epoch},
+                {"open", int(Report.IsOpen)}});
+    if (Report.Epoch != OwnReport.Epoch || Report.Group != OwnReport.Group) {
+      LastExperts = RankExperts();
+      LastCounts.clear();
+    }
+    IsEngineReached = true;
+    OwnReport = Report;
+  }
+
+  asio::awaitable<void> readExperts() {
+    absl::StatusOr<RankExperts> Experts = co_await Own->experts();
+    if (Experts.ok())
+      LastExperts = std::move(*Experts);
+  }
+
+  /// Choices since the last call.
+  asio::awaitable<std::vector<std::vector<uint64_t>>>
+  readCounts(const EngineReport &Report) {
+    std::vector<std::vector<uint64_t>> Chosen;
+    absl::StatusOr<ExpertCounts> Counts =
+        co_await Own->counts(Shape.Sets, Shape.Experts);
+    if (!Counts.ok())
+      co_return Chosen;
+    LastCountedStep = Report.Step;
+    if (!LastCounts.empty()) {
+      Chosen = Counts->Counts;
+      for (size_t Set = 0; Set < Chosen.size(); ++Set)
+        for (size_t E = 0; E < Chosen[Set].size(); ++E) {
+          uint64_t Before = LastCounts[Set][E];
+          // Counts that fell are those of a restarted engine.
+          Chosen[Set][E] -= std::min(Before, Chosen[Set][E]);
+        }
+    }
+    LastCounts = std::move(Counts->Counts);
+    co_return Chosen;
+  }
+
+  void sendBeat(const EngineReport &Report, uint64_t Token,
+                const std::vector<std::vector<uint64_t>> &Chosen) {
+    if (Report.Rank == 0 && !Report.Group.empty()) {
+      becomeController(Report);
+      if (Controller) {
+        noteMember(Report.Rank, Options.Listen.Ip, toString(Options.OwnEngine));
+        Controller->onExperts(0, LastExperts);
+        if (!Chosen.empty())
+          Controller->onCounts(Chosen, now());
+        Controller->onReport(0, Report, Token, now());
+      }
+      return;
+    }
+    dropController();
+    if (ControllerIp.empty())
+      return;
+    AgentMessage M;
+    M.Kind = AgentMessageKind::Beat;
+    M.Group = Report.Group;
+    M.Epoch = Report.Epoch;
+    M.Token = Token;
+    M.Engine = toString(Options.OwnEngine);
+    M.Report = Report;
+    M.Experts = LastExperts;
+    M.ExpertsPerSet = Shape.Experts;
+    size_t SetsPerPart =
+        Shape.Experts > 0
+            ? std::max<size_t>(1, MaxCountsPerDatagram / Shape.Experts)
+            : 1;
+    size_t Set = 0;
+    do {
+      M.FirstSet = static_cast<uint32_t>(Set);
+      M.Counts.clear();
+      for (size_t I = 0; I < SetsPerPart && Set < Chosen.size(); ++I, ++Set)
+        for (uint64_t Count : Chosen[Set])
+          M.Counts.push_back(static_cast<uint16_t>(
+              std::min<uint64_t>((Count + CountUnit / 2) / CountUnit, 65535)));
+      send(M, ControllerIp);
+    } while (Set < Chosen.size());
+  }
+
+  void becomeController(const EngineReport &Report) {
+    if (!Shape.isKnown() || Report.GroupSize == 0)
+      return;
+    if (Controller && ControlledGroup == Report.Group &&
+        Controller->ranks() == Report.GroupSize &&
+        Controller->shape() == Shape)
+      return;
+    logEvent(LogLevel::Info, "controller-started",
+             {{"group", Report.Group},
+              {"ranks", Report.GroupSize},
+              {"epoch", Report.Epoch}});
+    ControlledGroup = Report.Group;
+    Members.clear();
+    Controller = std::make_unique<GroupController>(Shape, Report.GroupSize,
+                                                   Options.Incarnation);
+  }
+
+  void dropController() {
+    if (!Controller)
+      return;
+    logEvent(LogLevel::Info, "controller-stopped",
+             {{"group", ControlledGroup},
+              {"phase", toString(Controller->mapSwitch().phase())}});
+    Controller.reset();
+    Members.clear();
+  }
+
+  void noteMember(uint32_t Rank, const std::string &Ip,
+                  const std::string &EngineAddress) {
+    Member &M = Members[Rank];
+    M.Ip = Ip;
+    if (M.Engine == EngineAddress)
+      return;
+    M.Engine = EngineAddress;
+    std::optional<Address> At = parseAddress(EngineAddress);
+    // Calls in flight keep the former client until they end.
+    if (M.Client)
+      Retired.push_back(std::move(M.Client));
+    M.Client = At ? Make(*At) : nullptr;
+  }
+
+  asio::awaitable<void> receiveLoop() {
+    std::array<char, MaxAgentDatagram + 1> Buffer;
+    while (Socket.is_open()) {
+      asio::ip::udp::endpoint From;
+      error_code Error;
+      size_t Count = co_await Socket.async_receive_from(
+          asio::buffer(Buffer), From,
+          asio::redirect_error(asio::use_awaitable, Error));
+      if (Error == asio::error::operation_aborted)
+        co_return;
+      // Errors of earlier sends (port unreachable) surface here; go on.
+      if (Error)
+        continue;
+      absl::StatusOr<AgentMessage> M =
+          decodeMessage(std::string_view(Buffer.data(), Count));
+      if (M.ok())
+        onMessage(*M, From.address().to_string());
+    }
+  }
+
+  void onMessage(const AgentMessage &M, const std::string &Ip) {
+    bool IsOwnGroup = M.Group == OwnReport.Group && !M.Group.empty();
+    switch (M.Kind) {
+    case AgentMessageKind::Call:
+      if (IsOwnGroup && M.Epoch >= OwnReport.Epoch)
+        ControllerIp = Ip;
+      return;
+    case AgentMessageKind::Poke:
+      if (IsOwnGroup)
+        asio::co_spawn(Io, beat(M.Token), asio::detached);
+      return;
+    case AgentMessageKind::Beat:
+      if (Controller && M.Group == ControlledGroup)
+        onBeat(M, Ip);
+      return;
+    }
+  }
+
+  void onBeat(const AgentMessage &M, const std::string &Ip) {
+    noteMember(M.Report.Rank, Ip, M.Engine);
+    Controller->onExperts(M.Report.Rank, M.Experts);
+    if (!M.Counts.empty() && M.ExpertsPerSet == Shape.Experts) {
+      std::vector<std::vector<uint64_t>> Chosen(
+          Shape.Sets, std::vector<uint64_t>(Shape.Experts, 0));
+      for (size_t I = 0; I < M.Counts.size(); ++I) {
+        size_t Set = M.FirstSet + I / Shape.Experts;
+        if (Set < Shape.Sets)
+          Chosen[Set][I % Shape.Experts] = M.Counts[I] * CountUnit;
+      }
+      Controller->onCounts(Chosen, now());
+    }
+    Controller->onReport(M.Report.Rank, M.Report, M.Token, now());
+  }
+
+  asio::awaitable<void> controlLoop() {
+    while (true) {
+      if (Controller)
+        drive();
+      co_await sleepFor(isBusy() ? DriveInterval : IdleInterval);
+    }
+  }
+
+  void drive() {
+    TimePoint At = now();
+    if (At - LastCall >= CallInterval) {
+      LastCall = At;
+      callMembers();
+    }
+    GroupController &C = *Controller;
+    SwitchPhase Before = C.mapSwitch().phase();
+    if (C.recover(At))
+      logEvent(LogLevel::Warning, "map-change-recovered",
+               {{"group", ControlledGroup},
+                {"held", C.mapSwitch().heldStep()}});
+    if (!IsStopping)
+      if (std::optional<PlannedChange> Change = C.plan(At)) {
+        ChangeBegun = At;
+        logEvent(LogLevel::Info, "map-change-begun",
+                 {{"group", ControlledGroup},
+                  {"epoch", C.mapSwitch().epoch()},
+                  {"version", Change->Version},
+                  {"skew_before_percent", int(Change->SkewBefore * 100)},
+                  {"skew_after_percent", int(Change->SkewAfter * 100)},
+                  {"copies", Change->Copies}});
+      }
+    for (SendOrder &S : C.mapSwitch().takeOrders(At))
+      asio::co_spawn(Io, giveOrder(std::move(S)), asio::detached);
+    for (const ReportRequest &R : C.mapSwitch().awaitedReports())
+      requestReport(R, At);
+    noteEnds(Before, At);
+  }
+
+  void noteEnds(SwitchPhase Before, TimePoint At) {
+    const MapSwitch &S = Controller->mapSwitch();
+    if (S.completed() != Completed || S.abandoned() != Abandoned) {
+      logEvent(LogLevel::Info,
+               S.completed() != Completed ? "map-change-completed"
+                                          : "map-change-abandoned",
+               {{"group", ControlledGroup},
+                {"epoch", S.epoch()},
+                {"step", S.heldStep()},
+                {"phase", toString(Before)},
+                {"ms", (At - ChangeBegun).count() / 1000}});
+      Metrics.counter("ragwort_map_changes_total", "outcome=\"completed\"")
+          .add(S.completed() > Completed);
+      Metrics.counter("ragwort_map_changes_total", "outcome=\"abandoned\"")
+          .add(S.abandoned() > Abandoned);
+    }
+    Completed = S.completed();
+    Abandoned = S.abandoned();
+  }
+
+  void callMembers() {
+    AgentMessage M;
+    M.Kind = AgentMessageKind::Call;
+    M.Group = ControlledGroup;
+    M.Epoch = OwnReport.Epoch;
+    for (const std::string &Ip : Neighbours)
+      if (Ip != Options.Listen.Ip)
+        send(M, Ip);
+  }
+
+  void requestReport(const ReportRequest &R, TimePoint At) {
+    auto Found = Members.find(R.Rank);
+    if (Found == Members.end())
+      return;
+    Member &M = Found->second;
+    if (M.Ip == Options.Listen.Ip) {
+      asio::co_spawn(Io, beat(R.Token), asio::detached);
+      return;
+    }
+    AgentMessage Poke;
+    Poke.Kind = AgentMessageKind::Poke;
+    Poke.Group = ControlledGroup;
+    Poke.Token = R.Token;
+    send(Poke, M.Ip);
+    // Its agent may be gone while the engine lives.
+    if (At - R.Since > RemoteReportAge && !M.IsReading && M.Client)
+      asio::co_spawn(Io, readRemote(R.Rank, R.Token), asio::detached);
+  }
+
+  asio::awaitable<void> readRemote(uint32_t Rank, uint64_t Token) {
+    Member &M = Members[Rank];
+    M.IsReading = true;
+    std::unique_ptr<EngineClient> Client = Make(*parseAddress(M.Engine));
+    absl::StatusOr<EngineReport> Report = co_await Client->report();
+    if (auto Found = Members.find(Rank); Found != Members.end())
+      Found->second.IsReading = false;
+    if (Report.ok() && Controller && Report->Group == ControlledGroup)
+      Controller->onReport(Report->Rank, *Report, Token, now());
+  }
+
+  asio::awaitable<void> giveOrder(SendOrder S) {
+    auto Found = Members.find(S.Rank);
+    if (Found == Members.end() || !Found->second.Client ||
+        Found->second.IsCalling)
+      co_return;
+    Found->second.IsCalling = true;
+    EngineClient &Client = *Found->second.Client;
+    uint64_t Epoch = S.Order.Epoch;
+    absl::StatusOr<OrderAnswer> Answer = co_await Client.order(S.Order);
+    if (auto Again = Members.find(S.Rank); Again != Members.end())
+      Again->second.IsCalling = false;
+    if (!Controller || Controller->mapSwitch().epoch() != Epoch)
+      co_return;
+    if (Answer.ok())
+      Controller->mapSwitch().onAnswer(S.Rank, S.Number, *Answer, now());
+    else
+      Controller->mapSwitch().onNoAnswer(S.Rank, S.Number, now());
+    drive();
+  }
+
+  void send(const AgentMessage &M, const std::string &Ip) {
+    error_code Error; // A lost datagram is made up for by the next.
+    Socket.send_to(asio::buffer(encodeMessage(M)),
+                   endpointOf<asio::ip::udp>({Ip, Options.Listen.Port}), 0,
+                   Error);
+  }
+
+  asio::io_context &Io;
+  const AgentOptions Options;
+  const MakeEngine Make;
+  MetricsRegistry &Metrics;
+  std::unique_ptr<EngineClient> Own;
+  asio::ip::udp::socket Socket;
+  GroupShape Shape;
+  std::set<std::string> Neighbours;
+
+  EngineReport OwnReport;
+  RankExperts LastExperts;
+  std::vector<std::vector<uint64_t>> LastCounts;
+  uint64_t LastCountedStep = 0;
+  std::string ControllerIp;
+  bool IsEngineReached = false;
+  bool IsBeating = false;
+  uint64_t PendingToken = 0;
+  bool IsStopping = false;
+
+  // Set while the own engine is the first rank of its group.
+  std::unique_ptr<GroupController> Controller;
+  std::string ControlledGroup;
+  std::map<uint32_t, Member> Members;
+  std::vector<std::unique_ptr<EngineClient>> Retired;
+  TimePoint LastCall{};
+  TimePoint ChangeBegun{};
+  uint64_t Completed = 0;
+  uint64_t Abandoned = 0;
+};
+
+} // namespace ragwort::rankgroup
+
+#endif
--- /dev/null
+++ b/libs/rankgroup/include/ragwort/rankgroup/GroupController.h
@@ -0,0 +1,83 @@
+//===- GroupController.h - Keeps the ranks of one group evenly loaded -----===//
+//
+// The duty of the agent beside a group's first rank: gathers the ranks' counts,
+// plans a better map when demand has shifted, and carries the change out.
+//
+//===----------------------------------------------------------------------===//
+#ifndef RAGWORT_RANKGROUP_GROUPCONTROLLER_H
+#define RAGWORT_RANKGROUP_GROUPCONTROLLER_H
+
+#include "ragwort/rankgroup/GroupShape.h"
+#include "ragwort/rankgroup/MapSwitch.h"
+#include "ragwort/rankgroup/Popularity.h"
+#include "ragwort/rankgroup/SetPlanner.h"
+
+namespace ragwort::rankgroup {
+
+/// The experts that a rank holds, by set, under one version of the map.
+struct RankExperts {
+  uint64_t MapVersion = 0;
+  std::vector<std::vector<ExpertId>> Sets;
+};
+
+/// A map change that has been planned, for the log.
+struct PlannedChange {
+  uint64_t Version = 0;
+  /// Mean over the sets: load of the slowest rank over the mean load.
+  double SkewBefore = 1;
+  double SkewAfter = 1;
+  uint32_t Copies = 0;
+};
+
+/// \code
+///   Controller.onReport(...); Controller.onExperts(...); Controller.onCounts(...);
+///   if (auto Change = Controller.plan(Now)) log(*Change);
+///   for (const SendOrder &S : Controller.mapSwitch().takeOrders(Now)) ...
+/// \endcode
+class GroupController {
+public:
+  /// Part of the groups' expert time that a change must save. A change slows
+  /// the group a little while weights are copied.
+  static constexpr double MinGain = 0.05;
+  /// Requests that must run in the group before its counts say anything.
+  static constexpr uint32_t MinRunning = 4;
+  /// Least time between two plans that led to nothing.
+  static constexpr Duration PlanInterval = std::chrono::milliseconds(100);
+
+  /// \p Salt differs between controllers, so that no two give different maps
+  /// one version.
+  GroupController(GroupShape Shape, uint32_t Ranks, uint64_t Salt);
+
+  void onReport(uint32_t Rank, const EngineReport &Report, uint64_t Token,
+                TimePoint Now);
+  void onExperts(uint32_t Rank, RankExperts Experts);
+  void onCounts(const std::vector<std::vector<uint64_t>> &Chosen,
+                TimePoint Now);
+
+  /// Starts a change if one is due and worthwhile.
+  std::optional<PlannedChange> plan(TimePoint Now);
+  /// Takes back what a former controller left. \returns whether it did.
+  bool recover(TimePoint Now);
+
+  MapSwitch &mapSwitch() { return Switch; }
+  const MapSwitch &mapSwitch() const { return Switch; }
+  const GroupShape &shape() const { return Shape; }
+  uint32_t ranks() const { return static_cast<uint32_t>(Held.size()); }
+
+private:
+  std::optional<ExpertMap> mapInUse() const;
+  uint64_t nextVersion() const;
+
+  const GroupShape Shape;
+  const uint64_t Salt;
+  MapSwitch Switch;
+  Popularity Demand;
+  // By rank.
+  std::vector<RankExperts> Held;
+  std::vector<EngineReport> Reports;
+  TimePoint LastPlan{};
+};
+
+} // namespace ragwort::rankgroup
+
+#endif
--- /dev/null
+++ b/libs/rankgroup/include/ragwort/rankgroup/GroupShape.h
@@ -0,0 +1,24 @@
+//===- GroupShape.h - How the experts of a group are arranged -------------===//
+#ifndef RAGWORT_RANKGROUP_GROUPSHAPE_H
+#define RAGWORT_RANKGROUP_GROUPSHAPE_H
+
+#include <cstdint>
+
+namespace ragwort::rankgroup {
+
+/// How a group's experts are arranged, as its operators publish it.
+struct GroupShape {
+  uint32_t Sets = 0;
+  uint32_t Experts = 0;
+  /// Experts that a rank has room for, a set.
+  uint32_t Places = 0;
+  /// Experts that a rank may take in with one new map, a set.
+  uint32_t Spare = 0;
+
+  bool isKnown() const { return Sets > 0 && Experts > 0 && Places > 0; }
+  friend bool operator==(const GroupShape &, const GroupShape &) = default;
+};
+
+} // namespace ragwort::rankgroup
+
+#endif
--- /dev/null
+++ b/libs/rankgroup/include/ragwort/rankgroup/MapSwitch.h
@@ -0,0 +1,190 @@
+//===- MapSwitch.h - Changes the expert map of a group of ranks -----------===//
+//
+// All ranks must use one map in every pass, while orders may be lost, doubled
+// and carried out seconds late. A change goes like this:
+//
+//   1. The new map is prepared on every rank; the map in use is untouched.
+//   2. The controller's rank, rank 0, holds a pass S that has not begun: no
+//      rank begins S before it is released.
+//   3. Every rank is armed to switch as S begins.
+//   4. S is released when all ranks are known to be armed, or when no rank is
+//      armed and none can be by an order that is still on its way.
+//
+// What makes late orders harmless:
+//
+//   - A version is never prepared with two maps and never armed again once it
+//     was taken back. A rank can only be armed with the version that it has
+//     prepared last, so preparing a newer one ends every arming before it.
+//   - An arming fails once its pass has begun.
+//   - A change is taken back only after a rank has definitely refused to be
+//     armed; that rank can never be armed with this version. So if all ranks
+//     are seen armed, nobody has ordered any of them to disarm.
+//
+// The last point lets a controller that starts anew settle what a predecessor
+// left held: with all ranks armed it releases the pass, otherwise it takes the
+// change back. If neither condition of step 4 can be shown, the group waits:
+// slow is allowed, two maps are not. A group that is formed anew forgets
+// everything above, and orders of its former epoch fail.
+//
+//===----------------------------------------------------------------------===//
+#ifndef RAGWORT_RANKGROUP_MAPSWITCH_H
+#define RAGWORT_RANKGROUP_MAPSWITCH_H
+
+#include "ragwort/base/Time.h"
+#include "ragwort/rankgroup/EngineTypes.h"
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace ragwort::rankgroup {
+
+/// An order to be sent to a rank. Its answer comes back through onAnswer() with
+/// the same number.
+struct SendOrder {
+  uint32_t Rank = 0;
+  uint64_t Number = 0;
+  RankOrder Order;
+};
+
+/// Asks for a rank's report, read from now on.
+struct ReportRequest {
+  uint32_t Rank = 0;
+  uint64_t Token = 0;
+  TimePoint Since;
+};
+
+/// What a switch is doing.
+enum class SwitchPhase : uint8_t {
+  Idle,
+  Preparing,
+  Holding,
+  Arming,
+  /// Looks at what a predecessor left.
+  Surveying,
+  /// Makes sure that no rank is or will be armed; then releases.
+  TakingBack,
+  Releasing,
+};
+
+std::string_view toString(SwitchPhase Phase);
+
+/// Pure state machine of one group's controller.
+///
+/// \code
+///   Switch.onReport(Rank, Report, 0, Now);
+///   Switch.begin(InUse, Target, Version, Now);
+///   for (const SendOrder &S : Switch.takeOrders(Now)) send(S);
+///   Switch.onAnswer(S.Rank, S.Number, Answer, Now);
+/// \endcode
+class MapSwitch {
+public:
+  /// An order that has no answer for this long is sent again. An engine answers
+  /// within some milliseconds.
+  static constexpr Duration ResendAfter = std::chrono::milliseconds(60);
+  /// Preparing that takes longer is given up; the copies are bounded by the
+  /// engines' links to little more than a second.
+  static constexpr Duration PrepareTimeout = std::chrono::milliseconds(4000);
+  /// Passes ahead of the last one known that are held. One may begin while the
+  /// order is on its way.
+  static constexpr uint64_t PassesAhead = 2;
+  /// Attempts to hold a pass before it has begun.
+  static constexpr uint32_t MaxHolds = 12;
+
+  explicit MapSwitch(uint32_t Ranks);
+
+  /// Takes a report of a rank. A new epoch ends any switch. \p Token is that of
+  /// the request for the report (see awaitedReports()), or zero.
+  void onReport(uint32_t Rank, const EngineReport &Report, uint64_t Token,
+                TimePoint Now);
+  /// Whether all ranks are known, in one epoch and open, and nothing is left
+  /// from an earlier switch.
+  bool canBegin() const;
+  /// Starts to put \p Target in place of \p InUse as \p Version, which must be
+  /// higher than all versions known and never used before.
+  void begin(ExpertMap InUse, ExpertMap Target, uint64_t Version,
+             TimePoint Now);
+  /// Whether a pass is held that this controller does not hold.
+  bool needsRecovery() const;
+  /// Settles what an earlier controller left.
+  void beginRecovery(ExpertMap InUse, TimePoint Now);
+
+  std::vector<SendOrder> takeOrders(TimePoint Now);
+  /// An order was answered.
+  void onAnswer(uint32_t Rank, uint64_t Number, OrderAnswer Answer,
+                TimePoint Now);
+  /// A call failed without an answer: it is sent again.
+  void onNoAnswer(uint32_t Rank, uint64_t Number, TimePoint Now);
+  /// Reports that the switch waits for. They must be read after the request.
+  std::vector<ReportRequest> awaitedReports() const;
+
+  SwitchPhase phase() const { return Phase; }
+  uint64_t epoch() const { return Epoch; }
+  uint64_t highestVersion() const { return HighestVersion; }
+  uint64_t heldStep() const { return HeldStep; }
+  /// Switches that were completed, and those that were given up or taken back.
+  uint64_t completed() const { return Completed; }
+  uint64_t abandoned() const { return Abandoned; }
+
+private:
+  struct Rank {
+    EngineReport Report;
+    bool IsKnown = false;
+    bool IsPrepared = false;
+    bool IsArmed = false;
+    // Whether an arming order was sent that is not known to be dead.
+    bool MayBeArmed = false;
+    // An order that is on its way or is to be sent again.
+    std::optional<RankOrder> Open;
+    uint64_t Number = 0;
+    TimePoint SentAt{};
+    // Copies of the order that were sent.
+    uint32_t Copies = 0;
+    // Not zero: the rank's state is settled by a report with this token or a
+    // later one.
+    uint64_t AwaitedToken = 0;
+    TimePoint AwaitedSince{};
+  };
+
+  void giveOrder(uint32_t Index, OrderKind Kind, uint64_t OrderVersion,
+                 uint64_t Step, const ExpertMap *Map = nullptr);
+  void awaitReport(uint32_t Index, TimePoint Now);
+  void onAccepted(uint32_t Index, const RankOrder &Done);
+  void onConflict(uint32_t Index, const RankOrder &Refused, TimePoint Now);
+  void onAwaitedReport(uint32_t Index, TimePoint Now);
+  void advance(TimePoint Now);
+  void decideRecovery();
+  void takeBackRank(uint32_t Index);
+  void hold(uint64_t Step);
+  void release(bool IsCommit);
+  bool isQuiet() const;
+  void finish(bool IsCompleted);
+  void forget();
+
+  std::vector<Rank> Ranks;
+  SwitchPhase Phase = SwitchPhase::Idle;
+  uint64_t Epoch = 0;
+  uint64_t HighestVersion = 0;
+  uint64_t Version = 0;
+  ExpertMap InUse;
+  ExpertMap Target;
+  TimePoint BegunAt{};
+  // Version of the last switch that was completed in this epoch, or zero.
+  uint64_t CommittedVersion = 0;
+  uint64_t HeldStep = 0;
+  uint32_t Holds = 0;
+  // Whether rank 0 is known to hold HeldStep.
+  bool IsHolding = false;
+  // The pass is released with all ranks armed.
+  bool IsCommitted = false;
+  // A survey ends with a second look at the rank that holds the pass.
+  bool IsSecondLook = false;
+  // Numbers of orders and tokens of report requests.
+  uint64_t NextNumber = 1;
+  uint64_t LastStep = 0;
+  uint64_t Completed = 0;
+  uint64_t Abandoned = 0;
+};
+
+} // namespace ragwort::rankgroup
+
+#endif
--- /dev/null
+++ b/libs/rankgroup/src/AgentMessage.cpp
@@ -0,0 +1,79 @@
+//===- AgentMessage.cpp - Datagrams between the agents of a group ---------===//
+#include "ragwort/rankgroup/AgentMessage.h"
+#include "ragwort/wire/Bounded.h"
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/optional.hpp>
+#include <sstream>
+
+namespace ragwort::rankgroup {
+
+namespace {
+
+constexpr size_t MaxSets = 256;
+
+template <class Archive, class T>
+void transferNumbers(Archive &Ar, std::vector<T> &List, size_t Max) {
+  List.resize(wire::transferLength(Ar, List.size(), Max));
+  for (T &Number : List)
+    Ar(Number);
+}
+
+} // namespace
+
+template <class Archive> void serialize(Archive &Ar, ArmedMap &M) {
+  Ar(M.Version, M.Step);
+}
+
+template <class Archive> void serialize(Archive &Ar, EngineReport &R) {
+  wire::transferText(Ar, R.Group, wire::MaxNameBytes);
+  Ar(R.Epoch, R.Rank, R.GroupSize, R.IsOpen, R.Step, R.MapVersion,
+     R.Prepared, R.Armed, R.Held, R.Running, R.Queued, R.Pace);
+}
+
+template <class Archive> void serialize(Archive &Ar, RankExperts &E) {
+  Ar(E.MapVersion);
+  E.Sets.resize(wire::transferLength(Ar, E.Sets.size(), MaxSets));
+  for (std::vector<ExpertId> &Set : E.Sets)
+    transferNumbers(Ar, Set, MaxAgentDatagram);
+}
+
+template <class Archive> void serialize(Archive &Ar, AgentMessage &M) {
+  uint16_t Protocol = AgentMessage::Protocol;
+  Ar(Protocol);
+  if (Protocol != AgentMessage::Protocol)
+    throw cereal::Exception("message of another protocol");
+  Ar(M.Kind);
+  wire::transferText(Ar, M.Group, wire::MaxNameBytes);
+  Ar(M.Epoch, M.Token);
+  if (M.Kind != AgentMessageKind::Beat)
+    return;
+  wire::transferText(Ar, M.Engine, wire::MaxNameBytes);
+  Ar(M.Report, M.Experts, M.FirstSet, M.ExpertsPerSet);
+  transferNumbers(Ar, M.Counts, MaxAgentDatagram);
+}
+
+std::string encodeMessage(const AgentMessage &Message) {
+  std::ostringstream Text;
+  cereal::PortableBinaryOutputArchive Archive(Text);
+  AgentMessage Copy = Message;
+  Archive(Copy);
+  return Text.str();
+}
+
+absl::StatusOr<AgentMessage> decodeMessage(std::string_view Datagram) {
+  if (Datagram.size() > MaxAgentDatagram)
+    return absl::InvalidArgumentError("message is too large");
+  AgentMessage Result;
+  try {
+    std::istringstream Text{std::string(Datagram)};
+    cereal::PortableBinaryInputArchive Archive(Text);
+    Archive(Result);
+    if (Text.peek() != std::istringstream::traits_type::eof())
+      return absl::InvalidArgumentError("bytes behind the message");
+  } catch (const std::exception &Error) {
+    return absl::InvalidArgumentError(Error.what());
+  }
+  return Result;
+}
+
+} // namespace ragwort::rankgroup
--- /dev/null
+++ b/libs/rankgroup/src/GroupController.cpp
@@ -0,0 +1,96 @@
+//===- GroupController.cpp - Keeps the ranks of one group evenly loaded ---===//
+#include "ragwort/rankgroup/GroupController.h"
+#include <algorithm>
+
+namespace ragwort::rankgroup {
+
+namespace {
+
+// Versions are dealt in blocks; the controller's salt picks one of a block.
+constexpr uint64_t VersionBlock = 1'000'000;
+
+} // namespace
+
+GroupController::GroupController(GroupShape Shape, uint32_t Ranks,
+                                 uint64_t Salt)
+    : Shape(Shape), Salt(Salt % VersionBlock), Switch(Ranks),
+      Demand(Shape.Sets, Shape.Experts), Held(Ranks), Reports(Ranks) {}
+
+void GroupController::onReport(uint32_t Rank, const EngineReport &Report,
+                               uint64_t Token, TimePoint Now) {
+  if (Rank >= Reports.size())
+    return;
+  Reports[Rank] = Report;
+  Switch.onReport(Rank, Report, Token, Now);
+}
+
+void GroupController::onExperts(uint32_t Rank, RankExperts Experts) {
+  if (Rank < Held.size())
+    Held[Rank] = std::move(Experts);
+}
+
+void GroupController::onCounts(const std::vector<std::vector<uint64_t>> &Chosen,
+                               TimePoint Now) {
+  Demand.add(Chosen, Now);
+}
+
+std::optional<ExpertMap> GroupController::mapInUse() const {
+  ExpertMap Result;
+  Result.At.resize(Shape.Sets);
+  for (size_t Rank = 0; Rank < Held.size(); ++Rank) {
+    const RankExperts &Experts = Held[Rank];
+    if (Experts.Sets.size() != Shape.Sets ||
+        Experts.MapVersion != Reports[Rank].MapVersion ||
+        Experts.MapVersion != Held[0].MapVersion)
+      return std::nullopt;
+    for (uint32_t Set = 0; Set < Shape.Sets; ++Set)
+      Result.At[Set].push_back(Experts.Sets[Set]);
+  }
+  return Result;
+}
+
+uint64_t GroupController::nextVersion() const {
+  uint64_t Block = Switch.highestVersion() / VersionBlock + 1;
+  return Block * VersionBlock + Salt;
+}
+
+bool GroupController::recover(TimePoint Now) {
+  if (!Switch.needsRecovery())
+    return false;
+  std::optional<ExpertMap> InUse = mapInUse();
+  if (!InUse)
+    return false;
+  Switch.beginRecovery(std::move(*InUse), Now);
+  return true;
+}
+
+std::optional<PlannedChange> GroupController::plan(TimePoint Now) {
+  if (!Switch.canBegin() || Now - LastPlan < PlanInterval)
+    return std::nullopt;
+  LastPlan = Now;
+  uint32_t Running = 0;
+  for (const EngineReport &R : Reports)
+    Running += R.Running;
+  std::optional<ExpertMap> InUse = mapInUse();
+  if (Running < MinRunning || Demand.evidence() <= 0 || !InUse)
+    return std::nullopt;
+  PlannedChange Change;
+  Change.SkewBefore = 0;
+  Change.SkewAfter = 0;
+  ExpertMap Target;
+  SetLimits Limits{Shape.Places, Shape.Spare};
+  for (uint32_t Set = 0; Set < Shape.Sets; ++Set) {
+    SetPlan P = planSet(InUse->At[Set], Demand.ofSet(Set), Limits);
+    Change.SkewBefore += P.SkewBefore / Shape.Sets;
+    Change.SkewAfter += P.SkewAfter / Shape.Sets;
+    Change.Copies += P.Copies;
+    Target.At.push_back(std::move(P.Target));
+  }
+  if (Change.SkewAfter > Change.SkewBefore * (1 - MinGain))
+    return std::nullopt;
+  Change.Version = nextVersion();
+  Switch.begin(std::move(*InUse), std::move(Target), Change.Version, Now);
+  return Change;
+}
+
+} // namespace ragwort::rankgroup
--- /dev/null
+++ b/libs/rankgroup/src/MapSwitch.cpp
@@ -0,0 +1,372 @@
+//===- MapSwitch.cpp - Changes the expert map of a group of ranks ---------===//
+#include "ragwort/rankgroup/MapSwitch.h"
+#include <algorithm>
+
+namespace ragwort::rankgroup {
+
+std::string_view toString(SwitchPhase Phase) {
+  switch (Phase) {
+  case SwitchPhase::Idle:
+    return "idle";
+  case SwitchPhase::Preparing:
+    return "preparing";
+  case SwitchPhase::Holding:
+    return "holding";
+  case SwitchPhase::Arming:
+    return "arming";
+  case SwitchPhase::Surveying:
+    return "surveying";
+  case SwitchPhase::TakingBack:
+    return "taking-back";
+  case SwitchPhase::Releasing:
+    return "releasing";
+  }
+  return "invalid";
+}
+
+MapSwitch::MapSwitch(uint32_t RankCount) : Ranks(RankCount) {}
+
+void MapSwitch::forget() {
+  Phase = SwitchPhase::Idle;
+  IsHolding = false;
+  IsCommitted = false;
+  IsSecondLook = false;
+  for (Rank &R : Ranks) {
+    R.Open.reset();
+    R.AwaitedToken = 0;
+    R.IsPrepared = false;
+    R.IsArmed = false;
+    R.MayBeArmed = false;
+  }
+}
+
+void MapSwitch::onReport(uint32_t Index, const EngineReport &Report,
+                         uint64_t Token, TimePoint Now) {
+  if (Index >= Ranks.size() || Report.Epoch < Epoch)
+    return;
+  if (Report.Epoch > Epoch) {
+    // The group was formed anew: every earlier order fails from here on.
+    Epoch = Report.Epoch;
+    if (Phase != SwitchPhase::Idle)
+      ++Abandoned;
+    forget();
+    for (Rank &R : Ranks)
+      R.IsKnown = false;
+    LastStep = 0;
+    CommittedVersion = 0;
+  }
+  Rank &R = Ranks[Index];
+  // Reports may overtake each other on the way.
+  if (R.IsKnown && Report.Step < R.Report.Step && Token == 0)
+    return;
+  R.IsKnown = true;
+  R.Report = Report;
+  LastStep = std::max(LastStep, Report.Step);
+  HighestVersion = std::max({HighestVersion, Report.MapVersion,
+                             Report.Prepared.value_or(0),
+                             Report.Armed ? Report.Armed->Version : 0});
+  if (Phase == SwitchPhase::Preparing && Report.Prepared == Version)
+    R.IsPrepared = true;
+  if (R.AwaitedToken != 0 && Token >= R.AwaitedToken) {
+    R.AwaitedToken = 0;
+    onAwaitedReport(Index, Now);
+  }
+  advance(Now);
+}
+
+bool MapSwitch::canBegin() const {
+  if (Phase != SwitchPhase::Idle || Epoch == 0)
+    return false;
+  uint64_t Current =
+      CommittedVersion ? CommittedVersion : Ranks[0].Report.MapVersion;
+  return std::all_of(Ranks.begin(), Ranks.end(), [Current](const Rank &R) {
+    return R.IsKnown && R.Report.IsOpen && !R.Report.Armed && !R.Report.Held &&
+           R.Report.MapVersion == Current;
+  });
+}
+
+bool MapSwitch::needsRecovery() const {
+  return Phase == SwitchPhase::Idle && Epoch != 0 && Ranks[0].IsKnown &&
+         Ranks[0].Report.IsOpen && Ranks[0].Report.Held;
+}
+
+void MapSwitch::begin(ExpertMap MapInUse, ExpertMap NewTarget,
+                      uint64_t NewVersion, TimePoint Now) {
+  Phase = SwitchPhase::Preparing;
+  InUse = std::move(MapInUse);
+  Target = std::move(NewTarget);
+  Version = NewVersion;
+  HighestVersion = std::max(HighestVersion, NewVersion);
+  BegunAt = Now;
+  Holds = 0;
+  for (uint32_t I = 0; I < Ranks.size(); ++I)
+    giveOrder(I, OrderKind::Prepare, Version, 0, &Target);
+}
+
+void MapSwitch::beginRecovery(ExpertMap MapInUse, TimePoint Now) {
+  Phase = SwitchPhase::Surveying;
+  InUse = std::move(MapInUse);
+  BegunAt = Now;
+  IsSecondLook = false;
+  for (uint32_t I = 0; I < Ranks.size(); ++I)
+    awaitReport(I, Now);
+}
+
+void MapSwitch::giveOrder(uint32_t Index, OrderKind Kind,
+                          uint64_t OrderVersion, uint64_t Step,
+                          const ExpertMap *Map) {
+  Rank &R = Ranks[Index];
+  RankOrder Order;
+  Order.Kind = Kind;
+  Order.Epoch = Epoch;
+  Order.Version = OrderVersion;
+  Order.Step = Step;
+  if (Map)
+    Order.Map = *Map;
+  R.Open = std::move(Order);
+  R.Number = NextNumber++;
+  R.Copies = 0;
+}
+
+void MapSwitch::awaitReport(uint32_t Index, TimePoint Now) {
+  Ranks[Index].AwaitedToken = NextNumber++;
+  Ranks[Index].AwaitedSince = Now;
+}
+
+std::vector<SendOrder> MapSwitch::takeOrders(TimePoint Now) {
+  advance(Now);
+  std::vector<SendOrder> Result;
+  for (uint32_t I = 0; I < Ranks.size(); ++I) {
+    Rank &R = Ranks[I];
+    if (!R.Open || (R.Copies > 0 && Now - R.SentAt < ResendAfter))
+      continue;
+    if (R.Copies > 0)
+      R.Number = NextNumber++;
+    ++R.Copies;
+    R.SentAt = Now;
+    Result.push_back({I, R.Number, *R.Open});
+  }
+  return Result;
+}
+
+void MapSwitch::onNoAnswer(uint32_t Index, uint64_t Number, TimePoint) {
+  Rank &R = Ranks[Index];
+  // Sent again with the next takeOrders().
+  if (R.Open && R.Number == Number)
+    R.SentAt = TimePoint();
+}
+
+void MapSwitch::onAnswer(uint32_t Index, uint64_t Number, OrderAnswer Answer,
+                         TimePoint Now) {
+  Rank &R = Ranks[Index];
+  if (!R.Open || R.Number != Number)
+    return;
+  RankOrder Order = std::move(*R.Open);
+  R.Open.reset();
+  if (Answer == OrderAnswer::Accepted)
+    onAccepted(Index, Order);
+  else
+    onConflict(Index, Order, Now);
+  advance(Now);
+}
+
+void MapSwitch::onAccepted(uint32_t Index, const RankOrder &Done) {
+  Rank &R = Ranks[Index];
+  switch (Done.Kind) {
+  case OrderKind::Prepare:
+    // What was prepared before can no longer be armed.
+    if (Phase == SwitchPhase::TakingBack)
+      R.MayBeArmed = false;
+    break;
+  case OrderKind::Hold:
+    IsHolding = true;
+    break;
+  case OrderKind::Arm:
+    R.IsArmed = true;
+    break;
+  case OrderKind::Disarm:
+    R.IsArmed = false;
+    break;
+  case OrderKind::Release:
+    if (IsCommitted)
+      CommittedVersion = Version;
+    R.Report.Held.reset();
+    finish(IsCommitted);
+    break;
+  }
+}
+
+void MapSwitch::onConflict(uint32_t Index, const RankOrder &Refused,
+                           TimePoint Now) {
+  switch (Refused.Kind) {
+  case OrderKind::Prepare:
+    // While taking back: the rank is armed, or had this version. Otherwise an
+    // earlier copy may have begun, which the reports will show.
+    if (Phase == SwitchPhase::TakingBack)
+      awaitReport(Index, Now);
+    else if (Ranks[Index].Copies == 1)
+      finish(false);
+    break;
+  case OrderKind::Hold:
+    // The pass has begun.
+    if (++Holds < MaxHolds)
+      hold(std::max(LastStep, Refused.Step) + PassesAhead);
+    else
+      finish(false);
+    break;
+  case OrderKind::Arm:
+  case OrderKind::Disarm:
+    awaitReport(Index, Now);
+    break;
+  case OrderKind::Release:
+    finish(false); // The group has been formed anew.
+    break;
+  }
+}
+
+void MapSwitch::onAwaitedReport(uint32_t Index, TimePoint Now) {
+  Rank &R = Ranks[Index];
+  switch (Phase) {
+  case SwitchPhase::Arming:
+    R.IsArmed = R.Report.Armed == ArmedMap{Version, HeldStep};
+    // A definite refusal: an earlier copy would show.
+    if (!R.IsArmed)
+      Phase = SwitchPhase::TakingBack;
+    break;
+  case SwitchPhase::TakingBack:
+    R.IsArmed = R.Report.Armed.has_value();
+    break;
+  case SwitchPhase::Surveying: {
+    bool IsComplete =
+        std::all_of(Ranks.begin(), Ranks.end(),
+                    [](const Rank &Each) { return Each.AwaitedToken == 0; });
+    if (!IsComplete)
+      break;
+    if (IsSecondLook) {
+      decideRecovery();
+    } else {
+      IsSecondLook = true;
+      awaitReport(0, Now);
+    }
+    break;
+  }
+  default:
+    break;
+  }
+}
+
+void MapSwitch::decideRecovery() {
+  if (!Ranks[0].Report.Held) {
+    finish(false); // Released in the meantime.
+    return;
+  }
+  HeldStep = *Ranks[0].Report.Held;
+  IsHolding = true;
+  std::optional<ArmedMap> First = Ranks[0].Report.Armed;
+  bool AreArmed = First && First->Step == HeldStep &&
+                  std::all_of(Ranks.begin(), Ranks.end(),
+                              [&First](const Rank &R) {
+                                return R.Report.Armed == First;
+                              });
+  if (AreArmed) {
+    Version = First->Version;
+    release(true);
+    return;
+  }
+  Phase = SwitchPhase::TakingBack;
+  for (Rank &R : Ranks) {
+    R.IsArmed = R.Report.Armed.has_value();
+    R.MayBeArmed = true; // The predecessor's orders may be on their way.
+  }
+}
+
+void MapSwitch::hold(uint64_t Step) {
+  HeldStep = Step;
+  giveOrder(0, OrderKind::Hold, 0, Step);
+}
+
+void MapSwitch::release(bool IsCommit) {
+  Phase = SwitchPhase::Releasing;
+  IsCommitted = IsCommit;
+  giveOrder(0, OrderKind::Release, 0, HeldStep);
+}
+
+bool MapSwitch::isQuiet() const {
+  return std::none_of(Ranks.begin(), Ranks.end(), [](const Rank &R) {
+    return R.Open || R.AwaitedToken != 0;
+  });
+}
+
+void MapSwitch::takeBackRank(uint32_t Index) {
+  Rank &R = Ranks[Index];
+  if (R.IsArmed) {
+    uint64_t Armed = R.Report.Armed ? R.Report.Armed->Version : Version;
+    giveOrder(Index, OrderKind::Disarm, Armed, 0);
+  } else if (R.MayBeArmed) {
+    giveOrder(Index, OrderKind::Prepare, ++HighestVersion, 0, &InUse);
+  }
+}
+
+void MapSwitch::advance(TimePoint Now) {
+  auto All = [this](bool Rank::*Flag) {
+    return std::all_of(Ranks.begin(), Ranks.end(),
+                       [Flag](const Rank &R) { return R.*Flag; });
+  };
+  switch (Phase) {
+  case SwitchPhase::Idle:
+  case SwitchPhase::Surveying:
+  case SwitchPhase::Releasing:
+    break;
+  case SwitchPhase::Preparing:
+    if (All(&Rank::IsPrepared)) {
+      for (Rank &R : Ranks)
+        R.Open.reset();
+      Phase = SwitchPhase::Holding;
+      hold(LastStep + PassesAhead);
+    } else if (Now - BegunAt > PrepareTimeout) {
+      finish(false);
+    }
+    break;
+  case SwitchPhase::Holding:
+    if (IsHolding) {
+      Phase = SwitchPhase::Arming;
+      for (uint32_t I = 0; I < Ranks.size(); ++I) {
+        Ranks[I].MayBeArmed = true;
+        giveOrder(I, OrderKind::Arm, Version, HeldStep);
+      }
+    }
+    break;
+  case SwitchPhase::Arming:
+    if (isQuiet() && All(&Rank::IsArmed))
+      release(true);
+    break;
+  case SwitchPhase::TakingBack: {
+    for (uint32_t I = 0; I < Ranks.size(); ++I) {
+      Rank &R = Ranks[I];
+      // Orders to arm need not be sent again.
+      if (R.Open && R.Open->Kind == OrderKind::Arm)
+        R.Open.reset();
+      if (!R.Open && R.AwaitedToken == 0)
+        takeBackRank(I);
+    }
+    if (isQuiet())
+      release(false);
+    break;
+  }
+  }
+}
+
+void MapSwitch::finish(bool IsCompleted) {
+  ++(IsCompleted ? Completed : Abandoned);
+  forget();
+}
+
+std::vector<ReportRequest> MapSwitch::awaitedReports() const {
+  std::vector<ReportRequest> Result;
+  for (uint32_t I = 0; I < Ranks.size(); ++I)
+    if (Ranks[I].AwaitedToken != 0)
+      Result.push_back({I, Ranks[I].AwaitedToken, Ranks[I].AwaitedSince});
+  return Result;
+}
+
+} // namespace ragwort::rankgroup
--- /dev/null
+++ b/libs/rankgroup/src/MapSwitchTest.cpp
@@ -0,0 +1,334 @@
+//===- MapSwitchTest.cpp - Randomised runs of MapSwitch -------------------===//
+//
+// Model engines of a rank group in virtual time. Orders are lost, carried out
+// without an answer, or carried out seconds later and after newer ones; the
+// controller is restarted without memory; the group is formed anew. Whatever
+// happens, a pass begins with one map on all ranks, and once the faults end
+// the group moves on and maps change again.
+//
+// RAGWORT_SEED=N replays one seed with a trace; RAGWORT_SOAK_SECONDS=N runs
+// fresh seeds for that long.
+//
+//===----------------------------------------------------------------------===//
+#include "VirtualRun.h"
+#include "ragwort/rankgroup/MapSwitch.h"
+#include <cppunit/extensions/HelperMacros.h>
+#include <iostream>
+#include <memory>
+
+namespace ragwort::rankgroup {
+
+namespace {
+
+constexpr uint32_t RankCount = 4;
+constexpr uint64_t RunMillis = 60'000;
+/// From here on nothing fails any more.
+constexpr uint64_t QuietMillis = 35'000;
+constexpr uint64_t PassMillis = 50;
+constexpr uint64_t BeatMillis = 100;
+constexpr uint64_t LongestLateMillis = 12'000;
+
+TimePoint timeOf(uint64_t Millis) {
+  return TimePoint(std::chrono::milliseconds(Millis + 1));
+}
+
+/// One rank's engine, by the platform's published rules.
+struct Engine {
+  uint64_t MapVersion = 0;
+  uint64_t HighestVersion = 0;
+  std::optional<uint64_t> Preparing;
+  uint64_t PreparedAt = 0;
+  std::optional<ArmedMap> Armed;
+  std::optional<uint64_t> Held;
+
+  std::optional<uint64_t> prepared(uint64_t Now) const {
+    return Preparing && Now >= PreparedAt ? Preparing : std::nullopt;
+  }
+};
+
+class Run {
+public:
+  Run(uint64_t Seed, bool IsTraced)
+      : Random(Seed), IsTraced(IsTraced), Engines(RankCount),
+        Controller(std::make_unique<MapSwitch>(RankCount)) {
+    LostPercent = Random() % 60;
+  }
+
+  std::string execute() {
+    Events.at(PassMillis, [this] { pass(); });
+    Events.at(0, [this] { drive(); });
+    for (uint32_t I = 0; I < RankCount; ++I)
+      Events.at(I * 7, [this, I] { beat(I); });
+    for (int I = 0; I < 6; ++I)
+      Events.at(Random() % QuietMillis, [this] { restartController(); });
+    for (int I = 0; I < 3; ++I)
+      Events.at(Random() % QuietMillis, [this] { formAnew(); });
+    while (Failure.empty() && Events.now() < RunMillis && Events.runNext()) {
+    }
+    if (Failure.empty() && StepAtEnd + 100 > Step)
+      fail("the group made " + std::to_string(Step - StepAtEnd) +
+           " passes in the last ten seconds");
+    if (Failure.empty() && CompletedQuiet == 0)
+      fail("no map was changed after the faults had ended");
+    return Failure;
+  }
+
+  uint64_t changes() const { return Changes; }
+
+private:
+  uint64_t now() const { return Events.now(); }
+  bool isQuiet() const { return now() >= QuietMillis; }
+
+  void fail(const std::string &Text) {
+    if (Failure.empty())
+      Failure = Text;
+  }
+  void trace(const std::string &Text) {
+    if (IsTraced)
+      std::cout << now() << " " << Text << "\n";
+  }
+
+  void pass() {
+    uint64_t Next = Step + 1;
+    bool IsHeld = false;
+    for (const Engine &E : Engines)
+      IsHeld |= E.Held == Next;
+    if (!IsHeld) {
+      Step = Next;
+      for (Engine &E : Engines)
+        if (E.Armed && E.Armed->Step == Step) {
+          E.MapVersion = E.Armed->Version;
+          E.Armed.reset();
+          E.Preparing.reset();
+        }
+      for (const Engine &E : Engines)
+        if (E.MapVersion != Engines[0].MapVersion)
+          fail("pass " + std::to_string(Step) + " began with maps " +
+               std::to_string(Engines[0].MapVersion) + " and " +
+               std::to_string(E.MapVersion));
+    }
+    if (now() < RunMillis - 10'000)
+      StepAtEnd = Step;
+    Events.at(now() + PassMillis, [this] { pass(); });
+  }
+
+  OrderAnswer carryOut(uint32_t Rank, const RankOrder &O) {
+    Engine &E = Engines[Rank];
+    if (O.Epoch != Epoch)
+      return OrderAnswer::Conflict;
+    OrderAnswer Answer = effectOf(E, O);
+    trace("rank " + std::to_string(Rank) + " order " +
+          std::to_string(int(O.Kind)) + " version " +
+          std::to_string(O.Version) + " step " + std::to_string(O.Step) +
+          " answer " + std::to_string(int(Answer)));
+    return Answer;
+  }
+
+  OrderAnswer effectOf(Engine &E, const RankOrder &O) {
+    switch (O.Kind) {
+    case OrderKind::Prepare:
+      if (E.Preparing == O.Version)
+        return OrderAnswer::Accepted;
+      if (O.Version <= E.HighestVersion || E.Armed)
+        return OrderAnswer::Conflict;
+      E.HighestVersion = O.Version;
+      E.Preparing = O.Version;
+      E.PreparedAt = now() + 50 + Random() % 400;
+      return OrderAnswer::Accepted;
+    case OrderKind::Arm:
+      if (E.Armed)
+        return *E.Armed == ArmedMap{O.Version, O.Step} ? OrderAnswer::Accepted
+                                                       : OrderAnswer::Conflict;
+      if (E.prepared(now()) != O.Version || O.Step <= Step)
+        return OrderAnswer::Conflict;
+      E.Armed = ArmedMap{O.Version, O.Step};
+      return OrderAnswer::Accepted;
+    case OrderKind::Disarm:
+      if (E.MapVersion == O.Version)
+        return OrderAnswer::Conflict;
+      if (E.Armed && E.Armed->Version == O.Version)
+        E.Armed.reset();
+      return OrderAnswer::Accepted;
+    case OrderKind::Hold:
+      if (E.Held == O.Step)
+        return OrderAnswer::Accepted;
+      if (E.Held || O.Step <= Step)
+        return OrderAnswer::Conflict;
+      E.Held = O.Step;
+      return OrderAnswer::Accepted;
+    case OrderKind::Release:
+      if (E.Held == O.Step)
+        E.Held.reset();
+      return OrderAnswer::Accepted;
+    }
+    return OrderAnswer::Conflict;
+  }
+
+  void send(const SendOrder &S) {
+    uint64_t Life = ControllerLife;
+    uint64_t Arrives = now() + 1 + Random() % 3;
+    uint64_t Fate = isQuiet() ? 100 : Random() % 100;
+    auto Reply = [this, S, Life](OrderAnswer Answer) {
+      if (Life == ControllerLife)
+        Controller->onAnswer(S.Rank, S.Number, Answer, timeOf(now()));
+    };
+    if (Fate >= LostPercent) {
+      Events.at(Arrives, [this, S, Reply] {
+        OrderAnswer Answer = carryOut(S.Rank, S.Order);
+        Events.at(now() + 1, [Reply, Answer] { Reply(Answer); });
+      });
+    } else if (Fate % 3 == 0) {
+      // Carried out, and the answer is lost.
+      Events.at(Arrives, [this, S] { carryOut(S.Rank, S.Order); });
+    } else if (Fate % 3 == 1) {
+      uint64_t Late = Arrives + 2000 + Random() % (LongestLateMillis - 2000);
+      Events.at(Late, [this, S] { carryOut(S.Rank, S.Order); });
+    }
+  }
+
+  EngineReport reportOf(uint32_t Rank) const {
+    const Engine &E = Engines[Rank];
+    EngineReport R;
+    R.Epoch = Epoch;
+    R.Rank = Rank;
+    R.IsOpen = true;
+    R.Step = Step;
+    R.MapVersion = E.MapVersion;
+    R.Prepared = E.prepared(now());
+    R.Armed = E.Armed;
+    R.Held = E.Held;
+    return R;
+  }
+
+  void deliver(uint32_t Rank, const EngineReport &R, uint64_t Token,
+               uint64_t Delay) {
+    uint64_t Life = ControllerLife;
+    Events.at(now() + Delay, [this, Rank, R, Token, Life] {
+      if (Life == ControllerLife)
+        Controller->onReport(Rank, R, Token, timeOf(now()));
+    });
+  }
+
+  void beat(uint32_t Rank) {
+    if (Random() % 10 != 0)
+      deliver(Rank, reportOf(Rank), 0, 1 + Random() % 40);
+    Events.at(now() + BeatMillis, [this, Rank] { beat(Rank); });
+  }
+
+  /// The controller's shell: sends orders and asks for reports.
+  void drive() {
+    MapSwitch &C = *Controller;
+    if (C.needsRecovery())
+      C.beginRecovery(ExpertMap(), timeOf(now()));
+    else if (C.canBegin() && Random() % 10 == 0)
+      C.begin(ExpertMap(), ExpertMap(), nextVersion(), timeOf(now()));
+    for (const SendOrder &S : C.takeOrders(timeOf(now())))
+      send(S);
+    for (const ReportRequest &R : C.awaitedReports())
+      if (Random() % 4 != 0)
+        Events.at(now() + 2, [this, R, Life = ControllerLife] {
+          if (Life == ControllerLife)
+            deliver(R.Rank, reportOf(R.Rank), R.Token, 2);
+        });
+    if (C.completed() > LastCompleted) {
+      Changes += C.completed() - LastCompleted;
+      CompletedQuiet += isQuiet() ? C.completed() - LastCompleted : 0;
+      LastCompleted = C.completed();
+    }
+    Events.at(now() + 10, [this] { drive(); });
+  }
+
+  /// Never the same for two controllers, as the daemon's salted versions.
+  uint64_t nextVersion() {
+    return (Controller->highestVersion() / 100 + 1) * 100 + ControllerLife;
+  }
+
+  void restartController() {
+    trace("controller restarts in " +
+          std::string(toString(Controller->phase())));
+    ++ControllerLife;
+    LastCompleted = 0;
+    KnownAt = now();
+    Controller = std::make_unique<MapSwitch>(RankCount);
+  }
+
+  void formAnew() {
+    trace("group is formed anew");
+    ++Epoch;
+    for (Engine &E : Engines)
+      E = Engine();
+  }
+
+  std::mt19937_64 Random;
+  const bool IsTraced;
+  uint64_t LostPercent;
+  testing::EventQueue<uint64_t> Events;
+  std::vector<Engine> Engines;
+  std::unique_ptr<MapSwitch> Controller;
+  uint64_t ControllerLife = 0;
+  uint64_t KnownAt = 0;
+  uint64_t Epoch = 1;
+  uint64_t Step = 0;
+  uint64_t StepAtEnd = 0;
+  uint64_t Changes = 0;
+  uint64_t LastCompleted = 0;
+  uint64_t CompletedQuiet = 0;
+  std::string Failure;
+};
+
+} // namespace
+
+class MapSwitchTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(MapSwitchTest);
+  CPPUNIT_TEST(switchWhenNothingFailsTakesOnePass);
+  CPPUNIT_TEST(runsWhenOrdersAreLostAndLateUseOneMapAPass);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void switchWhenNothingFailsTakesOnePass() {
+    MapSwitch Switch(2);
+    EngineReport Report;
+    Report.Epoch = 1;
+    Report.IsOpen = true;
+    Report.Step = 10;
+    for (uint32_t Rank : {0u, 1u})
+      Switch.onReport(Rank, Report, 0, timeOf(0));
+    CPPUNIT_ASSERT(Switch.canBegin());
+    Switch.begin(ExpertMap(), ExpertMap(), 1, timeOf(0));
+    auto AnswerAll = [&](OrderKind Kind, size_t Count) {
+      auto Orders = Switch.takeOrders(timeOf(0));
+      CPPUNIT_ASSERT_EQUAL(Count, Orders.size());
+      for (const SendOrder &S : Orders) {
+        CPPUNIT_ASSERT(S.Order.Kind == Kind);
+        Switch.onAnswer(S.Rank, S.Number, OrderAnswer::Accepted, timeOf(0));
+      }
+    };
+    AnswerAll(OrderKind::Prepare, 2);
+    Report.Prepared = 1;
+    for (uint32_t Rank : {0u, 1u})
+      Switch.onReport(Rank, Report, 0, timeOf(1));
+    AnswerAll(OrderKind::Hold, 1);
+    CPPUNIT_ASSERT_EQUAL(uint64_t(10 + MapSwitch::PassesAhead),
+                         Switch.heldStep());
+    AnswerAll(OrderKind::Arm, 2);
+    AnswerAll(OrderKind::Release, 1);
+    CPPUNIT_ASSERT_EQUAL(uint64_t(1), Switch.completed());
+  }
+
+  void runsWhenOrdersAreLostAndLateUseOneMapAPass() {
+    uint64_t Changes = 0;
+    bool IsWholeSet = testing::runSeeds(400, [&](uint64_t Seed, bool IsTraced) {
+      Run R(Seed, IsTraced);
+      std::string Failure = R.execute();
+      CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(Seed) + ": " + Failure,
+                             Failure.empty());
+      Changes += R.changes();
+    });
+    // The runs prove nothing if the maps hardly ever change.
+    if (IsWholeSet)
+      CPPUNIT_ASSERT(Changes > 4000);
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(MapSwitchTest);
+
+} // namespace ragwort::rankgroup
--- /dev/null
+++ b/libs/rankgroup/src/Popularity.cpp
@@ -0,0 +1,37 @@
+//===- Popularity.cpp - Which experts are in demand now -------------------===//
+#include "ragwort/rankgroup/Popularity.h"
+#include <cmath>
+#include <numeric>
+
+namespace ragwort::rankgroup {
+
+Popularity::Popularity(uint32_t Sets, uint32_t Experts)
+    : Weights(Sets, std::vector<double>(Experts, 0)) {}
+
+void Popularity::fade(TimePoint Now) {
+  if (Last != TimePoint()) {
+    double HalfLives = std::chrono::duration<double>(Now - Last).count() /
+                       std::chrono::duration<double>(HalfLife).count();
+    double Factor = std::exp2(-HalfLives);
+    for (auto &Set : Weights)
+      for (double &Weight : Set)
+        Weight *= Factor;
+  }
+  Last = Now;
+}
+
+void Popularity::add(const std::vector<std::vector<uint64_t>> &Chosen,
+                     TimePoint Now) {
+  fade(Now);
+  for (size_t Set = 0; Set < Weights.size() && Set < Chosen.size(); ++Set)
+    for (size_t E = 0; E < Weights[Set].size() && E < Chosen[Set].size(); ++E)
+      Weights[Set][E] += static_cast<double>(Chosen[Set][E]);
+}
+
+double Popularity::evidence() const {
+  if (Weights.empty())
+    return 0;
+  return std::accumulate(Weights[0].begin(), Weights[0].end(), 0.0);
+}
+
+} // namespace ragwort::rankgroup
--- /dev/null
+++ b/libs/rankgroup/src/SetPlannerTest.cpp
@@ -0,0 +1,98 @@
+//===- SetPlannerTest.cpp - Tests of SetPlanner.h -------------------------===//
+#include "ragwort/rankgroup/SetPlanner.h"
+#include <algorithm>
+#include <cppunit/extensions/HelperMacros.h>
+#include <random>
+#include <set>
+
+namespace ragwort::rankgroup {
+
+class SetPlannerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(SetPlannerTest);
+  CPPUNIT_TEST(planWhenOneExpertIsHotCopiesIt);
+  CPPUNIT_TEST(planWhenDemandIsEvenMovesNothing);
+  CPPUNIT_TEST(planWhenDemandIsSkewedKeepsAllBounds);
+  CPPUNIT_TEST(plansWhenRepeatedApproachTheMean);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr uint32_t Experts = 64;
+  static constexpr uint32_t RankCount = 8;
+  static constexpr SetLimits Limits{11, 4, 0.01};
+
+  /// Demand in which a few experts take most, as the brief's deployments see.
+  static std::vector<double> skewedDemand(uint64_t Seed) {
+    std::mt19937_64 Random(Seed);
+    std::vector<double> Result(Experts);
+    for (size_t I = 0; I < Experts; ++I)
+      Result[I] = 1.0 / static_cast<double>((I + 1) * (I + 1));
+    std::shuffle(Result.begin(), Result.end(), Random);
+    return Result;
+  }
+
+public:
+  void planWhenOneExpertIsHotCopiesIt() {
+    std::vector<double> Demand(Experts, 1);
+    Demand[24] = 24;
+    SetPlan P = planSet(mapInTurn(Experts, RankCount), Demand, Limits);
+    CPPUNIT_ASSERT(P.SkewBefore > 2.5);
+    CPPUNIT_ASSERT(P.SkewAfter < 1.2);
+    auto Holders = std::count_if(
+        P.Target.begin(), P.Target.end(), [](const auto &Rank) {
+          return std::find(Rank.begin(), Rank.end(), 24) != Rank.end();
+        });
+    CPPUNIT_ASSERT(Holders >= 3);
+  }
+
+  void planWhenDemandIsEvenMovesNothing() {
+    std::vector<double> Demand(Experts, 1);
+    SetMap InForce = mapInTurn(Experts, RankCount);
+    SetPlan P = planSet(InForce, Demand, Limits);
+    CPPUNIT_ASSERT_EQUAL(0u, P.Copies);
+    CPPUNIT_ASSERT(P.Target == InForce);
+  }
+
+  void planWhenDemandIsSkewedKeepsAllBounds() {
+    SetMap InForce = mapInTurn(Experts, RankCount);
+    for (uint64_t Seed = 1; Seed <= 200; ++Seed) {
+      SetPlan P = planSet(InForce, skewedDemand(Seed), Limits);
+      std::set<ExpertId> Placed;
+      for (uint32_t Rank = 0; Rank < RankCount; ++Rank) {
+        const auto &Held = P.Target[Rank];
+        std::set<ExpertId> Distinct(Held.begin(), Held.end());
+        CPPUNIT_ASSERT_EQUAL(Held.size(), Distinct.size());
+        CPPUNIT_ASSERT(Held.size() <= Limits.Places);
+        auto New = std::count_if(Held.begin(), Held.end(), [&](ExpertId E) {
+          const auto &Before = InForce[Rank];
+          return std::find(Before.begin(), Before.end(), E) == Before.end();
+        });
+        CPPUNIT_ASSERT(New <= Limits.MaxNewPerRank);
+        Placed.insert(Held.begin(), Held.end());
+      }
+      CPPUNIT_ASSERT_EQUAL(size_t(Experts), Placed.size());
+      CPPUNIT_ASSERT(P.SkewAfter <= P.SkewBefore);
+      InForce = P.Target;
+    }
+  }
+
+  void plansWhenRepeatedApproachTheMean() {
+    for (uint64_t Seed = 1; Seed <= 50; ++Seed) {
+      std::vector<double> Demand = skewedDemand(Seed);
+      SetMap InForce = mapInTurn(Experts, RankCount);
+      double Skew = skewOf(InForce, Demand);
+      SetLimits AnyGain = Limits;
+      AnyGain.MinGainPerCopy = 0;
+      for (int Round = 0; Round < 4; ++Round) {
+        SetPlan P = planSet(InForce, Demand, AnyGain);
+        InForce = P.Target;
+        Skew = P.SkewAfter;
+      }
+      // Perfect packing is 1; two ranks' worth of the brief's bound is left.
+      CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(Seed) + ": skew " +
+                                 std::to_string(Skew),
+                             Skew < 1.25);
+    }
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(SetPlannerTest);
+
+} // namespace ragwort::rankgroup
