--- a/libs/rankgroup/include/ragwort/rankgroup/GroupController.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/GroupController.h
@@ -38,7 +38,7 @@
 public:
   /// Part of the groups' expert time that a change must save. A change slows
   /// the group a little while weights are copied.
-  static constexpr double MinGain = 0.05;
+  static constexpr double MinGain = 0.25;
   /// Requests that must run in the group before its counts say anything.
   static constexpr uint32_t MinRunning = 4;
   /// Least time between two plans that led to nothing.
