Send only to the newest instance at an address; judge passes before moving weights

Ruled out: Retry-After alone. It is longer now where a group has lost a rank, since the caller returns only once.

--- a/libs/gateway/include/ragwort/gateway/LoadBoard.h
+++ b/libs/gateway/include/ragwort/gateway/LoadBoard.h
@@ -79,6 +79,9 @@
   /// The server answered with success after \p Latency.
   void onAnswered(std::string_view Id, Duration Latency);
   void onFault(std::string_view Id, ServerFault Fault, TimePoint Now);
+  /// Another instance answered at the server's address: it is gone, whatever
+  /// the list of servers still says.
+  void onReplaced(std::string_view Id);
   /// A peer's whole report.
   void onPeerReport(std::string_view Peer, std::vector<InFlightReport> Report,
                     TimePoint Now);
@@ -101,6 +104,14 @@
     double LatencyMillis = 0;
     TimePoint EjectedUntil{};
     Duration NextEjection = FirstEjection;
+    // Seen gone at its address.
+    bool IsReplaced = false;
+    // A newer instance is registered at the same address.
+    bool IsSuperseded = false;
+
+    bool isUsable() const {
+      return !Entry.IsDraining && !IsReplaced && !IsSuperseded;
+    }
   };
   struct PeerReport {
     std::vector<InFlightReport> Counts;
@@ -108,6 +119,7 @@
   };
 
   Server *find(std::string_view Id);
+  void markSuperseded();
   void eject(Server &S, TimePoint Now);
   void recountPeers(TimePoint Now);
   double typicalLatency(std::string_view Service) const;
--- a/libs/gateway/include/ragwort/gateway/ProtocolNames.h
+++ b/libs/gateway/include/ragwort/gateway/ProtocolNames.h
@@ -26,6 +26,8 @@
   std::string Urgency = "Ragwort-Urgency";
   /// Present on a server's statement that it has not run a request.
   std::string NotRun = "Ragwort-Not-Run";
+  /// Names the instance that answered.
+  std::string AnsweringInstance = "Ragwort-Instance";
   /// Names the instance whose loss made another one decline.
   std::string InstanceAtFault = "Ragwort-Instance-At-Fault";
   /// A server's proof that it made the answer. Successes without it are not
--- a/libs/gateway/include/ragwort/gateway/RequestFlow.h
+++ b/libs/gateway/include/ragwort/gateway/RequestFlow.h
@@ -65,6 +65,9 @@
   void onSent();
   /// The backend server answered that it has not run the request.
   Step onDeclined(RetryMeans Means);
+  /// Another instance has the address that the request was sent to. The server
+  /// that was meant has not got it, so it does not count as a send to one.
+  Step onMisdirected(RetryMeans Means);
   /// The backend server answered with a failure of its own.
   Step onFailureAnswer(RetryMeans Means);
   /// The connection broke, stayed silent or carried garbage behind a send.
@@ -85,6 +88,9 @@
   bool mayHaveRun() const { return UnknownSends > 0; }
   bool isRepeatable() const { return Repeat != Repeatability::AtMostOnce; }
 
+  /// Misdirected sends after which a request is given up.
+  static constexpr uint32_t MaxMisdirected = 3;
+
 private:
   Step giveUp() const;
   bool canSendAgain(RetryMeans Means) const;
@@ -92,6 +98,7 @@
   const Repeatability Repeat;
   const uint32_t MaxAttempts;
   uint32_t Sends = 0;
+  uint32_t Misdirected = 0;
   // Sends that were not declined. Invariant: at most Sends, and at most one
   // where the request runs at most once.
   uint32_t UnknownSends = 0;
--- a/libs/gateway/include/ragwort/gateway/TrafficConfig.h
+++ b/libs/gateway/include/ragwort/gateway/TrafficConfig.h
@@ -112,6 +112,8 @@
   /// The route of \p Host with the longest prefix of \p Path, or null.
   const Route *findRoute(std::string_view Host, std::string_view Path) const;
   const Service *findService(std::string_view Name) const;
+  /// The shortest target gap of the routes to \p Service, or zero.
+  Duration targetGapOf(std::string_view Service) const;
   const Organisation *findByKey(std::string_view ApiKey) const;
   bool areKeysRequired() const { return AreKeysRequired; }
   size_t routeCount() const { return Routes.size(); }
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -27,6 +27,9 @@
 constexpr Duration MinRepeatTime = std::chrono::milliseconds(80);
 // Return time told where nothing better is known.
 constexpr Duration DefaultRetryAfter = std::chrono::milliseconds(500);
+// Return time told while servers wait for a lost one of their group: a group
+// is formed anew in about two seconds, of which some have passed.
+constexpr Duration GroupRetryAfter = std::chrono::milliseconds(1800);
 // Answers that are passed on whole may have this size.
 constexpr size_t MaxWholeAnswerBytes = 8 * MiB;
 // Bytes that wait for a slow caller before its server is read no further.
@@ -413,17 +416,23 @@
 
 void Forwarding::onDeclined() {
   const http::ResponseHead &H = Parser.head();
-  bool IsUnavailable =
-      H.Status == StatusMisdirected ||
-      !H.header(Context.Names.InstanceAtFault).empty();
+  LoadBoard &Board = Context.Dispatch.board();
+  std::string_view Answering = H.header(Context.Names.AnsweringInstance);
+  bool IsReplaced = H.Status == StatusMisdirected && !Answering.empty() &&
+                    Answering != Server.Id;
+  bool IsUnavailable = H.Status == StatusMisdirected ||
+                       !H.header(Context.Names.InstanceAtFault).empty();
   LastFault = "declined-" + std::to_string(H.Status);
-  Context.Dispatch.board().onFault(
-      Server.Id, IsUnavailable ? ServerFault::Unavailable : ServerFault::Full,
-      now());
+  if (IsReplaced)
+    Board.onReplaced(Server.Id);
+  else
+    Board.onFault(Server.Id,
+                  IsUnavailable ? ServerFault::Unavailable : ServerFault::Full,
+                  now());
   Excluded.push_back(Server.Id);
-  leaveServer(true);
-  RetryAfter = DefaultRetryAfter;
-  carryOut(Flow.onDeclined(means()));
+  leaveServer(!IsReplaced);
+  RetryAfter = IsUnavailable ? GroupRetryAfter : DefaultRetryAfter;
+  carryOut(IsReplaced ? Flow.onMisdirected(means()) : Flow.onDeclined(means()));
 }
 
 void Forwarding::onFailureAnswer() {
--- a/libs/gateway/src/LoadBoard.cpp
+++ b/libs/gateway/src/LoadBoard.cpp
@@ -48,6 +48,30 @@
     S.Key = hash64(Id);
     IdOfKey[S.Key] = Id;
   }
+  markSuperseded();
+}
+
+void LoadBoard::markSuperseded() {
+  // Entries outlive their server by some heartbeats; only the newest instance
+  // at an address can be there.
+  std::unordered_map<std::string_view, Server *> Newest;
+  for (auto &[Id, S] : Servers) {
+    S.IsSuperseded = false;
+    Server *&Other = Newest[S.Entry.Address];
+    if (!Other) {
+      Other = &S;
+    } else if (Other->Entry.BornMillis < S.Entry.BornMillis) {
+      Other->IsSuperseded = true;
+      Other = &S;
+    } else {
+      S.IsSuperseded = Other->Entry.BornMillis > S.Entry.BornMillis;
+    }
+  }
+}
+
+void LoadBoard::onReplaced(std::string_view Id) {
+  if (Server *S = find(Id))
+    S->IsReplaced = true;
 }
 
 LoadBoard::Server *LoadBoard::find(std::string_view Id) {
@@ -157,7 +181,7 @@
   size_t Usable = 0;
   size_t Ejected = 0;
   for (const auto &[Id, S] : Servers) {
-    if (S.Entry.Service != Service || S.Entry.IsDraining)
+    if (S.Entry.Service != Service || !S.isUsable())
       continue;
     ++Usable;
     Ejected += Now < S.EjectedUntil;
@@ -169,7 +193,7 @@
   const Server *Best = nullptr;
   double BestScore = 0;
   for (const auto &[Id, S] : Servers) {
-    if (S.Entry.Service != Service || S.Entry.IsDraining ||
+    if (S.Entry.Service != Service || !S.isUsable() ||
         contains(Excluded, Id) ||
         (HonoursEjection && Now < S.EjectedUntil))
       continue;
@@ -188,7 +212,7 @@
 ServiceRoom LoadBoard::room(std::string_view Service, TimePoint Now) const {
   ServiceRoom Result;
   for (const auto &[Id, S] : Servers) {
-    if (S.Entry.Service != Service || S.Entry.IsDraining ||
+    if (S.Entry.Service != Service || !S.isUsable() ||
         Now < S.EjectedUntil)
       continue;
     Result.Slots += S.Entry.Slots;
--- a/libs/gateway/src/RequestFlow.cpp
+++ b/libs/gateway/src/RequestFlow.cpp
@@ -60,6 +60,12 @@
   return canSendAgain(Means) ? Step::TryAnother : giveUp();
 }
 
+Step RequestFlow::onMisdirected(RetryMeans Means) {
+  if (++Misdirected <= MaxMisdirected)
+    --Sends;
+  return onDeclined(Means);
+}
+
 Step RequestFlow::onFailureAnswer(RetryMeans Means) {
   if (IsAnswerBegun)
     return canSendAgain(Means) ? Step::TryAnother : Step::CutAnswer;
--- a/libs/gateway/src/TrafficConfig.cpp
+++ b/libs/gateway/src/TrafficConfig.cpp
@@ -62,6 +62,16 @@
   return Found == Services.end() ? nullptr : &Found->second;
 }
 
+Duration TrafficConfig::targetGapOf(std::string_view Service) const {
+  Duration Shortest{0};
+  for (const Route &R : Routes)
+    for (const WeightedService &Part : R.Split)
+      if (Part.Service == Service && R.TargetGap.count() > 0 &&
+          (Shortest.count() == 0 || R.TargetGap < Shortest))
+        Shortest = R.TargetGap;
+  return Shortest;
+}
+
 const Organisation *TrafficConfig::findByKey(std::string_view ApiKey) const {
   auto Found = KeyIndex.find(ApiKey);
   return Found == KeyIndex.end() ? nullptr : &Organisations[Found->second];
--- a/libs/rankgroup/include/ragwort/rankgroup/GroupAgent.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/GroupAgent.h
@@ -357,7 +357,8 @@
                   {"version", Change->Version},
                   {"skew_before_percent", int(Change->SkewBefore * 100)},
                   {"skew_after_percent", int(Change->SkewAfter * 100)},
-                  {"copies", Change->Copies}});
+                  {"copies", Change->Copies},
+                  {"pass_us", C.passTime().count()}});
       }
     for (SendOrder &S : C.mapSwitch().takeOrders(At))
       asio::co_spawn(Io, giveOrder(std::move(S)), asio::detached);
--- a/libs/rankgroup/include/ragwort/rankgroup/GroupController.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/GroupController.h
@@ -39,6 +39,9 @@
   /// Part of the groups' expert time that a change must save. A change slows
   /// the group a little while weights are copied.
   static constexpr double MinGain = 0.25;
+  /// Part of the target gap up to which passes are fast enough as they are. A
+  /// pass that reads prompts takes up to about twice the usual.
+  static constexpr double FastEnough = 0.45;
   /// Requests that must run in the group before its counts say anything.
   static constexpr uint32_t MinRunning = 4;
   /// Least time between two plans that led to nothing.
@@ -59,6 +62,10 @@
   /// Takes back what a former controller left. \returns whether it did.
   bool recover(TimePoint Now);
 
+  /// Usual length of a pass, zero while unknown.
+  Duration passTime() const {
+    return Duration(static_cast<int64_t>(PassMillis * 1000));
+  }
   MapSwitch &mapSwitch() { return Switch; }
   const MapSwitch &mapSwitch() const { return Switch; }
   const GroupShape &shape() const { return Shape; }
@@ -66,6 +73,8 @@
 
 private:
   std::optional<ExpertMap> mapInUse() const;
+  void notePass(const EngineReport &Report, TimePoint Now);
+  bool isFastEnough() const;
   uint64_t nextVersion() const;
 
   const GroupShape Shape;
@@ -76,6 +85,11 @@
   std::vector<RankExperts> Held;
   std::vector<EngineReport> Reports;
   TimePoint LastPlan{};
+  // Rank 0's last pass that was seen, and when.
+  uint64_t SeenStep = 0;
+  TimePoint SeenAt{};
+  // Usual length of a pass while requests run, 0 while unknown.
+  double PassMillis = 0;
 };
 
 } // namespace ragwort::rankgroup
--- a/libs/rankgroup/include/ragwort/rankgroup/GroupShape.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/GroupShape.h
@@ -2,6 +2,7 @@
 #ifndef RAGWORT_RANKGROUP_GROUPSHAPE_H
 #define RAGWORT_RANKGROUP_GROUPSHAPE_H
 
+#include "ragwort/base/Time.h"
 #include <cstdint>
 
 namespace ragwort::rankgroup {
@@ -14,6 +15,9 @@
   uint32_t Places = 0;
   /// Experts that a rank may take in with one new map, a set.
   uint32_t Spare = 0;
+  /// Longest pause between two events of a stream that is on time; a pass makes
+  /// one event of each running stream. Zero when no route has streams.
+  Duration TargetGap{0};
 
   bool isKnown() const { return Sets > 0 && Experts > 0 && Places > 0; }
   friend bool operator==(const GroupShape &, const GroupShape &) = default;
--- a/libs/rankgroup/src/GroupController.cpp
+++ b/libs/rankgroup/src/GroupController.cpp
@@ -9,6 +9,9 @@
 // Versions are dealt in blocks; the controller's salt picks one of a block.
 constexpr uint64_t VersionBlock = 1'000'000;
 
+// Weight of the newest observation of the length of a pass.
+constexpr double PassWeight = 0.4;
+
 } // namespace
 
 GroupController::GroupController(GroupShape Shape, uint32_t Ranks,
@@ -20,10 +23,35 @@
                                uint64_t Token, TimePoint Now) {
   if (Rank >= Reports.size())
     return;
+  if (Rank == 0)
+    notePass(Report, Now);
   Reports[Rank] = Report;
   Switch.onReport(Rank, Report, Token, Now);
 }
 
+void GroupController::notePass(const EngineReport &Report, TimePoint Now) {
+  bool IsBusy = Report.Running > 0 && Reports[0].Running > 0 &&
+                Report.Epoch == Reports[0].Epoch;
+  if (IsBusy && Report.Step > SeenStep) {
+    double Millis =
+        std::chrono::duration<double, std::milli>(Now - SeenAt).count() /
+        static_cast<double>(Report.Step - SeenStep);
+    PassMillis = PassMillis == 0 ? Millis
+                                 : (1 - PassWeight) * PassMillis +
+                                       PassWeight * Millis;
+  }
+  if (Report.Step != SeenStep || !IsBusy) {
+    SeenStep = Report.Step;
+    SeenAt = Now;
+  }
+}
+
+bool GroupController::isFastEnough() const {
+  double TargetMillis =
+      std::chrono::duration<double, std::milli>(Shape.TargetGap).count();
+  return PassMillis < FastEnough * TargetMillis;
+}
+
 void GroupController::onExperts(uint32_t Rank, RankExperts Experts) {
   if (Rank < Held.size())
     Held[Rank] = std::move(Experts);
@@ -72,7 +100,7 @@
   for (const EngineReport &R : Reports)
     Running += R.Running;
   std::optional<ExpertMap> InUse = mapInUse();
-  if (Running < MinRunning || Demand.evidence() <= 0 || !InUse)
+  if (Running < MinRunning || isFastEnough() || Demand.evidence() <= 0 || !InUse)
     return std::nullopt;
   PlannedChange Change;
   Change.SkewBefore = 0;
