--- /dev/null
+++ b/libs/gateway/src/EventStreamTest.cpp
@@ -0,0 +1,78 @@
+//===- EventStreamTest.cpp - Tests of EventStream.h -----------------------===//
+#include "ragwort/gateway/EventStream.h"
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace ragwort::gateway {
+
+class EventStreamTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(EventStreamTest);
+  CPPUNIT_TEST(eventsWhenCutAnywhereComeOutWhole);
+  CPPUNIT_TEST(runWhenBrokenInAnEventDropsItsPart);
+  CPPUNIT_TEST(eventWhenOneIsMissingIsRejected);
+  CPPUNIT_TEST(eventWhenRepeatedIsRejected);
+  CPPUNIT_TEST(eventsWhenWithoutIdsArePassed);
+  CPPUNIT_TEST(streamWhenContinuedStartsBehindTheCallersId);
+  CPPUNIT_TEST_SUITE_END();
+
+  static std::string event(uint64_t Id) {
+    return "id: " + std::to_string(Id) + "\ndata: x\n\n";
+  }
+
+public:
+  void eventsWhenCutAnywhereComeOutWhole() {
+    std::string All = event(1) + "id: 2\r\ndata: y\r\n\r\n" + event(3);
+    for (size_t Cut = 0; Cut <= All.size(); ++Cut) {
+      EventStream Events;
+      CPPUNIT_ASSERT(Events.push(std::string_view(All).substr(0, Cut)));
+      std::string Out = Events.takeWhole();
+      CPPUNIT_ASSERT(Events.push(std::string_view(All).substr(Cut)));
+      Out += Events.takeWhole();
+      CPPUNIT_ASSERT_EQUAL(All, Out);
+      CPPUNIT_ASSERT(!Events.isTorn());
+      CPPUNIT_ASSERT_EQUAL(uint64_t(3), *Events.lastId());
+    }
+  }
+
+  void runWhenBrokenInAnEventDropsItsPart() {
+    EventStream Events;
+    CPPUNIT_ASSERT(Events.push(event(1) + "id: 2\nda"));
+    CPPUNIT_ASSERT(Events.isTorn());
+    CPPUNIT_ASSERT_EQUAL(event(1), Events.takeWhole());
+    Events.beginNextRun();
+    CPPUNIT_ASSERT(Events.push(event(2)));
+    CPPUNIT_ASSERT_EQUAL(event(2), Events.takeWhole());
+  }
+
+  void eventWhenOneIsMissingIsRejected() {
+    EventStream Events;
+    CPPUNIT_ASSERT(Events.push(event(1)));
+    CPPUNIT_ASSERT(!Events.push(event(3)));
+    CPPUNIT_ASSERT_EQUAL(event(1), Events.takeWhole());
+  }
+
+  void eventWhenRepeatedIsRejected() {
+    EventStream Events;
+    CPPUNIT_ASSERT(Events.push(event(1)));
+    CPPUNIT_ASSERT(!Events.push(event(1)));
+  }
+
+  void eventsWhenWithoutIdsArePassed() {
+    EventStream Events;
+    CPPUNIT_ASSERT(Events.push("data: a\n\ndata: b\n\n"));
+    CPPUNIT_ASSERT_EQUAL(std::string("data: a\n\ndata: b\n\n"),
+                         Events.takeWhole());
+    CPPUNIT_ASSERT(!Events.lastId());
+  }
+
+  void streamWhenContinuedStartsBehindTheCallersId() {
+    EventStream Events;
+    Events.continueAfter(12);
+    CPPUNIT_ASSERT(Events.push(event(13)));
+    EventStream Other;
+    Other.continueAfter(12);
+    CPPUNIT_ASSERT(!Other.push(event(1)));
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(EventStreamTest);
+
+} // namespace ragwort::gateway
--- /dev/null
+++ b/libs/gateway/src/LoadBoardTest.cpp
@@ -0,0 +1,134 @@
+//===- LoadBoardTest.cpp - Tests of LoadBoard.h ---------------------------===//
+#include "ragwort/gateway/LoadBoard.h"
+#include "ragwort/base/Hash.h"
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace ragwort::gateway {
+
+class LoadBoardTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LoadBoardTest);
+  CPPUNIT_TEST(choiceWhenPeersLoadAServerTakesAnother);
+  CPPUNIT_TEST(choiceWhenAPeerFallsSilentForgetsItsLoad);
+  CPPUNIT_TEST(choiceWhenAServerIsUnreachableLeavesItOutForAWhile);
+  CPPUNIT_TEST(choiceWhenMostServersFailStillHasOne);
+  CPPUNIT_TEST(choiceWhenAServerDrainsIsNeverIt);
+  CPPUNIT_TEST(choiceWhenAnAddressHasANewerInstanceIsTheNewer);
+  CPPUNIT_TEST(choiceWhenAServerWasReplacedIsNotItUntilItIsBack);
+  CPPUNIT_TEST(choiceWhenAServerIsSlowPrefersTheOthers);
+  CPPUNIT_TEST_SUITE_END();
+
+  static TimePoint at(int64_t Millis) {
+    return TimePoint(std::chrono::milliseconds(Millis + 1000));
+  }
+
+  static BackendInstance instance(std::string Id, std::string Address,
+                                  uint64_t Born = 1) {
+    BackendInstance B;
+    B.Id = std::move(Id);
+    B.Service = "s";
+    B.Address = std::move(Address);
+    B.DataCentre = "here";
+    B.Slots = 4;
+    B.BornMillis = Born;
+    return B;
+  }
+
+  void list(std::vector<BackendInstance> Servers) {
+    Directory.replaceAll(std::move(Servers), ++Version, at(0),
+                         BackendDirectory::Completeness::Settled);
+    Board->sync(Directory);
+  }
+
+  std::string chosen(TimePoint Now) {
+    std::optional<Choice> C = Board->choose("s", {}, Now);
+    return C ? C->Server->Id : "";
+  }
+
+  std::unique_ptr<LoadBoard> Board;
+  BackendDirectory Directory;
+  uint64_t Version = 0;
+
+public:
+  void setUp() override {
+    Board = std::make_unique<LoadBoard>("here", 1);
+    Directory = BackendDirectory();
+    Version = 0;
+    list({instance("a", "10.0.0.1:1"), instance("b", "10.0.0.2:1"),
+          instance("c", "10.0.0.3:1")});
+  }
+
+  void choiceWhenPeersLoadAServerTakesAnother() {
+    Board->onPeerReport("p1", {{hash64("a"), 2}, {hash64("b"), 2}}, at(0));
+    CPPUNIT_ASSERT_EQUAL(std::string("c"), chosen(at(0)));
+    for (int I = 0; I < 3; ++I)
+      Board->onStarted("c");
+    CPPUNIT_ASSERT(chosen(at(0)) != "c");
+  }
+
+  void choiceWhenAPeerFallsSilentForgetsItsLoad() {
+    Board->onPeerReport("p1", {{hash64("a"), 4}}, at(0));
+    Board->onPeerReport("p2", {}, at(3000));
+    CPPUNIT_ASSERT_EQUAL(0u, Board->inFlight("a"));
+  }
+
+  void choiceWhenAServerIsUnreachableLeavesItOutForAWhile() {
+    Board->onFault("a", ServerFault::Unreachable, at(0));
+    for (int I = 0; I < 50; ++I)
+      CPPUNIT_ASSERT(chosen(at(500)) != "a");
+    for (int I = 0; I < 4; ++I) {
+      Board->onStarted("b");
+      Board->onStarted("c");
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), chosen(at(1500)));
+  }
+
+  void choiceWhenMostServersFailStillHasOne() {
+    Board->onFault("a", ServerFault::Unreachable, at(0));
+    Board->onFault("b", ServerFault::Unreachable, at(0));
+    CPPUNIT_ASSERT(!chosen(at(100)).empty());
+    Board->onFault("c", ServerFault::Unreachable, at(0));
+    CPPUNIT_ASSERT(!chosen(at(100)).empty());
+  }
+
+  void choiceWhenAServerDrainsIsNeverIt() {
+    BackendInstance Leaving = instance("a", "10.0.0.1:1");
+    Leaving.IsDraining = true;
+    list({Leaving, instance("b", "10.0.0.2:1")});
+    for (int I = 0; I < 20; ++I) {
+      CPPUNIT_ASSERT_EQUAL(std::string("b"), chosen(at(0)));
+      Board->onStarted("b");
+    }
+  }
+
+  void choiceWhenAnAddressHasANewerInstanceIsTheNewer() {
+    list({instance("old", "10.0.0.1:1", 5), instance("new", "10.0.0.1:1", 9)});
+    for (int I = 0; I < 20; ++I) {
+      CPPUNIT_ASSERT_EQUAL(std::string("new"), chosen(at(0)));
+      Board->onStarted("new");
+    }
+  }
+
+  void choiceWhenAServerWasReplacedIsNotItUntilItIsBack() {
+    list({instance("a", "10.0.0.1:1", 5)});
+    Board->onReplaced("a");
+    CPPUNIT_ASSERT_EQUAL(std::string(), chosen(at(0)));
+    list({instance("a", "10.0.0.1:1", 6)});
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), chosen(at(0)));
+  }
+
+  void choiceWhenAServerIsSlowPrefersTheOthers() {
+    for (int I = 0; I < 10; ++I) {
+      Board->onAnswered("a", std::chrono::milliseconds(500));
+      Board->onAnswered("b", std::chrono::milliseconds(50));
+      Board->onAnswered("c", std::chrono::milliseconds(50));
+    }
+    for (int I = 0; I < 3; ++I) {
+      CPPUNIT_ASSERT(chosen(at(0)) != "a");
+      Board->onStarted("b");
+      Board->onStarted("c");
+    }
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(LoadBoardTest);
+
+} // namespace ragwort::gateway
--- /dev/null
+++ b/libs/gateway/src/MessageParserTest.cpp
@@ -0,0 +1,129 @@
+//===- MessageParserTest.cpp - Tests of MessageParser.h -------------------===//
+#include "ragwort/gateway/MessageParser.h"
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace ragwort::gateway {
+
+class MessageParserTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(MessageParserTest);
+  CPPUNIT_TEST(requestWhenCutAnywhereIsReadWhole);
+  CPPUNIT_TEST(requestWhenChunkedHasItsBody);
+  CPPUNIT_TEST(requestWhenLengthsConflictIsMalformed);
+  CPPUNIT_TEST(requestWhenHeadIsTooLargeSaysSo);
+  CPPUNIT_TEST(requestWhenFollowedByAnotherLeavesIt);
+  CPPUNIT_TEST(responseWhenLengthIsMissingEndsWithTheConnection);
+  CPPUNIT_TEST(responseWhenCutShortIsNotDone);
+  CPPUNIT_TEST(responseWhenBytesFollowLeavesThem);
+  CPPUNIT_TEST(responseWhenNoHttpFails);
+  CPPUNIT_TEST(responseWhenInterimSaysSo);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr uint32_t MaxHead = 1024;
+
+  static ParseStage stageOf(const std::string &Bytes) {
+    RequestParser P(MaxHead);
+    P.feed(Bytes);
+    return P.stage();
+  }
+
+public:
+  void requestWhenCutAnywhereIsReadWhole() {
+    const std::string All =
+        "POST /a/b?c=1 HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello";
+    for (size_t Cut = 0; Cut <= All.size(); ++Cut) {
+      RequestParser P(MaxHead);
+      std::string Buffer = All.substr(0, Cut);
+      Buffer.erase(0, P.feed(Buffer));
+      Buffer += All.substr(Cut);
+      Buffer.erase(0, P.feed(Buffer));
+      CPPUNIT_ASSERT(P.stage() == ParseStage::Done);
+      CPPUNIT_ASSERT(Buffer.empty());
+      CPPUNIT_ASSERT_EQUAL(std::string("POST"), P.request().Method);
+      CPPUNIT_ASSERT_EQUAL(std::string("/a/b?c=1"), P.request().Target);
+      CPPUNIT_ASSERT_EQUAL(std::string("hello"), P.request().Body);
+      CPPUNIT_ASSERT_EQUAL(size_t(2), P.request().Headers.size());
+    }
+  }
+
+  void requestWhenChunkedHasItsBody() {
+    RequestParser P(MaxHead);
+    std::string Buffer = "POST / HTTP/1.1\r\nHost: h\r\n"
+                         "Transfer-Encoding: chunked\r\n\r\n"
+                         "3\r\nabc\r\n2\r\nde\r\n0\r\nX-Trailer: t\r\n\r\n";
+    Buffer.erase(0, P.feed(Buffer));
+    CPPUNIT_ASSERT(P.stage() == ParseStage::Done);
+    CPPUNIT_ASSERT_EQUAL(std::string("abcde"), P.request().Body);
+    CPPUNIT_ASSERT(P.request().header("X-Trailer").empty());
+  }
+
+  void requestWhenLengthsConflictIsMalformed() {
+    const std::string Head = "POST / HTTP/1.1\r\nHost: h\r\n";
+    for (const char *Framing :
+         {"Content-Length: 3\r\nContent-Length: 4\r\n",
+          "Content-Length: 3\r\nContent-Length: 3\r\n",
+          "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+          "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n",
+          "Content-Length: -1\r\n", "Content-Length: 3x\r\n"})
+      CPPUNIT_ASSERT_MESSAGE(Framing, stageOf(Head + Framing + "\r\nabcd") ==
+                                          ParseStage::Failed);
+  }
+
+  void requestWhenHeadIsTooLargeSaysSo() {
+    RequestParser P(MaxHead);
+    P.feed("GET / HTTP/1.1\r\nX: " + std::string(2 * MaxHead, 'a'));
+    CPPUNIT_ASSERT(P.failure() == ParseFailure::HeadTooLarge);
+    RequestParser Q(MaxHead);
+    Q.feed("GARBAGE\r\n\r\n");
+    CPPUNIT_ASSERT(Q.failure() == ParseFailure::Malformed);
+  }
+
+  void requestWhenFollowedByAnotherLeavesIt() {
+    RequestParser P(MaxHead);
+    const std::string First = "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n";
+    std::string Buffer = First + "GET /2 HTTP/1.1\r\n";
+    CPPUNIT_ASSERT_EQUAL(First.size(), P.feed(Buffer));
+    CPPUNIT_ASSERT(P.stage() == ParseStage::Done);
+  }
+
+  void responseWhenLengthIsMissingEndsWithTheConnection() {
+    ResponseParser P;
+    P.feed("HTTP/1.1 200 OK\r\nServer-X: 1\r\n\r\npart");
+    CPPUNIT_ASSERT(P.stage() == ParseStage::Body);
+    P.feedEnd();
+    CPPUNIT_ASSERT(P.stage() == ParseStage::Done);
+    CPPUNIT_ASSERT_EQUAL(std::string("part"), P.takeBody());
+    CPPUNIT_ASSERT(!P.keepsConnection());
+  }
+
+  void responseWhenCutShortIsNotDone() {
+    ResponseParser P;
+    P.feed("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\npart");
+    P.feedEnd();
+    CPPUNIT_ASSERT(P.stage() == ParseStage::Failed);
+  }
+
+  void responseWhenBytesFollowLeavesThem() {
+    ResponseParser P;
+    const std::string First =
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    CPPUNIT_ASSERT_EQUAL(First.size(), P.feed(First + "HTTP/1.1 200 OK"));
+    CPPUNIT_ASSERT(P.stage() == ParseStage::Done);
+    CPPUNIT_ASSERT(P.keepsConnection());
+  }
+
+  void responseWhenNoHttpFails() {
+    ResponseParser P;
+    P.feed("\x01\x02garbage\r\n\r\n");
+    CPPUNIT_ASSERT(P.stage() == ParseStage::Failed);
+  }
+
+  void responseWhenInterimSaysSo() {
+    ResponseParser P;
+    P.feed("HTTP/1.1 100 Continue\r\n\r\n");
+    CPPUNIT_ASSERT(P.isInterim());
+    CPPUNIT_ASSERT(P.stage() == ParseStage::Done);
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(MessageParserTest);
+
+} // namespace ragwort::gateway
--- /dev/null
+++ b/libs/gateway/src/PeerBeatTest.cpp
@@ -0,0 +1,62 @@
+//===- PeerBeatTest.cpp - Tests of PeerBeat.h -----------------------------===//
+#include "ragwort/gateway/PeerBeat.h"
+#include <cppunit/extensions/HelperMacros.h>
+#include <random>
+
+namespace ragwort::gateway {
+
+class PeerBeatTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PeerBeatTest);
+  CPPUNIT_TEST(beatWhenEncodedComesBack);
+  CPPUNIT_TEST(beatWhenTornOrChangedNeverThrows);
+  CPPUNIT_TEST(directoryWhenEncodedComesBack);
+  CPPUNIT_TEST_SUITE_END();
+
+  static PeerBeat beat() {
+    PeerBeat B;
+    B.Node = "n1";
+    B.Incarnation = 7;
+    B.ConfigVersion = 3;
+    B.DirectoryVersion = 44;
+    B.InFlight = {{1, 2}, {3, 4}};
+    B.PeerIps = {"10.0.0.1", "10.0.0.2"};
+    return B;
+  }
+
+public:
+  void beatWhenEncodedComesBack() {
+    auto Back = decodeBeat(encodeBeat(beat()));
+    CPPUNIT_ASSERT(Back.ok());
+    CPPUNIT_ASSERT_EQUAL(std::string("n1"), Back->Node);
+    CPPUNIT_ASSERT_EQUAL(uint64_t(44), Back->DirectoryVersion);
+    CPPUNIT_ASSERT_EQUAL(size_t(2), Back->InFlight.size());
+    CPPUNIT_ASSERT_EQUAL(4u, Back->InFlight[1].Count);
+    CPPUNIT_ASSERT(Back->PeerIps == beat().PeerIps);
+  }
+
+  void beatWhenTornOrChangedNeverThrows() {
+    std::string Bytes = encodeBeat(beat());
+    for (size_t Size = 0; Size < Bytes.size(); ++Size)
+      CPPUNIT_ASSERT(!decodeBeat(Bytes.substr(0, Size)).ok());
+    CPPUNIT_ASSERT(!decodeBeat(Bytes + "x").ok());
+    std::mt19937_64 Random(1);
+    for (int I = 0; I < 20'000; ++I) {
+      std::string Changed = Bytes;
+      Changed[Random() % Changed.size()] = static_cast<char>(Random());
+      decodeBeat(Changed).status().IgnoreError();
+    }
+  }
+
+  void directoryWhenEncodedComesBack() {
+    DirectorySnapshot S{9, {BackendInstance()}};
+    S.Instances[0].Id = "i";
+    S.Instances[0].IsDraining = true;
+    auto Back = decodeDirectory(encodeDirectory(S));
+    CPPUNIT_ASSERT(Back.ok());
+    CPPUNIT_ASSERT_EQUAL(uint64_t(9), Back->Version);
+    CPPUNIT_ASSERT(Back->Instances == S.Instances);
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(PeerBeatTest);
+
+} // namespace ragwort::gateway
--- /dev/null
+++ b/libs/gateway/src/RequestFlowTest.cpp
@@ -0,0 +1,188 @@
+//===- RequestFlowTest.cpp - The table of outcomes, row by row ------------===//
+#include "ragwort/gateway/RequestFlow.h"
+#include <cppunit/extensions/HelperMacros.h>
+#include <random>
+
+namespace ragwort::gateway {
+
+class RequestFlowTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RequestFlowTest);
+  CPPUNIT_TEST(requestWhenNothingWasSentIsRefusedAsNotRun);
+  CPPUNIT_TEST(connectFailureWhenTimeIsLeftTriesAnother);
+  CPPUNIT_TEST(declineWhenAttemptsAreLeftTriesAnother);
+  CPPUNIT_TEST(declineWhenAttemptsAreUsedIsRefusedAsNotRun);
+  CPPUNIT_TEST(misdirectionWhenRepeatedIsBounded);
+  CPPUNIT_TEST(breakWhenAtMostOnceIsUnknownAndNeverSentAgain);
+  CPPUNIT_TEST(breakWhenIdempotentTriesAnotherThenIsUnknown);
+  CPPUNIT_TEST(breakWhenDeclinedBeforeRunIsStillUnknown);
+  CPPUNIT_TEST(breakWhenAnswerHasBegunIsCut);
+  CPPUNIT_TEST(breakWhenStreamIsResumableTriesAnother);
+  CPPUNIT_TEST(failureAnswerWhenAtMostOnceIsRelayed);
+  CPPUNIT_TEST(failureAnswerWhenIdempotentIsRepeatedOnce);
+  CPPUNIT_TEST(timeUpWhenSentIsUnknownOtherwiseNotRun);
+  CPPUNIT_TEST(repeatWhenBudgetIsSpentIsNotMade);
+  CPPUNIT_TEST(runsWhenEventsAreRandomNeverLie);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr RetryMeans Means{true, true};
+
+  static void checkStep(Step Expected, Step Actual) {
+    CPPUNIT_ASSERT_EQUAL(std::string(toString(Expected)),
+                         std::string(toString(Actual)));
+  }
+
+public:
+  void requestWhenNothingWasSentIsRefusedAsNotRun() {
+    for (Repeatability R : {Repeatability::Idempotent,
+                            Repeatability::AtMostOnce,
+                            Repeatability::Resumable})
+      checkStep(Step::RefuseNotRun, RequestFlow(R, 2).onNoBackend());
+  }
+
+  void connectFailureWhenTimeIsLeftTriesAnother() {
+    RequestFlow Flow(Repeatability::AtMostOnce, 1);
+    checkStep(Step::TryAnother, Flow.onConnectFailed(Means));
+    checkStep(Step::RefuseNotRun, Flow.onConnectFailed({false, true}));
+  }
+
+  void declineWhenAttemptsAreLeftTriesAnother() {
+    RequestFlow Flow(Repeatability::AtMostOnce, 2);
+    Flow.onSent();
+    checkStep(Step::TryAnother, Flow.onDeclined(Means));
+  }
+
+  void declineWhenAttemptsAreUsedIsRefusedAsNotRun() {
+    RequestFlow Flow(Repeatability::AtMostOnce, 1);
+    Flow.onSent();
+    checkStep(Step::RefuseNotRun, Flow.onDeclined(Means));
+  }
+
+  void misdirectionWhenRepeatedIsBounded() {
+    RequestFlow Flow(Repeatability::AtMostOnce, 1);
+    for (uint32_t I = 0; I < RequestFlow::MaxMisdirected; ++I) {
+      Flow.onSent();
+      checkStep(Step::TryAnother, Flow.onMisdirected(Means));
+    }
+    Flow.onSent();
+    checkStep(Step::RefuseNotRun, Flow.onMisdirected(Means));
+  }
+
+  void breakWhenAtMostOnceIsUnknownAndNeverSentAgain() {
+    RequestFlow Flow(Repeatability::AtMostOnce, 3);
+    Flow.onSent();
+    checkStep(Step::FailUnknown, Flow.onBroken(Means));
+  }
+
+  void breakWhenIdempotentTriesAnotherThenIsUnknown() {
+    RequestFlow Flow(Repeatability::Idempotent, 2);
+    Flow.onSent();
+    checkStep(Step::TryAnother, Flow.onBroken(Means));
+    Flow.onSent();
+    checkStep(Step::FailUnknown, Flow.onBroken(Means));
+  }
+
+  void breakWhenDeclinedBeforeRunIsStillUnknown() {
+    // A later decline says nothing about the earlier, broken send.
+    RequestFlow Flow(Repeatability::Idempotent, 2);
+    Flow.onSent();
+    Flow.onBroken(Means);
+    Flow.onSent();
+    checkStep(Step::FailUnknown, Flow.onDeclined(Means));
+  }
+
+  void breakWhenAnswerHasBegunIsCut() {
+    RequestFlow Flow(Repeatability::Idempotent, 3);
+    Flow.onSent();
+    Flow.onAnswerBegun();
+    checkStep(Step::CutAnswer, Flow.onBroken(Means));
+  }
+
+  void breakWhenStreamIsResumableTriesAnother() {
+    RequestFlow Flow(Repeatability::Resumable, 2);
+    Flow.onSent();
+    Flow.onAnswerBegun();
+    checkStep(Step::TryAnother, Flow.onBroken(Means));
+    Flow.onSent();
+    checkStep(Step::CutAnswer, Flow.onBroken(Means));
+  }
+
+  void failureAnswerWhenAtMostOnceIsRelayed() {
+    RequestFlow Flow(Repeatability::AtMostOnce, 3);
+    Flow.onSent();
+    checkStep(Step::RelayAnswer, Flow.onFailureAnswer(Means));
+  }
+
+  void failureAnswerWhenIdempotentIsRepeatedOnce() {
+    RequestFlow Flow(Repeatability::Idempotent, 2);
+    Flow.onSent();
+    checkStep(Step::TryAnother, Flow.onFailureAnswer(Means));
+    Flow.onSent();
+    checkStep(Step::RelayAnswer, Flow.onFailureAnswer(Means));
+  }
+
+  void timeUpWhenSentIsUnknownOtherwiseNotRun() {
+    RequestFlow Waiting(Repeatability::AtMostOnce, 1);
+    checkStep(Step::RefuseNotRun, Waiting.onTimeUp());
+    RequestFlow Sent(Repeatability::AtMostOnce, 1);
+    Sent.onSent();
+    checkStep(Step::FailTimeout, Sent.onTimeUp());
+    RequestFlow Begun(Repeatability::Resumable, 2);
+    Begun.onSent();
+    Begun.onAnswerBegun();
+    checkStep(Step::CutAnswer, Begun.onTimeUp());
+  }
+
+  void repeatWhenBudgetIsSpentIsNotMade() {
+    RequestFlow Flow(Repeatability::Idempotent, 5);
+    Flow.onSent();
+    checkStep(Step::FailUnknown, Flow.onBroken({true, false}));
+  }
+
+  void runsWhenEventsAreRandomNeverLie() {
+    for (uint64_t Seed = 1; Seed <= 20000; ++Seed)
+      playRandomly(Seed);
+  }
+
+private:
+  /// Plays events and keeps the truth beside the flow: what may have run.
+  static void playRandomly(uint64_t Seed) {
+    std::mt19937_64 Random(Seed);
+    auto Kind = static_cast<Repeatability>(Random() % 3);
+    auto MaxAttempts = static_cast<uint32_t>(1 + Random() % 3);
+    RequestFlow Flow(Kind, MaxAttempts);
+    std::string Name = "seed " + std::to_string(Seed);
+    uint32_t MayHaveRun = 0;
+    Step Next = Step::TryAnother;
+    while (Next == Step::TryAnother) {
+      RetryMeans Random2{Random() % 5 != 0, Random() % 5 != 0};
+      if (Random() % 8 == 0) {
+        Next = Random() % 2 ? Flow.onNoBackend()
+                            : Flow.onConnectFailed(Random2);
+        if (Next == Step::TryAnother)
+          continue;
+        break;
+      }
+      Flow.onSent();
+      bool HasRun = Random() % 2;
+      if (Kind == Repeatability::AtMostOnce)
+        CPPUNIT_ASSERT_MESSAGE(Name, MayHaveRun == 0);
+      if (Kind != Repeatability::AtMostOnce && HasRun && Random() % 3 == 0)
+        Flow.onAnswerBegun();
+      MayHaveRun += HasRun;
+      if (!HasRun)
+        Next = Random() % 2 ? Flow.onDeclined(Random2)
+                            : Flow.onMisdirected(Random2);
+      else
+        Next = Random() % 2 ? Flow.onBroken(Random2)
+                            : Flow.onFailureAnswer(Random2);
+      CPPUNIT_ASSERT_MESSAGE(Name, MayHaveRun <= MaxAttempts);
+    }
+    if (Next == Step::RefuseNotRun)
+      CPPUNIT_ASSERT_MESSAGE(Name, MayHaveRun == 0);
+    if (Flow.hasAnswerBegun())
+      CPPUNIT_ASSERT_MESSAGE(Name, Next == Step::CutAnswer);
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(RequestFlowTest);
+
+} // namespace ragwort::gateway
