Hold requests while a group forms, with one trial at a time

Cause: after all machines lose power the groups take about four seconds to form. Ruled out: the directory (all replicas were listed in time), and a longer Retry-After alone. Servers that decline without being full are left alone; requests wait up to four fifths of the callers' patience and one trial each 300 ms shows when the servers are back. An answer to a request from before the break proves nothing.

--- a/libs/gateway/include/ragwort/gateway/Dispatcher.h
+++ b/libs/gateway/include/ragwort/gateway/Dispatcher.h
@@ -32,7 +32,9 @@
 };
 
 /// Why a request is not sent now.
-enum class PlacementRefusal : uint8_t { NoServer, Overloaded };
+enum class PlacementRefusal : uint8_t { NoServer, Recovering, Overloaded };
+
+std::string_view toString(PlacementRefusal Value);
 
 struct Placement {
   enum class Verdict : uint8_t { Send, Wait, Refuse };
@@ -57,7 +59,7 @@
 /// \code
 ///   Placement P = Dispatch.place(Request, Now);
 ///   if (P.What == Placement::Verdict::Send)
-///     Dispatch.onStarted(P.Server.Id);
+///     Dispatch.onStarted(P.Server.Id, Now);
 /// \endcode
 class Dispatcher {
 public:
@@ -65,6 +67,11 @@
   /// usually registers within a second.
   static constexpr Duration NoServerRetryAfter =
       std::chrono::milliseconds(1000);
+  /// Return time told while no server of a service works. A group is formed
+  /// anew in some four seconds after its ranks were lost; part of them has
+  /// passed, and callers wait at most a third of the time that they have.
+  static constexpr Duration RecoveringRetryAfter =
+      std::chrono::milliseconds(2000);
   /// Waiting requests a service may have at one node.
   static constexpr size_t MaxWaiting = 64;
 
@@ -81,7 +88,9 @@
   std::vector<Called> call(TimePoint Now);
   size_t waiting() const;
 
-  void onStarted(std::string_view Id) { Board.onStarted(Id); }
+  void onStarted(std::string_view Id, TimePoint Now) {
+    Board.onStarted(Id, Now);
+  }
   /// A request left \p Id, by whatever end.
   void onEnded(std::string_view Service, std::string_view Id, TimePoint Now);
 
@@ -103,7 +112,11 @@
   };
   Desk &desk(std::string_view Service);
   bool hasRoom(const Choice &C, bool IsBatched) const;
-  Duration retryAfter(Desk &D, TimePoint Now);
+  Duration retryAfter(Desk &D, bool IsRecovering, TimePoint Now);
+  static TimePoint giveUpAt(const PlacementRequest &R, bool IsRecovering);
+  Placement wait(Desk &D, const PlacementRequest &R, TimePoint GiveUpAt,
+                 TimePoint Now);
+  Placement refuse(PlacementRefusal Why, Duration RetryAfter) const;
 
   LoadBoard Board;
   const RetryBudgetLimits Budget;
--- a/libs/gateway/include/ragwort/gateway/LoadBoard.h
+++ b/libs/gateway/include/ragwort/gateway/LoadBoard.h
@@ -3,7 +3,9 @@
 // Chooses the backend server for a request. The load it answers to is what the
 // fleet has in flight at each server: this node's requests exactly, the other
 // nodes' from their heartbeats. Servers that fail are left out for a while and
-// come back by trial; at most half of a service is left out at a time.
+// come back by trial; at most half of a service is left out at a time. Servers
+// that say that they cannot work are left alone even if all do; then one trial
+// at a time shows when they are back.
 //
 //===----------------------------------------------------------------------===//
 #ifndef RAGWORT_GATEWAY_LOADBOARD_H
@@ -61,6 +63,9 @@
   /// First time that a failing server is left out; doubles up to MaxEjection.
   static constexpr Duration FirstEjection = std::chrono::milliseconds(1000);
   static constexpr Duration MaxEjection = std::chrono::milliseconds(8000);
+  /// A server that waits for its group is tried again after this time. Groups
+  /// form in seconds, and a declined trial costs a few milliseconds.
+  static constexpr Duration TrialInterval = std::chrono::milliseconds(300);
 
   LoadBoard(std::string LocalDataCentre, uint64_t Seed)
       : LocalDataCentre(std::move(LocalDataCentre)), Random(Seed) {}
@@ -73,11 +78,13 @@
                                std::span<const std::string> Excluded,
                                TimePoint Now);
   ServiceRoom room(std::string_view Service, TimePoint Now) const;
+  /// Whether the service has servers, none of which works at the moment.
+  bool isRecovering(std::string_view Service) const;
 
-  void onStarted(std::string_view Id);
+  void onStarted(std::string_view Id, TimePoint Now);
   void onEnded(std::string_view Id);
   /// The server answered with success after \p Latency.
-  void onAnswered(std::string_view Id, Duration Latency);
+  void onAnswered(std::string_view Id, Duration Latency, TimePoint Now);
   void onFault(std::string_view Id, ServerFault Fault, TimePoint Now);
   /// Another instance answered at the server's address: it is gone, whatever
   /// the list of servers still says.
@@ -104,6 +111,10 @@
     double LatencyMillis = 0;
     TimePoint EjectedUntil{};
     Duration NextEjection = FirstEjection;
+    // It has said that it cannot work, and has not answered since.
+    bool IsUnavailable = false;
+    TimePoint UnavailableSince{};
+    TimePoint NextTrial{};
     // Seen gone at its address.
     bool IsReplaced = false;
     // A newer instance is registered at the same address.
@@ -130,6 +141,8 @@
   std::map<std::string, Server, std::less<>> Servers;
   std::unordered_map<uint64_t, std::string> IdOfKey;
   std::map<std::string, PeerReport, std::less<>> Peers;
+  // By service: when the next trial may be made while no server works.
+  std::map<std::string, TimePoint, std::less<>> NextTrials;
 };
 
 } // namespace ragwort::gateway
--- a/libs/gateway/src/Dispatcher.cpp
+++ b/libs/gateway/src/Dispatcher.cpp
@@ -4,6 +4,18 @@
 
 namespace ragwort::gateway {
 
+std::string_view toString(PlacementRefusal Value) {
+  switch (Value) {
+  case PlacementRefusal::NoServer:
+    return "no-server";
+  case PlacementRefusal::Recovering:
+    return "servers-recovering";
+  case PlacementRefusal::Overloaded:
+    return "overloaded";
+  }
+  return "invalid";
+}
+
 namespace {
 
 // Requests beyond its slots that a batching server is given, so that a slot
@@ -15,6 +27,9 @@
 // Part of the caller's patience after which waiting is given up: the rest is
 // needed for the answer itself.
 constexpr double GiveUpFraction = 0.6;
+// The same while no server works: nothing runs ahead of the request then, and
+// callers come back only once, so the most is made of each try.
+constexpr double RecoveringGiveUpFraction = 0.8;
 // Bounds of the return time that is told.
 constexpr Duration MinRetryAfter = std::chrono::milliseconds(200);
 constexpr Duration MaxRetryAfter = std::chrono::milliseconds(2500);
@@ -44,44 +59,67 @@
   return C.InFlight < Slots + (IsBatched ? BatchedMargin : Slots);
 }
 
-Duration Dispatcher::retryAfter(Desk &D, TimePoint Now) {
+Duration Dispatcher::retryAfter(Desk &D, bool IsRecovering, TimePoint Now) {
   Duration Wait =
-      D.Drain.timeFor(D.Queue.size() + 1, Now).value_or(NoServerRetryAfter);
+      IsRecovering
+          ? RecoveringRetryAfter
+          : D.Drain.timeFor(D.Queue.size() + 1, Now).value_or(MaxRetryAfter);
   std::uniform_real_distribution<double> Spread(1.0, 1.0 + RetryAfterSpread);
-  return scaled(std::clamp(Wait, MinRetryAfter, MaxRetryAfter), Spread(Random));
+  return std::min(
+      scaled(std::clamp(Wait, MinRetryAfter, MaxRetryAfter), Spread(Random)),
+      MaxRetryAfter);
+}
+
+Placement Dispatcher::refuse(PlacementRefusal Why, Duration RetryAfter) const {
+  Placement P;
+  P.What = Placement::Verdict::Refuse;
+  P.Why = Why;
+  P.RetryAfter = RetryAfter;
+  return P;
+}
+
+TimePoint Dispatcher::giveUpAt(const PlacementRequest &R, bool IsRecovering) {
+  return R.Arrived + scaled(R.UselessAt - R.Arrived,
+                            IsRecovering ? RecoveringGiveUpFraction
+                                         : GiveUpFraction);
+}
+
+Placement Dispatcher::wait(Desk &D, const PlacementRequest &R,
+                           TimePoint GiveUpAt, TimePoint Now) {
+  Placement P;
+  P.What = Placement::Verdict::Wait;
+  P.Ticket = NextTicket++;
+  D.Queue.push({P.Ticket, R.Priority, Now,
+                R.Arrived + scaled(R.TargetLatency, OnTimeQueueFraction),
+                GiveUpAt});
+  return P;
 }
 
 Placement Dispatcher::place(const PlacementRequest &R, TimePoint Now) {
   Desk &D = desk(R.Service);
   D.IsBatched = R.IsBatched;
-  Placement P;
   std::optional<Choice> Best = Board.choose(R.Service, R.Excluded, Now);
-  if (!Best) {
-    P.Why = PlacementRefusal::NoServer;
-    P.RetryAfter = NoServerRetryAfter;
-    return P;
-  }
-  if (hasRoom(*Best, R.IsBatched)) {
+  if (Best && hasRoom(*Best, R.IsBatched)) {
+    Placement P;
     P.What = Placement::Verdict::Send;
     P.Server = *Best->Server;
     P.InFlight = Best->InFlight;
     return P;
   }
-  TimePoint GiveUpAt = R.Arrived + scaled(R.UselessAt - R.Arrived,
-                                          GiveUpFraction);
-  std::optional<Duration> Wait = D.Drain.timeFor(D.Queue.size() + 1, Now);
-  if (D.Queue.size() >= MaxWaiting || Now >= GiveUpAt ||
-      (Wait && Now + *Wait >= GiveUpAt)) {
-    P.Why = PlacementRefusal::Overloaded;
-    P.RetryAfter = retryAfter(D, Now);
-    return P;
+  bool IsRecovering = !Best && Board.isRecovering(R.Service);
+  if (!Best && !IsRecovering)
+    return refuse(PlacementRefusal::NoServer, NoServerRetryAfter);
+  TimePoint GiveUpAt = giveUpAt(R, IsRecovering);
+  bool IsHopeless = D.Queue.size() >= MaxWaiting || Now >= GiveUpAt;
+  if (!IsRecovering) {
+    std::optional<Duration> Wait = D.Drain.timeFor(D.Queue.size() + 1, Now);
+    IsHopeless |= Wait && Now + *Wait >= GiveUpAt;
   }
-  P.What = Placement::Verdict::Wait;
-  P.Ticket = NextTicket++;
-  D.Queue.push({P.Ticket, R.Priority, Now,
-                R.Arrived + scaled(R.TargetLatency, OnTimeQueueFraction),
-                GiveUpAt});
-  return P;
+  if (IsHopeless)
+    return refuse(IsRecovering ? PlacementRefusal::Recovering
+                               : PlacementRefusal::Overloaded,
+                  retryAfter(D, IsRecovering, Now));
+  return wait(D, R, GiveUpAt, Now);
 }
 
 void Dispatcher::cancelWait(std::string_view Service, uint64_t Ticket) {
@@ -91,8 +129,9 @@
 std::vector<Called> Dispatcher::call(TimePoint Now) {
   std::vector<Called> Result;
   for (auto &[Service, D] : Desks) {
+    bool IsRecovering = Board.isRecovering(Service);
     for (uint64_t Ticket : D.Queue.takeExpired(Now))
-      Result.push_back({Ticket, true, retryAfter(D, Now)});
+      Result.push_back({Ticket, true, retryAfter(D, IsRecovering, Now)});
     if (D.Queue.size() == 0)
       continue;
     std::optional<Choice> Best = Board.choose(Service, {}, Now);
--- a/libs/gateway/src/DispatcherTest.cpp
+++ b/libs/gateway/src/DispatcherTest.cpp
@@ -29,6 +29,7 @@
   int64_t ShortestRetryAfter = 1'000'000;
   uint32_t MostInFlight = 0;
   uint64_t UrgentRefused = 0;
+  uint64_t Declined = 0;
 };
 
 class LoadPlay {
@@ -49,6 +50,12 @@
     Dispatch.board().sync(Directory);
   }
 
+  /// All servers decline between these times.
+  void breakGroup(int64_t FromMillis, int64_t ToMillis) {
+    BrokenFrom = FromMillis;
+    BrokenTo = ToMillis;
+  }
+
   /// Poisson arrivals of \p Load times the capacity for \p Millis.
   Outcome play(double Load, int64_t Millis) {
     std::exponential_distribution<double> Gap(Load * Capacity / 1000.0);
@@ -65,6 +72,8 @@
   struct Request {
     int64_t Arrived = 0;
     uint32_t Priority = 0;
+    // Callers return once.
+    bool HasReturned = false;
   };
 
   static TimePoint timeOf(int64_t Millis) {
@@ -100,18 +109,34 @@
   }
 
   void start(Request R, const std::string &Id) {
-    Dispatch.onStarted(Id);
+    Dispatch.onStarted(Id, now());
+    if (Events.now() >= BrokenFrom && Events.now() < BrokenTo) {
+      ++Result.Declined;
+      Events.at(Events.now() + 2, [this, R, Id] {
+        Dispatch.board().onFault(Id, ServerFault::Unavailable, now());
+        Dispatch.onEnded("s", Id, now());
+        place(R);
+      });
+      return;
+    }
     Result.MostInFlight =
         std::max(Result.MostInFlight, Dispatch.board().inFlight(Id));
     int64_t Waited = Events.now() - R.Arrived;
     ++(Waited <= TargetMillis ? Result.OnTime : Result.Late);
     Events.at(Events.now() + WorkMillis, [this, Id] {
+      Dispatch.board().onAnswered(Id, std::chrono::milliseconds(WorkMillis),
+                                  now());
       Dispatch.onEnded("s", Id, now());
       callWaiting();
     });
   }
 
   void refuse(Request R, Duration RetryAfter) {
+    if (BrokenTo > 0 && !R.HasReturned) {
+      int64_t Back = Events.now() + RetryAfter.count() / 1000;
+      Events.at(Back, [this, R, Back] { place({Back, R.Priority, true}); });
+      return;
+    }
     ++Result.Refused;
     Result.UrgentRefused += R.Priority == 0;
     Result.LongestHeldRefusal =
@@ -141,6 +166,8 @@
   testing::EventQueue<int64_t> Events;
   std::map<uint64_t, Request> Waiting;
   Outcome Result;
+  int64_t BrokenFrom = 0;
+  int64_t BrokenTo = 0;
 };
 
 } // namespace
@@ -151,6 +178,7 @@
   CPPUNIT_TEST(loadWhenAboveCapacityKeepsItsGoodput);
   CPPUNIT_TEST(refusalWhenOverloadedComesBeforePatienceEnds);
   CPPUNIT_TEST(urgentWhenOverloadedIsRefusedLessOften);
+  CPPUNIT_TEST(callersWhenAGroupIsDownForSecondsAreServedOnceItIsBack);
   CPPUNIT_TEST(requestWhenNoServerIsThereIsRefusedAtOnce);
   CPPUNIT_TEST_SUITE_END();
 
@@ -197,6 +225,20 @@
                            Urgent < All);
   }
 
+  void callersWhenAGroupIsDownForSecondsAreServedOnceItIsBack() {
+    LoadPlay Play(5);
+    Play.breakGroup(10'000, 14'300);
+    // Light enough that the servers can take all that has gathered.
+    Outcome O = Play.play(0.2, PlayMillis);
+    std::string Seen = std::to_string(O.Refused) + " refused of " +
+                       std::to_string(O.Asked) + ", " +
+                       std::to_string(O.Declined) + " declined";
+    // Callers come back once, so they are held and sent back in a way that
+    // bridges the time; few are lost, and few are tried in vain.
+    CPPUNIT_ASSERT_MESSAGE(Seen, O.Refused * 100 <= O.Asked * 2);
+    CPPUNIT_ASSERT_MESSAGE(Seen, O.Declined <= 25);
+  }
+
   void requestWhenNoServerIsThereIsRefusedAtOnce() {
     Dispatcher D("here", RetryBudgetLimits(), 1);
     PlacementRequest P;
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -27,9 +27,6 @@
 constexpr Duration MinRepeatTime = std::chrono::milliseconds(80);
 // Return time told where nothing better is known.
 constexpr Duration DefaultRetryAfter = std::chrono::milliseconds(500);
-// Return time told while servers wait for a lost one of their group: a group
-// is formed anew in about two seconds, of which some have passed.
-constexpr Duration GroupRetryAfter = std::chrono::milliseconds(1800);
 // Answers that are passed on whole may have this size.
 constexpr size_t MaxWholeAnswerBytes = 8 * MiB;
 // Bytes that wait for a slow caller before its server is read no further.
@@ -156,8 +153,7 @@
     return;
   case Placement::Verdict::Refuse:
     if (LastFault.empty())
-      LastFault = P.Why == PlacementRefusal::NoServer ? "no-server"
-                                                      : "overloaded";
+      LastFault = toString(P.Why);
     RetryAfter = P.RetryAfter;
     carryOut(Flow.onNoBackend());
     return;
@@ -173,7 +169,8 @@
     place();
     return;
   }
-  LastFault = "overloaded";
+  if (LastFault.empty())
+    LastFault = "waited-in-vain";
   RetryAfter = C.RetryAfter;
   carryOut(Flow.onNoBackend());
 }
@@ -181,7 +178,7 @@
 void Forwarding::sendTo(const BackendInstance &Chosen) {
   Server = Chosen;
   IsCounted = true;
-  Context.Dispatch.onStarted(Server.Id);
+  Context.Dispatch.onStarted(Server.Id, now());
   Duration MaxIdle =
       Flow.isRepeatable() ? MaxIdleRepeatable : MaxIdleAtMostOnce;
   Socket = Context.Pool.take(Server.Id, now(), MaxIdle);
@@ -349,7 +346,8 @@
   if (!Flow.hasAnswerBegun()) {
     Head = Parser.head();
     FirstByteAfter = LastProgress - Accepted.Arrived;
-    Context.Dispatch.board().onAnswered(Server.Id, LastProgress - SentAt);
+    Context.Dispatch.board().onAnswered(Server.Id, LastProgress - SentAt,
+                                        LastProgress);
     Flow.onAnswerBegun();
     Sink->beginStream(Head);
   }
@@ -381,7 +379,7 @@
     return;
   }
   if (isSuccess(H.Status))
-    Context.Dispatch.board().onAnswered(Server.Id, now() - SentAt);
+    Context.Dispatch.board().onAnswered(Server.Id, now() - SentAt, now());
   relayWhole();
 }
 
@@ -420,8 +418,10 @@
   std::string_view Answering = H.header(Context.Names.AnsweringInstance);
   bool IsReplaced = H.Status == StatusMisdirected && !Answering.empty() &&
                     Answering != Server.Id;
+  // A server that declines with slots free is not full but unable to work.
   bool IsUnavailable = H.Status == StatusMisdirected ||
-                       !H.header(Context.Names.InstanceAtFault).empty();
+                       !H.header(Context.Names.InstanceAtFault).empty() ||
+                       Board.inFlight(Server.Id) < Server.Slots;
   LastFault = "declined-" + std::to_string(H.Status);
   if (IsReplaced)
     Board.onReplaced(Server.Id);
@@ -431,7 +431,8 @@
                   now());
   Excluded.push_back(Server.Id);
   leaveServer(!IsReplaced);
-  RetryAfter = IsUnavailable ? GroupRetryAfter : DefaultRetryAfter;
+  RetryAfter = IsUnavailable ? Dispatcher::RecoveringRetryAfter
+                             : DefaultRetryAfter;
   carryOut(IsReplaced ? Flow.onMisdirected(means()) : Flow.onDeclined(means()));
 }
 
--- a/libs/gateway/src/LoadBoard.cpp
+++ b/libs/gateway/src/LoadBoard.cpp
@@ -79,9 +79,15 @@
   return Found == Servers.end() ? nullptr : &Found->second;
 }
 
-void LoadBoard::onStarted(std::string_view Id) {
-  if (Server *S = find(Id))
-    ++S->Own;
+void LoadBoard::onStarted(std::string_view Id, TimePoint Now) {
+  Server *S = find(Id);
+  if (!S)
+    return;
+  ++S->Own;
+  if (!S->IsUnavailable)
+    return;
+  S->NextTrial = Now + TrialInterval;
+  NextTrials[S->Entry.Service] = Now + TrialInterval;
 }
 
 void LoadBoard::onEnded(std::string_view Id) {
@@ -90,7 +96,8 @@
     --S->Own;
 }
 
-void LoadBoard::onAnswered(std::string_view Id, Duration Latency) {
+void LoadBoard::onAnswered(std::string_view Id, Duration Latency,
+                           TimePoint Now) {
   Server *S = find(Id);
   if (!S)
     return;
@@ -100,6 +107,9 @@
                          : (1 - AverageWeight) * S->LatencyMillis +
                                AverageWeight * Millis;
   S->FailureRate *= 1 - AverageWeight;
+  // An answer to a request from before the server's word proves nothing.
+  if (Now - Latency >= S->UnavailableSince)
+    S->IsUnavailable = false;
   S->NextEjection = FirstEjection;
 }
 
@@ -116,8 +126,12 @@
     return;
   S->FailureRate = (1 - AverageWeight) * S->FailureRate + AverageWeight;
   switch (Fault) {
-  case ServerFault::Unreachable:
   case ServerFault::Unavailable:
+    S->IsUnavailable = true;
+    S->UnavailableSince = Now;
+    S->NextTrial = Now + TrialInterval;
+    break;
+  case ServerFault::Unreachable:
   case ServerFault::Silent:
     eject(*S, Now);
     break;
@@ -175,13 +189,30 @@
   return Load * Slow + S.FailureRate + Remote + Tie(Random);
 }
 
+bool LoadBoard::isRecovering(std::string_view Service) const {
+  bool HasServers = false;
+  for (const auto &[Id, S] : Servers) {
+    if (S.Entry.Service != Service || !S.isUsable())
+      continue;
+    if (!S.IsUnavailable)
+      return false;
+    HasServers = true;
+  }
+  return HasServers;
+}
+
 std::optional<Choice> LoadBoard::choose(std::string_view Service,
                                         std::span<const std::string> Excluded,
                                         TimePoint Now) {
+  if (isRecovering(Service)) {
+    auto Trial = NextTrials.find(Service);
+    if (Trial != NextTrials.end() && Now < Trial->second)
+      return std::nullopt;
+  }
   size_t Usable = 0;
   size_t Ejected = 0;
   for (const auto &[Id, S] : Servers) {
-    if (S.Entry.Service != Service || !S.isUsable())
+    if (S.Entry.Service != Service || !S.isUsable() || S.IsUnavailable)
       continue;
     ++Usable;
     Ejected += Now < S.EjectedUntil;
@@ -193,9 +224,9 @@
   const Server *Best = nullptr;
   double BestScore = 0;
   for (const auto &[Id, S] : Servers) {
-    if (S.Entry.Service != Service || !S.isUsable() ||
-        contains(Excluded, Id) ||
-        (HonoursEjection && Now < S.EjectedUntil))
+    if (S.Entry.Service != Service || !S.isUsable() || contains(Excluded, Id) ||
+        (HonoursEjection && Now < S.EjectedUntil) ||
+        (S.IsUnavailable && Now < S.NextTrial))
       continue;
     double Score = score(S, Typical);
     if (!Best || Score < BestScore) {
@@ -212,7 +243,7 @@
 ServiceRoom LoadBoard::room(std::string_view Service, TimePoint Now) const {
   ServiceRoom Result;
   for (const auto &[Id, S] : Servers) {
-    if (S.Entry.Service != Service || !S.isUsable() ||
+    if (S.Entry.Service != Service || !S.isUsable() || S.IsUnavailable ||
         Now < S.EjectedUntil)
       continue;
     Result.Slots += S.Entry.Slots;
@@ -244,6 +275,7 @@
             std::to_string(std::lround(S.FailureRate * 100)) +
             " latency_ms=" + std::to_string(std::lround(S.LatencyMillis)) +
             (S.Entry.IsDraining ? " draining" : "") +
+            (S.IsUnavailable ? " unavailable" : "") +
             (Now < S.EjectedUntil ? " ejected" : "") + "\n";
   }
   return Text;
--- a/libs/gateway/src/LoadBoardTest.cpp
+++ b/libs/gateway/src/LoadBoardTest.cpp
@@ -11,6 +11,7 @@
   CPPUNIT_TEST(choiceWhenAPeerFallsSilentForgetsItsLoad);
   CPPUNIT_TEST(choiceWhenAServerIsUnreachableLeavesItOutForAWhile);
   CPPUNIT_TEST(choiceWhenMostServersFailStillHasOne);
+  CPPUNIT_TEST(choiceWhenNoServerWorksIsOneTrialAtATime);
   CPPUNIT_TEST(choiceWhenAServerDrainsIsNeverIt);
   CPPUNIT_TEST(choiceWhenAnAddressHasANewerInstanceIsTheNewer);
   CPPUNIT_TEST(choiceWhenAServerWasReplacedIsNotItUntilItIsBack);
@@ -60,7 +61,7 @@
     Board->onPeerReport("p1", {{hash64("a"), 2}, {hash64("b"), 2}}, at(0));
     CPPUNIT_ASSERT_EQUAL(std::string("c"), chosen(at(0)));
     for (int I = 0; I < 3; ++I)
-      Board->onStarted("c");
+      Board->onStarted("c", at(0));
     CPPUNIT_ASSERT(chosen(at(0)) != "c");
   }
 
@@ -75,8 +76,8 @@
     for (int I = 0; I < 50; ++I)
       CPPUNIT_ASSERT(chosen(at(500)) != "a");
     for (int I = 0; I < 4; ++I) {
-      Board->onStarted("b");
-      Board->onStarted("c");
+      Board->onStarted("b", at(0));
+      Board->onStarted("c", at(0));
     }
     CPPUNIT_ASSERT_EQUAL(std::string("a"), chosen(at(1500)));
   }
@@ -89,13 +90,30 @@
     CPPUNIT_ASSERT(!chosen(at(100)).empty());
   }
 
+  void choiceWhenNoServerWorksIsOneTrialAtATime() {
+    for (const char *Id : {"a", "b", "c"})
+      Board->onFault(Id, ServerFault::Unavailable, at(0));
+    CPPUNIT_ASSERT(Board->isRecovering("s"));
+    CPPUNIT_ASSERT_EQUAL(std::string(), chosen(at(100)));
+    std::string Trial = chosen(at(400));
+    CPPUNIT_ASSERT(!Trial.empty());
+    Board->onStarted(Trial, at(400));
+    CPPUNIT_ASSERT_EQUAL(std::string(), chosen(at(450)));
+    // An answer from before the servers' word changes nothing.
+    Board->onAnswered(Trial, std::chrono::milliseconds(450), at(405));
+    CPPUNIT_ASSERT(Board->isRecovering("s"));
+    Board->onAnswered(Trial, std::chrono::milliseconds(5), at(405));
+    CPPUNIT_ASSERT(!Board->isRecovering("s"));
+    CPPUNIT_ASSERT(!chosen(at(460)).empty());
+  }
+
   void choiceWhenAServerDrainsIsNeverIt() {
     BackendInstance Leaving = instance("a", "10.0.0.1:1");
     Leaving.IsDraining = true;
     list({Leaving, instance("b", "10.0.0.2:1")});
     for (int I = 0; I < 20; ++I) {
       CPPUNIT_ASSERT_EQUAL(std::string("b"), chosen(at(0)));
-      Board->onStarted("b");
+      Board->onStarted("b", at(0));
     }
   }
 
@@ -103,7 +121,7 @@
     list({instance("old", "10.0.0.1:1", 5), instance("new", "10.0.0.1:1", 9)});
     for (int I = 0; I < 20; ++I) {
       CPPUNIT_ASSERT_EQUAL(std::string("new"), chosen(at(0)));
-      Board->onStarted("new");
+      Board->onStarted("new", at(0));
     }
   }
 
@@ -117,14 +135,14 @@
 
   void choiceWhenAServerIsSlowPrefersTheOthers() {
     for (int I = 0; I < 10; ++I) {
-      Board->onAnswered("a", std::chrono::milliseconds(500));
-      Board->onAnswered("b", std::chrono::milliseconds(50));
-      Board->onAnswered("c", std::chrono::milliseconds(50));
+      Board->onAnswered("a", std::chrono::milliseconds(500), at(0));
+      Board->onAnswered("b", std::chrono::milliseconds(50), at(0));
+      Board->onAnswered("c", std::chrono::milliseconds(50), at(0));
     }
     for (int I = 0; I < 3; ++I) {
       CPPUNIT_ASSERT(chosen(at(0)) != "a");
-      Board->onStarted("b");
-      Board->onStarted("c");
+      Board->onStarted("b", at(0));
+      Board->onStarted("c", at(0));
     }
   }
 };
