--- /dev/null
+++ b/libs/gateway/src/GatewayTest.cpp
@@ -0,0 +1,588 @@
+//===- GatewayTest.cpp - A gateway between real sockets -------------------===//
+//
+// One event loop holds a gateway, scripted backend servers and callers on
+// loopback. Each test plays one way in which a server or a caller misbehaves
+// and checks what the other side gets.
+//
+//===----------------------------------------------------------------------===//
+#include "ragwort/gateway/Gateway.h"
+#include <cppunit/extensions/HelperMacros.h>
+#include <deque>
+
+namespace ragwort::gateway {
+
+namespace {
+
+constexpr const char *RequestIdHeader = "Ragwort-Request-Id";
+
+std::string idOf(const std::string &Request) {
+  std::string Mark = std::string(RequestIdHeader) + ": ";
+  size_t At = Request.find(Mark);
+  if (At == std::string::npos)
+    return "";
+  At += Mark.size();
+  return Request.substr(At, Request.find('\r', At) - At);
+}
+
+std::string answer(const std::string &Status, const std::string &Id,
+                   const std::string &Extra, const std::string &Body) {
+  return "HTTP/1.1 " + Status + "\r\nRagwort-Request-Id: " + Id + "\r\n" +
+         Extra + "Content-Length: " + std::to_string(Body.size()) +
+         "\r\n\r\n" + Body;
+}
+
+const std::string Stamp = "Ragwort-Answer-Stamp: s\r\n";
+
+/// A backend server that answers each request by the next line of its script.
+class ScriptedServer {
+public:
+  /// Gets the request's bytes; returns what is written. An answer that ends
+  /// with Close closes the connection behind it, one that is Reset resets it.
+  using Line = std::function<std::string(const std::string &)>;
+  static inline const std::string Close = "\x01close";
+  static inline const std::string Reset = "\x01reset";
+  static inline const std::string Silence = "\x01silence";
+
+  explicit ScriptedServer(asio::io_context &Io)
+      : Acceptor(Io, asio::ip::tcp::endpoint(
+                         asio::ip::make_address("127.0.0.1"), 0)) {
+    accept();
+  }
+
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
+  }
+
+  std::deque<Line> Script;
+  std::vector<std::string> Requests;
+  int Connections = 0;
+  int ClosedByGateway = 0;
+
+private:
+  struct Connection : SocketUser {
+    explicit Connection(ScriptedServer &Owner, asio::io_context &Io)
+        : Owner(Owner), Socket(std::make_shared<StreamSocket>(Io)) {}
+    void onBytes(std::string_view Bytes) override {
+      RequestParser Probe(65536);
+      Buffer += Bytes;
+      size_t Taken = Probe.feed(Buffer);
+      if (Probe.stage() != ParseStage::Done)
+        return;
+      std::string Request = Buffer.substr(0, Taken);
+      Buffer.erase(0, Taken);
+      Owner.Requests.push_back(Request);
+      if (Owner.Script.empty())
+        return;
+      Line Next = Owner.Script.front();
+      Owner.Script.pop_front();
+      send(Next(Request));
+    }
+    void onEnd(SocketEnd) override { ++Owner.ClosedByGateway; }
+    void send(std::string Text) {
+      if (Text == Silence)
+        return;
+      bool Closes = Text.ends_with(Close);
+      bool Resets = Text.ends_with(Reset);
+      if (Closes || Resets)
+        Text.resize(Text.size() - Close.size());
+      Socket->write(Text);
+      if (Closes)
+        Socket->closeAfterWrite();
+      if (Resets)
+        Socket->close();
+    }
+    ScriptedServer &Owner;
+    std::shared_ptr<StreamSocket> Socket;
+    std::string Buffer;
+  };
+
+  void accept() {
+    Acceptor.async_accept([this](error_code Error, asio::ip::tcp::socket S) {
+      if (Error)
+        return;
+      ++Connections;
+      auto &Io = static_cast<asio::io_context &>(
+          Acceptor.get_executor().context());
+      auto C = std::make_shared<Connection>(*this, Io);
+      Held.push_back(C);
+      C->Socket->use(C.get());
+      C->Socket->adopt(std::move(S));
+      accept();
+    });
+  }
+
+  asio::ip::tcp::acceptor Acceptor;
+  std::vector<std::shared_ptr<Connection>> Held;
+};
+
+/// A caller's connection.
+struct Caller : SocketUser {
+  explicit Caller(asio::io_context &Io)
+      : Socket(std::make_shared<StreamSocket>(Io)) {
+    Socket->use(this);
+  }
+  ~Caller() override { Socket->close(); }
+  void onConnected() override { Socket->write(ToSend); }
+  void onBytes(std::string_view Bytes) override { Received += Bytes; }
+  void onEnd(SocketEnd End) override {
+    IsEnded = true;
+    WasBroken = End == SocketEnd::Broken;
+  }
+  std::shared_ptr<StreamSocket> Socket;
+  std::string ToSend;
+  std::string Received;
+  bool IsEnded = false;
+  bool WasBroken = false;
+};
+
+size_t count(const std::string &Text, const std::string &Part) {
+  size_t Total = 0;
+  for (size_t At = Text.find(Part); At != std::string::npos;
+       At = Text.find(Part, At + 1))
+    ++Total;
+  return Total;
+}
+
+} // namespace
+
+class GatewayTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(GatewayTest);
+  CPPUNIT_TEST(requestWhenServedKeepsWhatTheServerSent);
+  CPPUNIT_TEST(requestWhenForwardedHidesTheKeyAndNamesTheOrganisation);
+  CPPUNIT_TEST(requestWhenCallerForgesSystemHeadersHasTheSystemsOwn);
+  CPPUNIT_TEST(requestWhenKeyIsUnknownIsNotForwarded);
+  CPPUNIT_TEST(requestWhenNoConfigurationIsKnownIsRefusedAsNotRun);
+  CPPUNIT_TEST(atMostOnceWhenServerResetsIsSentOnce);
+  CPPUNIT_TEST(atMostOnceWhenDeclinedSaysNotRunAndWhenToReturn);
+  CPPUNIT_TEST(idempotentWhenServerResetsIsServedByAnother);
+  CPPUNIT_TEST(idempotentWhenServerFailsIsServedByAnother);
+  CPPUNIT_TEST(answerWhenWithoutStampIsNotPassedOn);
+  CPPUNIT_TEST(answerWhenForAnotherRequestIsSkipped);
+  CPPUNIT_TEST(answerWhenCutShortIsNotPassedOn);
+  CPPUNIT_TEST(answerWhenWithoutLengthIsPassedOnWhole);
+  CPPUNIT_TEST(answerWhenBytesFollowClosesTheServersConnection);
+  CPPUNIT_TEST(streamWhenServerBreaksInAnEventGoesOnElsewhere);
+  CPPUNIT_TEST(streamWhenItCannotGoOnIsCutVisibly);
+  CPPUNIT_TEST(callerWhenGoneClosesTheServersConnection);
+  CPPUNIT_TEST(requestWhenRouteTimeIsUpIsAnsweredAtOnce);
+  CPPUNIT_TEST(requestsWhenPipelinedAreAnsweredInOrder);
+  CPPUNIT_TEST(requestWhenMalformedEndsOnlyItsConnection);
+  CPPUNIT_TEST(callersWhenNodeDrainsAreToldToClose);
+  CPPUNIT_TEST(connectionsWhenKeptAreUsedAgain);
+  CPPUNIT_TEST_SUITE_END();
+
+  std::unique_ptr<asio::io_context> Io;
+  std::unique_ptr<MetricsRegistry> Metrics;
+  std::unique_ptr<Gateway> Node;
+  std::vector<std::unique_ptr<ScriptedServer>> Servers;
+
+public:
+  void setUp() override {
+    Io = std::make_unique<asio::io_context>(1);
+    Metrics = std::make_unique<MetricsRegistry>();
+    GatewayOptions Options;
+    Options.Listen = {"127.0.0.1", 0};
+    Options.DataCentre = "here";
+    Options.RepeatBudget = {0.2, 100, std::chrono::seconds(10)};
+    Node = std::make_unique<Gateway>(*Io, Options, ProtocolNames(), *Metrics);
+    CPPUNIT_ASSERT(Node->listen().ok());
+    Servers.clear();
+    for (int I = 0; I < 2; ++I)
+      Servers.push_back(std::make_unique<ScriptedServer>(*Io));
+    configure();
+  }
+
+  void tearDown() override {
+    Servers.clear();
+    Node.reset();
+    Io.reset();
+  }
+
+private:
+  static Route route(const char *Prefix, Repeatability Repeat,
+                     uint32_t Attempts) {
+    Route R;
+    R.Name = Prefix;
+    R.Host = "h";
+    R.PathPrefix = Prefix;
+    R.Repeat = Repeat;
+    R.IsStream = Repeat == Repeatability::Resumable;
+    R.MaxAttempts = Attempts;
+    R.Timeout = std::chrono::milliseconds(400);
+    R.TargetLatency = std::chrono::milliseconds(300);
+    R.Split.push_back({"s", 1});
+    return R;
+  }
+
+  void configure() {
+    auto Config = std::make_shared<TrafficConfig>();
+    Config->Version = 1;
+    Config->addRoute(route("/once/", Repeatability::AtMostOnce, 1));
+    Config->addRoute(route("/safe/", Repeatability::Idempotent, 2));
+    Config->addRoute(route("/stream/", Repeatability::Resumable, 2));
+    Config->requireKeys();
+    Config->addOrganisation({"org", std::nullopt}, {"key"});
+    Node->useConfig(std::move(Config));
+    std::vector<BackendInstance> List;
+    for (size_t I = 0; I < Servers.size(); ++I) {
+      BackendInstance B;
+      B.Id = "i" + std::to_string(I);
+      B.Service = "s";
+      B.Address = Servers[I]->address();
+      B.DataCentre = "here";
+      B.Slots = 4;
+      List.push_back(B);
+    }
+    Node->directory().replaceAll(List, 1, std::nullopt);
+    Node->onDirectoryChanged();
+  }
+
+  static std::string request(const std::string &Path, const std::string &Id,
+                             const std::string &Extra = "",
+                             const std::string &Body = "body") {
+    return "POST " + Path + " HTTP/1.1\r\nHost: h\r\nRagwort-Request-Id: " +
+           Id + "\r\nAuthorization: Bearer key\r\n" + Extra +
+           "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
+           Body;
+  }
+
+  /// Both servers answer by \p L, whichever is chosen.
+  void scriptBoth(const ScriptedServer::Line &L, int Times = 1) {
+    for (auto &S : Servers)
+      for (int I = 0; I < Times; ++I)
+        S->Script.push_back(L);
+  }
+  /// The first request to arrive anywhere is answered by \p First, each later
+  /// one by \p Then.
+  void scriptFirst(const ScriptedServer::Line &First,
+                   const ScriptedServer::Line &Then) {
+    auto IsFirst = std::make_shared<bool>(true);
+    scriptBoth(
+        [=](const std::string &R) {
+          return std::exchange(*IsFirst, false) ? First(R) : Then(R);
+        },
+        4);
+  }
+
+  std::vector<std::string> requestsSeen() const {
+    std::vector<std::string> All;
+    for (const auto &S : Servers)
+      All.insert(All.end(), S->Requests.begin(), S->Requests.end());
+    return All;
+  }
+
+  std::unique_ptr<Caller> call(const std::string &Bytes) {
+    auto C = std::make_unique<Caller>(*Io);
+    C->ToSend = Bytes;
+    C->Socket->connect(
+        endpointOf<asio::ip::tcp>({"127.0.0.1", Node->port()}),
+        std::chrono::seconds(5));
+    return C;
+  }
+
+  /// Runs the loop until \p IsDone, for at most five seconds.
+  template <class Condition> void runUntil(Condition IsDone) {
+    auto End = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+    while (!IsDone() && std::chrono::steady_clock::now() < End)
+      Io->run_for(std::chrono::milliseconds(2));
+    CPPUNIT_ASSERT(IsDone());
+  }
+  void runFor(Duration Time) { Io->run_for(Time); }
+
+  /// Sends one request and returns all that the caller got.
+  std::string exchange(const std::string &Bytes) {
+    auto C = call(Bytes);
+    runUntil([&C] {
+      size_t Head = C->Received.find("\r\n\r\n");
+      if (Head == std::string::npos)
+        return C->IsEnded;
+      ResponseParser P;
+      P.feed(C->Received);
+      return P.stage() == ParseStage::Done || C->IsEnded;
+    });
+    return C->Received;
+  }
+
+  static ScriptedServer::Line served(const std::string &Body) {
+    return [Body](const std::string &R) {
+      return answer("200 OK", idOf(R), Stamp, Body);
+    };
+  }
+  static ScriptedServer::Line literal(const std::string &Text) {
+    return [Text](const std::string &) { return Text; };
+  }
+
+public:
+  void requestWhenServedKeepsWhatTheServerSent() {
+    scriptBoth([](const std::string &R) {
+      return answer("200 OK", idOf(R), Stamp + "X-Own: 1\r\n", "hello");
+    });
+    std::string Got = exchange(request("/once/a?q=1", "r1"));
+    CPPUNIT_ASSERT(Got.starts_with("HTTP/1.1 200 OK\r\n"));
+    CPPUNIT_ASSERT(Got.find("X-Own: 1\r\n") != std::string::npos);
+    CPPUNIT_ASSERT(Got.find(Stamp) != std::string::npos);
+    CPPUNIT_ASSERT(Got.ends_with("\r\n\r\nhello"));
+    CPPUNIT_ASSERT(requestsSeen()[0].starts_with("POST /once/a?q=1 HTTP/1.1"));
+    CPPUNIT_ASSERT(requestsSeen()[0].ends_with("\r\n\r\nbody"));
+  }
+
+  void requestWhenForwardedHidesTheKeyAndNamesTheOrganisation() {
+    scriptBoth(served("x"));
+    exchange(request("/once/", "r1"));
+    std::string Seen = requestsSeen()[0];
+    CPPUNIT_ASSERT(Seen.find("key") == std::string::npos);
+    CPPUNIT_ASSERT(Seen.find("Ragwort-Organisation: org\r\n") !=
+                   std::string::npos);
+    CPPUNIT_ASSERT(Seen.find("Ragwort-Expected-Instance: i") !=
+                   std::string::npos);
+    CPPUNIT_ASSERT(Seen.find("Host: h\r\n") != std::string::npos);
+  }
+
+  void requestWhenCallerForgesSystemHeadersHasTheSystemsOwn() {
+    scriptBoth(served("x"));
+    exchange(request("/once/", "r1",
+                     "Ragwort-Organisation: other\r\n"
+                     "Ragwort-Expected-Instance: zz\r\n"
+                     "Ragwort-Time-Left-Ms: 100000\r\n"
+                     "Connection: keep-alive, X-Hop, Ragwort-Request-Id\r\n"
+                     "X-Hop: 1\r\n"));
+    std::string Seen = requestsSeen()[0];
+    for (const char *Forged : {"other", "zz", "100000", "X-Hop"})
+      CPPUNIT_ASSERT_MESSAGE(Forged, Seen.find(Forged) == std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(size_t(1), count(Seen, "Ragwort-Request-Id: r1"));
+  }
+
+  void requestWhenKeyIsUnknownIsNotForwarded() {
+    std::string Bytes = request("/once/", "r1");
+    Bytes.replace(Bytes.find("Bearer key"), 10, "Bearer kez");
+    CPPUNIT_ASSERT(exchange(Bytes).starts_with("HTTP/1.1 401 "));
+    CPPUNIT_ASSERT(
+        exchange(request("/nowhere/", "r2")).starts_with("HTTP/1.1 404 "));
+    CPPUNIT_ASSERT(requestsSeen().empty());
+  }
+
+  void requestWhenNoConfigurationIsKnownIsRefusedAsNotRun() {
+    GatewayOptions Options;
+    Options.Listen = {"127.0.0.1", 0};
+    Node = std::make_unique<Gateway>(*Io, Options, ProtocolNames(), *Metrics);
+    CPPUNIT_ASSERT(Node->listen().ok());
+    CPPUNIT_ASSERT(!Node->isReady());
+    std::string Got = exchange(request("/once/", "r1"));
+    CPPUNIT_ASSERT(Got.starts_with("HTTP/1.1 503 "));
+    CPPUNIT_ASSERT(Got.find("Retry-After: 0.5") != std::string::npos);
+  }
+
+  void atMostOnceWhenServerResetsIsSentOnce() {
+    scriptBoth(literal(ScriptedServer::Reset), 2);
+    std::string Got = exchange(request("/once/", "r1"));
+    CPPUNIT_ASSERT(Got.starts_with("HTTP/1.1 502 "));
+    CPPUNIT_ASSERT_EQUAL(size_t(1), requestsSeen().size());
+  }
+
+  void atMostOnceWhenDeclinedSaysNotRunAndWhenToReturn() {
+    scriptBoth([](const std::string &R) {
+      return answer("503 Service Unavailable", idOf(R),
+                    "Ragwort-Not-Run: 1\r\n", "");
+    });
+    std::string Got = exchange(request("/once/", "r1"));
+    CPPUNIT_ASSERT(Got.starts_with("HTTP/1.1 503 "));
+    CPPUNIT_ASSERT(Got.find("Retry-After: ") != std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(size_t(1), requestsSeen().size());
+  }
+
+  void idempotentWhenServerResetsIsServedByAnother() {
+    scriptFirst(literal(ScriptedServer::Reset), served("second"));
+    std::string Got = exchange(request("/safe/", "r1"));
+    CPPUNIT_ASSERT(Got.ends_with("second"));
+    CPPUNIT_ASSERT_EQUAL(size_t(1), Servers[0]->Requests.size());
+    CPPUNIT_ASSERT_EQUAL(size_t(1), Servers[1]->Requests.size());
+  }
+
+  void idempotentWhenServerFailsIsServedByAnother() {
+    scriptFirst(
+        [](const std::string &R) {
+          return answer("500 Internal Server Error", idOf(R), Stamp, "bad");
+        },
+        served("second"));
+    CPPUNIT_ASSERT(exchange(request("/safe/", "r1")).ends_with("second"));
+  }
+
+  void answerWhenWithoutStampIsNotPassedOn() {
+    scriptBoth([](const std::string &R) {
+      return answer("200 OK", idOf(R), "", "forged");
+    });
+    std::string Got = exchange(request("/once/", "r1"));
+    CPPUNIT_ASSERT(Got.starts_with("HTTP/1.1 502 "));
+    CPPUNIT_ASSERT(Got.find("forged") == std::string::npos);
+  }
+
+  void answerWhenForAnotherRequestIsSkipped() {
+    scriptBoth([](const std::string &R) {
+      return answer("200 OK", "someone-else", Stamp, "theirs") +
+             answer("200 OK", idOf(R), Stamp, "mine");
+    });
+    std::string Got = exchange(request("/once/", "r1"));
+    CPPUNIT_ASSERT(Got.ends_with("mine"));
+    CPPUNIT_ASSERT(Got.find("theirs") == std::string::npos);
+  }
+
+  void answerWhenCutShortIsNotPassedOn() {
+    scriptBoth([](const std::string &R) {
+      std::string Whole = answer("200 OK", idOf(R), Stamp, "complete-body");
+      return Whole.substr(0, Whole.size() - 4) + ScriptedServer::Close;
+    });
+    std::string Got = exchange(request("/once/", "r1"));
+    CPPUNIT_ASSERT(Got.starts_with("HTTP/1.1 502 "));
+    CPPUNIT_ASSERT(Got.find("complete") == std::string::npos);
+  }
+
+  void answerWhenWithoutLengthIsPassedOnWhole() {
+    scriptBoth([](const std::string &R) {
+      return "HTTP/1.1 200 OK\r\nRagwort-Request-Id: " + idOf(R) + "\r\n" +
+             Stamp + "\r\nto the end" + ScriptedServer::Close;
+    });
+    std::string Got = exchange(request("/once/", "r1"));
+    CPPUNIT_ASSERT(Got.find("Content-Length: 10\r\n") != std::string::npos);
+    CPPUNIT_ASSERT(Got.ends_with("to the end"));
+  }
+
+  void answerWhenBytesFollowClosesTheServersConnection() {
+    scriptBoth([](const std::string &R) {
+      return answer("200 OK", idOf(R), Stamp, "mine") + "HTTP/1.1 200 OK\r\n";
+    });
+    CPPUNIT_ASSERT(exchange(request("/once/", "r1")).ends_with("mine"));
+    runUntil([this] {
+      return Servers[0]->ClosedByGateway + Servers[1]->ClosedByGateway == 1;
+    });
+  }
+
+  static std::string event(int Id) {
+    return "id: " + std::to_string(Id) + "\ndata: x\n\n";
+  }
+  static std::string chunk(const std::string &Data) {
+    char Size[16];
+    std::snprintf(Size, sizeof(Size), "%zx\r\n", Data.size());
+    return Size + Data + "\r\n";
+  }
+  static std::string streamHead(const std::string &Id) {
+    return "HTTP/1.1 200 OK\r\nRagwort-Request-Id: " + Id + "\r\n" + Stamp +
+           "Content-Type: text/event-stream\r\n"
+           "Transfer-Encoding: chunked\r\n\r\n";
+  }
+
+  void streamWhenServerBreaksInAnEventGoesOnElsewhere() {
+    scriptFirst(
+        [](const std::string &R) {
+          return streamHead(idOf(R)) + chunk(event(1) + event(2) + "id: 3\nd") +
+                 ScriptedServer::Reset;
+        },
+        [](const std::string &R) {
+          CPPUNIT_ASSERT(R.find("Last-Event-Id: 2\r\n") != std::string::npos);
+          return streamHead(idOf(R)) + chunk(event(3)) + "0\r\n\r\n";
+        });
+    std::string Got = exchange(request("/stream/", "r1"));
+    ResponseParser P;
+    P.feed(Got);
+    CPPUNIT_ASSERT(P.stage() == ParseStage::Done);
+    CPPUNIT_ASSERT_EQUAL(event(1) + event(2) + event(3), P.takeBody());
+  }
+
+  void streamWhenItCannotGoOnIsCutVisibly() {
+    scriptBoth(
+        [](const std::string &R) {
+          return streamHead(idOf(R)) +
+                 chunk(event(R.find("Last-Event-Id") == std::string::npos
+                                 ? 1
+                                 : 2)) +
+                 ScriptedServer::Reset;
+        },
+        2);
+    auto C = call(request("/stream/", "r1"));
+    runUntil([&C] { return C->IsEnded; });
+    ResponseParser P;
+    P.feed(C->Received);
+    P.feedEnd();
+    CPPUNIT_ASSERT(P.stage() == ParseStage::Failed);
+    CPPUNIT_ASSERT_EQUAL(size_t(2), requestsSeen().size());
+  }
+
+  void callerWhenGoneClosesTheServersConnection() {
+    scriptBoth(literal(ScriptedServer::Silence));
+    auto C = call(request("/safe/", "r1"));
+    runUntil([this] { return requestsSeen().size() == 1; });
+    C->Socket->close();
+    runUntil([this] {
+      return Servers[0]->ClosedByGateway + Servers[1]->ClosedByGateway == 1;
+    });
+    CPPUNIT_ASSERT_EQUAL(size_t(1), requestsSeen().size());
+  }
+
+  void requestWhenRouteTimeIsUpIsAnsweredAtOnce() {
+    scriptBoth(literal(ScriptedServer::Silence));
+    auto Begun = std::chrono::steady_clock::now();
+    std::string Got = exchange(request("/once/", "r1"));
+    auto Took = std::chrono::steady_clock::now() - Begun;
+    CPPUNIT_ASSERT(Got.starts_with("HTTP/1.1 504 "));
+    // The route allows 400 ms; half a second more is the platform's bound.
+    CPPUNIT_ASSERT(Took < std::chrono::milliseconds(900));
+    CPPUNIT_ASSERT(Took >= std::chrono::milliseconds(390));
+  }
+
+  void requestsWhenPipelinedAreAnsweredInOrder() {
+    scriptBoth(
+        [](const std::string &R) {
+          return answer("200 OK", idOf(R), Stamp, "body-of-" + idOf(R));
+        },
+        3);
+    auto C = call(request("/once/", "r1") + request("/once/", "r2") +
+                  request("/once/", "r3"));
+    runUntil(
+        [&C] { return C->Received.find("body-of-r3") != std::string::npos; });
+    size_t First = C->Received.find("body-of-r1");
+    size_t Second = C->Received.find("body-of-r2");
+    CPPUNIT_ASSERT(First < Second);
+    CPPUNIT_ASSERT(Second < C->Received.find("body-of-r3"));
+  }
+
+  void requestWhenMalformedEndsOnlyItsConnection() {
+    scriptBoth(served("fine"), 2);
+    auto Bad = call("POST /once/ HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+                    "Content-Length: 5\r\n\r\nabcde");
+    auto Good = call(request("/once/", "r1"));
+    runUntil([&] {
+      return Bad->IsEnded && Good->Received.ends_with("fine");
+    });
+    CPPUNIT_ASSERT(Bad->Received.starts_with("HTTP/1.1 400 "));
+    CPPUNIT_ASSERT_EQUAL(size_t(1), requestsSeen().size());
+  }
+
+  void callersWhenNodeDrainsAreToldToClose() {
+    scriptBoth(served("x"));
+    CPPUNIT_ASSERT(Node->isReady());
+    Node->beginDrain();
+    CPPUNIT_ASSERT(!Node->isReady());
+    auto C = call(request("/once/", "r1"));
+    runUntil([&C] { return C->IsEnded; });
+    CPPUNIT_ASSERT(C->Received.find("Connection: close\r\n") !=
+                   std::string::npos);
+    CPPUNIT_ASSERT(C->Received.ends_with("x"));
+    CPPUNIT_ASSERT(!C->WasBroken);
+  }
+
+  void connectionsWhenKeptAreUsedAgain() {
+    scriptBoth(served("x"), 4);
+    auto C = call("");
+    for (int I = 1; I <= 4; ++I) {
+      std::string Id = "r" + std::to_string(I);
+      runUntil([&C] { return C->Socket->isOpen(); });
+      C->Socket->write(request("/once/", Id));
+      runUntil([&] {
+        return count(C->Received, "HTTP/1.1 200") == static_cast<size_t>(I);
+      });
+    }
+    CPPUNIT_ASSERT(Servers[0]->Connections + Servers[1]->Connections <= 2);
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(GatewayTest);
+
+} // namespace ragwort::gateway
