--- a/libs/platform/include/ragwort/platform/TableClient.h
+++ b/libs/platform/include/ragwort/platform/TableClient.h
@@ -1,4 +1,6 @@
-//===- TableClient.h - Client of the table service over HTTP --------------===//
+//===- TableClient.h - The system's own table in the platform's store -----===//
+//
+// A narrow view of the one client of the store, platform/PlatformStore.h.
 //
 // An error status means that the service did not answer: a transaction may
 // still have taken effect. Callers settle that by reading, never by guessing.
@@ -7,9 +9,15 @@
 #ifndef RAGWORT_PLATFORM_TABLECLIENT_H
 #define RAGWORT_PLATFORM_TABLECLIENT_H
 
-#include "ragwort/http/HttpClient.h"
 #include "ragwort/platform/Table.h"
+#include "ragwort/base/Time.h"
+#include "ragwort/transport/Asio.h"
 #include <absl/status/statusor.h>
+#include <memory>
+
+namespace ragwort::adapter {
+class PlatformStore;
+} // namespace ragwort::adapter
 
 namespace ragwort::platform {
 
@@ -22,6 +30,7 @@
   /// \p Timeout bounds each call. One call at a time uses the connection.
   TableClient(asio::any_io_executor Executor, Address Service,
               Duration Timeout);
+  ~TableClient();
 
   asio::awaitable<absl::StatusOr<Row>> read(std::string Key);
   /// Rows whose key begins with \p Prefix and follows \p After, in key order,
@@ -31,10 +40,7 @@
   asio::awaitable<absl::StatusOr<CommitResult>> commit(Transaction T);
 
 private:
-  asio::awaitable<absl::StatusOr<http::Response>> call(http::Request R);
-
-  http::ClientConnection Connection;
-  const Duration Timeout;
+  std::unique_ptr<adapter::PlatformStore> Store;
 };
 
 } // namespace ragwort::platform
--- a/testing/scenarios/bench.py
+++ b/testing/scenarios/bench.py
@@ -101,7 +101,7 @@
                     f"{n} {1e6 * (cpu_seconds(p) - before[n]) / sent:.0f} us"
                     for n, p in pids.items())
                 _, body, _ = http_call(fleet.address("platform"), "/calls")
-                writes = json.loads(body).get("/table/transaction", 0)
+                writes = json.loads(body).get("/rows-tx", 0)
                 rows.append((f"{kind} requests at {rate}/s: processor time a "
                              "request", costs))
                 if kind == "keyed":
--- a/testing/scenarios/run_all.py
+++ b/testing/scenarios/run_all.py
@@ -4,6 +4,7 @@
 usage: run_all.py BUILD-FOLDER [SCENARIO ...]
 """
 
+import base64
 import json
 import signal
 import sys
@@ -51,10 +52,13 @@
 def owner_of_most_shards(fleet):
     owners = {}
     for shard in range(8):
+        key = f"journal/{shard}/head"
         _, body, _ = http_call(fleet.address("platform"),
-                               f"/table/row?key=journal/{shard}/head")
-        if body and "value" in json.loads(body):
-            owner = json.loads(json.loads(body)["value"])["owner"]
+                               "/rows-get?table=ragwort&part=&limit=1"
+                               f"&from={key}&target={key}%00")
+        rows = json.loads(body)["rows"] if body else []
+        if rows:
+            owner = json.loads(base64.b64decode(rows[0]["value"]))["owner"]
             owners[owner] = owners.get(owner, 0) + 1
     return max(owners, key=owners.get) if owners else fleet.entries[0]
 
--- a/testing/standins/Platform.cpp
+++ b/testing/standins/Platform.cpp
@@ -1,13 +1,15 @@
 //===- Platform.cpp - Table, objects, weights and instances ---------------===//
 //
-// Faults are set by POST /faults with any of: down (bool), delay_ms,
-// lose_answers (count of transactions that take effect unanswered),
-// list_lag_ms. The fault and instance endpoints themselves never fail.
+// Rows are kept and followed as the platform publishes it. Faults are set by
+// POST /faults with any of: down (bool), delay_ms, lose_answers (count of
+// transactions that take effect unanswered), list_lag_ms, forget_history. The fault and instance endpoints themselves never fail.
 //
 //===----------------------------------------------------------------------===//
 #include "Standin.h"
+#include <algorithm>
 #include <deque>
 #include <map>
+#include <tuple>
 
 namespace ragwort::standin {
 
@@ -17,9 +19,14 @@
 
 constexpr int64_t DefaultWeightBytesPerSecond = 100'000'000;
 
+/// Table, part and key.
+using RowPlace = std::tuple<std::string, std::string, std::string>;
+
 struct StoredRow {
   uint64_t Version = 0;
+  /// Base64, as it came.
   std::string Value;
+  bool IsRemoved = false;
 };
 
 class Platform final : public Service {
@@ -44,9 +51,12 @@
       co_await sleepFor(std::chrono::milliseconds(DelayMillis));
     if (Path.starts_with("/weights/"))
       co_await payWeights(R);
-    http::Response Answer = answer(R, Path);
-    bool IsWrite = Path == "/table/transaction";
-    if (IsWrite && LoseAnswers > 0) {
+    http::Response Answer;
+    if (Path == "/rows-feed")
+      Answer = co_await feed(R);
+    else
+      Answer = answer(R, Path);
+    if (Path == "/rows-tx" && LoseAnswers > 0) {
       --LoseAnswers;
       co_return;
     }
@@ -55,11 +65,9 @@
 
 private:
   http::Response answer(const http::Request &R, std::string_view Path) {
-    if (Path == "/table/row")
-      return readRow(R);
-    if (Path == "/table/scan")
-      return scan(R);
-    if (Path == "/table/transaction")
+    if (Path == "/rows-get")
+      return readRows(R);
+    if (Path == "/rows-tx")
       return transact(R);
     if (Path.starts_with("/objects/"))
       return object(R, std::string(Path));
@@ -72,48 +80,103 @@
     return jsonResponse(404, {{"error", "no such endpoint"}});
   }
 
-  static Json rowJson(const std::string &Key, const StoredRow &Row) {
-    return {{"key", Key}, {"version", Row.Version}, {"value", Row.Value}};
+  static Json rowJson(const RowPlace &Place, const StoredRow &Row) {
+    Json Result = {{"table", std::get<0>(Place)},
+                   {"part", std::get<1>(Place)},
+                   {"key", std::get<2>(Place)},
+                   {"ver", Row.Version}};
+    if (Row.IsRemoved)
+      Result["removed"] = true;
+    else
+      Result["value"] = Row.Value;
+    return Result;
+  }
+
+  static RowPlace placeOf(const Json &Entry) {
+    return {Entry.at("table"), Entry.at("part"), Entry.at("key")};
+  }
+
+  uint64_t versionOf(const RowPlace &Place) const {
+    auto Found = Rows.find(Place);
+    return Found == Rows.end() || Found->second.IsRemoved
+               ? 0
+               : Found->second.Version;
   }
 
-  http::Response readRow(const http::Request &R) {
-    std::string Key = queryValue(R.Target, "key");
-    auto Place = Rows.find(Key);
-    if (Place == Rows.end())
-      return jsonResponse(404, {{"error", "no such row"}});
-    return jsonResponse(200, rowJson(Key, Place->second));
+  Json newestVersion() const { return {{"ver", NewestVersion}}; }
+
+  http::Response readRows(const http::Request &R) const {
+    std::string Table = queryValue(R.Target, "table");
+    std::string Part = queryValue(R.Target, "part");
+    std::string From = queryValue(R.Target, "from");
+    std::string Target = queryValue(R.Target, "target");
+    size_t Limit = std::min<size_t>(
+        500,
+        std::strtoull(queryValue(R.Target, "limit").c_str(), nullptr, 10));
+    Json Answer = newestVersion();
+    Answer["rows"] = Json::array();
+    Answer["hasMore"] = false;
+    for (auto It = Rows.lower_bound({Table, Part, From}); It != Rows.end();
+         ++It) {
+      const auto &[OfTable, OfPart, Key] = It->first;
+      if (OfTable != Table || OfPart != Part ||
+          (!Target.empty() && Key >= Target))
+        break;
+      if (It->second.IsRemoved)
+        continue;
+      if (Answer["rows"].size() == Limit) {
+        Answer["hasMore"] = true;
+        break;
+      }
+      Answer["rows"].push_back(rowJson(It->first, It->second));
+    }
+    return jsonResponse(200, Answer);
   }
 
-  http::Response scan(const http::Request &R) {
-    std::string Prefix = queryValue(R.Target, "prefix");
-    std::string After = queryValue(R.Target, "after");
-    size_t Limit =
-        std::strtoull(queryValue(R.Target, "limit").c_str(), nullptr, 10);
-    Json Found = Json::array();
-    for (auto It = Rows.upper_bound(std::max(After, Prefix));
-         It != Rows.end() && It->first.starts_with(Prefix) &&
-         Found.size() < Limit;
-         ++It)
-      Found.push_back(rowJson(It->first, It->second));
-    return jsonResponse(200, Found);
+  /// Holds the answer until there is a change or the time is over.
+  asio::awaitable<http::Response> feed(const http::Request &R) const {
+    std::string Table = queryValue(R.Target, "table");
+    uint64_t After =
+        std::strtoull(queryValue(R.Target, "after").c_str(), nullptr, 10);
+    int64_t WaitMillis =
+        std::strtoll(queryValue(R.Target, "waitMs").c_str(), nullptr, 10);
+    if (After < OldestVersion)
+      co_return jsonResponse(410, newestVersion());
+    auto End = Clock::now() + std::chrono::milliseconds(WaitMillis);
+    std::vector<std::pair<uint64_t, Json>> Changed;
+    while (true) {
+      for (const auto &[Place, Row] : Rows)
+        if (std::get<0>(Place) == Table && Row.Version > After)
+          Changed.emplace_back(Row.Version, rowJson(Place, Row));
+      if (!Changed.empty() || Clock::now() >= End)
+        break;
+      co_await sleepFor(std::chrono::milliseconds(5));
+    }
+    std::sort(Changed.begin(), Changed.end(),
+              [](const auto &A, const auto &B) { return A.first < B.first; });
+    Json Answer = newestVersion();
+    Answer["rows"] = Json::array();
+    for (auto &[Version, Row] : Changed)
+      Answer["rows"].push_back(std::move(Row));
+    co_return jsonResponse(200, Answer);
   }
 
   http::Response transact(const http::Request &R) {
     Json Body = Json::parse(R.Body, nullptr, false);
     if (!Body.is_object())
       return jsonResponse(400, {{"error", "malformed"}});
-    for (const Json &C : Body["conditions"]) {
-      auto Place = Rows.find(C["key"].get<std::string>());
-      uint64_t Have = Place == Rows.end() ? 0 : Place->second.Version;
-      if (Have != C["version"].get<uint64_t>())
-        return jsonResponse(409, {{"conflict", C["key"]}});
-    }
-    for (const Json &W : Body["writes"]) {
-      StoredRow &Row = Rows[W["key"].get<std::string>()];
-      ++Row.Version;
-      Row.Value = W["value"].get<std::string>();
-    }
-    return jsonResponse(200, {{"committed", true}});
+    for (const Json &C : Body["expectedRevision"])
+      if (versionOf(placeOf(C)) != C["ver"].get<uint64_t>()) {
+        Json Answer = newestVersion();
+        Answer["rows"] = Json::array();
+        return jsonResponse(412, Answer);
+      }
+    ++NewestVersion;
+    for (const Json &W : Body["upserts"])
+      Rows[placeOf(W)] = {NewestVersion, W["value"].get<std::string>(), false};
+    for (const Json &Removed : Body["remove"])
+      Rows[placeOf(Removed)] = {NewestVersion, "", true};
+    return jsonResponse(200, newestVersion());
   }
 
   http::Response object(const http::Request &R, const std::string &Path) {
@@ -171,6 +234,8 @@
     DelayMillis = Body.value("delay_ms", DelayMillis);
     LoseAnswers = Body.value("lose_answers", LoseAnswers);
     ListLagMillis = Body.value("list_lag_ms", ListLagMillis);
+    if (Body.value("forget_history", false))
+      OldestVersion = NewestVersion;
     return jsonResponse(200, {{"ok", true}});
   }
 
@@ -179,7 +244,10 @@
     std::map<std::string, Json> Instances;
   };
 
-  std::map<std::string, StoredRow> Rows;
+  std::map<RowPlace, StoredRow> Rows;
+  uint64_t NewestVersion = 1;
+  // Changes up to here are forgotten.
+  uint64_t OldestVersion = 0;
   std::map<std::string, std::string> Objects;
   std::map<std::string, Json> Instances;
   std::deque<Snapshot> History;
