Weigh map changes by how slow passes are; refuse bytes that are no flags

The required gain now falls as passes near the target gap. The undefined-behaviour sanitizer found heartbeats that load any byte into a bool (beatWhenTornOrChangedNeverThrows); flags are checked now.

--- a/libs/gateway/src/PeerBeat.cpp
+++ b/libs/gateway/src/PeerBeat.cpp
@@ -16,7 +16,8 @@
   wire::transferText(Ar, B.Service, MaxNameBytes);
   wire::transferText(Ar, B.Address, MaxNameBytes);
   wire::transferText(Ar, B.DataCentre, MaxNameBytes);
-  Ar(B.Slots, B.IsDraining, B.BornMillis);
+  Ar(B.Slots, B.BornMillis);
+  wire::transferFlag(Ar, B.IsDraining);
 }
 
 template <class Archive> void serialize(Archive &Ar, DirectorySnapshot &S) {
@@ -31,8 +32,8 @@
     throw cereal::Exception("heartbeat of protocol version " +
                             std::to_string(Protocol));
   wire::transferText(Ar, Beat.Node, wire::MaxNameBytes);
-  Ar(Beat.Incarnation, Beat.IsLeaving, Beat.ConfigVersion,
-     Beat.DirectoryVersion);
+  Ar(Beat.Incarnation, Beat.ConfigVersion, Beat.DirectoryVersion);
+  wire::transferFlag(Ar, Beat.IsLeaving);
   wire::transferList(Ar, Beat.InFlight, MaxBeatBytes);
   size_t Peers =
       wire::transferLength(Ar, Beat.PeerIps.size(), MaxNamedPeers);
--- a/libs/rankgroup/include/ragwort/rankgroup/GroupController.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/GroupController.h
@@ -36,12 +36,19 @@
 /// \endcode
 class GroupController {
 public:
-  /// Part of the groups' expert time that a change must save. A change slows
-  /// the group a little while weights are copied.
-  static constexpr double MinGain = 0.25;
   /// Part of the target gap up to which passes are fast enough as they are. A
   /// pass that reads prompts takes up to about twice the usual.
   static constexpr double FastEnough = 0.45;
+  /// Part of the target gap from which on most streams would be late.
+  static constexpr double TooSlow = 0.8;
+  /// Part of the groups' expert time that a change must save, from fast enough
+  /// to too slow: a change slows the group while weights are copied, and
+  /// copies and orders cost; that is little where every stream is late.
+  static constexpr double MinGainWhenFast = 0.25;
+  static constexpr double MinGainWhenSlow = 0.08;
+  /// The same for one copied expert, in units of the ranks' mean load.
+  static constexpr double MinCopyGainWhenFast = 0.04;
+  static constexpr double MinCopyGainWhenSlow = 0.015;
   /// Requests that must run in the group before its counts say anything.
   static constexpr uint32_t MinRunning = 4;
   /// Least time between two plans that led to nothing.
@@ -74,7 +81,7 @@
 private:
   std::optional<ExpertMap> mapInUse() const;
   void notePass(const EngineReport &Report, TimePoint Now);
-  bool isFastEnough() const;
+  double slowness() const;
   uint64_t nextVersion() const;
 
   const GroupShape Shape;
--- a/libs/rankgroup/include/ragwort/rankgroup/SetPlanner.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/SetPlanner.h
@@ -24,7 +24,7 @@
   uint32_t MaxNewPerRank = 0;
   /// Part of the mean load that a copied expert must take off the slowest
   /// rank.
-  double MinGainPerCopy = 0.04;
+  double MinGainPerCopy = 0;
 };
 
 struct SetPlan {
--- a/libs/rankgroup/src/AgentMessage.cpp
+++ b/libs/rankgroup/src/AgentMessage.cpp
@@ -2,7 +2,6 @@
 #include "ragwort/rankgroup/AgentMessage.h"
 #include "ragwort/wire/Bounded.h"
 #include <cereal/archives/portable_binary.hpp>
-#include <cereal/types/optional.hpp>
 #include <sstream>
 
 namespace ragwort::rankgroup {
@@ -26,8 +25,12 @@
 
 template <class Archive> void serialize(Archive &Ar, EngineReport &R) {
   wire::transferText(Ar, R.Group, wire::MaxNameBytes);
-  Ar(R.Epoch, R.Rank, R.GroupSize, R.IsOpen, R.Step, R.MapVersion,
-     R.Prepared, R.Armed, R.Held, R.Running, R.Queued, R.Pace);
+  Ar(R.Epoch, R.Rank, R.GroupSize, R.Step, R.MapVersion, R.Running, R.Queued,
+     R.Pace);
+  wire::transferFlag(Ar, R.IsOpen);
+  wire::transferOptional(Ar, R.Prepared);
+  wire::transferOptional(Ar, R.Armed);
+  wire::transferOptional(Ar, R.Held);
 }
 
 template <class Archive> void serialize(Archive &Ar, RankExperts &E) {
@@ -42,7 +45,11 @@
   Ar(Protocol);
   if (Protocol != AgentMessage::Protocol)
     throw cereal::Exception("message of another protocol");
-  Ar(M.Kind);
+  auto Kind = static_cast<uint8_t>(M.Kind);
+  Ar(Kind);
+  if (Kind > static_cast<uint8_t>(AgentMessageKind::Beat))
+    throw cereal::Exception("message of an unknown kind");
+  M.Kind = static_cast<AgentMessageKind>(Kind);
   wire::transferText(Ar, M.Group, wire::MaxNameBytes);
   Ar(M.Epoch, M.Token);
   if (M.Kind != AgentMessageKind::Beat)
--- a/libs/rankgroup/src/GroupController.cpp
+++ b/libs/rankgroup/src/GroupController.cpp
@@ -1,6 +1,7 @@
 //===- GroupController.cpp - Keeps the ranks of one group evenly loaded ---===//
 #include "ragwort/rankgroup/GroupController.h"
 #include <algorithm>
+#include <cmath>
 
 namespace ragwort::rankgroup {
 
@@ -46,10 +47,14 @@
   }
 }
 
-bool GroupController::isFastEnough() const {
+/// 0 where passes are fast enough, 1 where they are too slow.
+double GroupController::slowness() const {
   double TargetMillis =
       std::chrono::duration<double, std::milli>(Shape.TargetGap).count();
-  return PassMillis < FastEnough * TargetMillis;
+  if (TargetMillis <= 0)
+    return 1;
+  double Part = PassMillis / TargetMillis;
+  return std::clamp((Part - FastEnough) / (TooSlow - FastEnough), 0.0, 1.0);
 }
 
 void GroupController::onExperts(uint32_t Rank, RankExperts Experts) {
@@ -96,17 +101,20 @@
   if (!Switch.canBegin() || Now - LastPlan < PlanInterval)
     return std::nullopt;
   LastPlan = Now;
+  double Slowness = slowness();
   uint32_t Running = 0;
   for (const EngineReport &R : Reports)
     Running += R.Running;
   std::optional<ExpertMap> InUse = mapInUse();
-  if (Running < MinRunning || isFastEnough() || Demand.evidence() <= 0 || !InUse)
+  if (Running < MinRunning || Slowness <= 0 || Demand.evidence() <= 0 || !InUse)
     return std::nullopt;
   PlannedChange Change;
   Change.SkewBefore = 0;
   Change.SkewAfter = 0;
   ExpertMap Target;
-  SetLimits Limits{Shape.Places, Shape.Spare};
+  SetLimits Limits{
+      Shape.Places, Shape.Spare,
+      std::lerp(MinCopyGainWhenFast, MinCopyGainWhenSlow, Slowness)};
   for (uint32_t Set = 0; Set < Shape.Sets; ++Set) {
     SetPlan P = planSet(InUse->At[Set], Demand.ofSet(Set), Limits);
     Change.SkewBefore += P.SkewBefore / Shape.Sets;
@@ -114,6 +122,7 @@
     Change.Copies += P.Copies;
     Target.At.push_back(std::move(P.Target));
   }
+  double MinGain = std::lerp(MinGainWhenFast, MinGainWhenSlow, Slowness);
   if (Change.SkewAfter > Change.SkewBefore * (1 - MinGain))
     return std::nullopt;
   Change.Version = nextVersion();
--- /dev/null
+++ b/libs/rankgroup/src/GroupControllerTest.cpp
@@ -0,0 +1,100 @@
+//===- GroupControllerTest.cpp - Tests of GroupController.h ---------------===//
+#include "ragwort/rankgroup/GroupController.h"
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace ragwort::rankgroup {
+
+class GroupControllerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(GroupControllerTest);
+  CPPUNIT_TEST(planWhenPassesAreSlowAndDemandIsSkewedBegins);
+  CPPUNIT_TEST(planWhenPassesAreFastLeavesTheMap);
+  CPPUNIT_TEST(planWhenDemandIsEvenLeavesTheMap);
+  CPPUNIT_TEST(planWhenAGainIsSmallNeedsSlowPasses);
+  CPPUNIT_TEST(planWhenAMapIsUnknownWaits);
+  CPPUNIT_TEST(versionsWhenTwoControllersPlanDiffer);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr uint32_t RankCount = 4;
+  static constexpr uint32_t Experts = 16;
+  static constexpr GroupShape Shape{1, Experts, 6, 4,
+                                    std::chrono::milliseconds(120)};
+
+  static TimePoint at(int64_t Millis) {
+    return TimePoint(std::chrono::milliseconds(Millis + 1000));
+  }
+
+  /// A controller that has seen passes of \p PassMillis and a demand in which
+  /// expert 0 is \p Hot times as popular as the others.
+  static GroupController seen(int64_t PassMillis, uint64_t Hot,
+                              uint64_t Salt = 1) {
+    GroupController C(Shape, RankCount, Salt);
+    SetMap InTurn = mapInTurn(Experts, RankCount);
+    for (uint32_t Rank = 0; Rank < RankCount; ++Rank) {
+      RankExperts Held;
+      Held.Sets = {InTurn[Rank]};
+      C.onExperts(Rank, Held);
+    }
+    std::vector<std::vector<uint64_t>> Chosen(
+        1, std::vector<uint64_t>(Experts, 100));
+    Chosen[0][0] = 100 * Hot;
+    for (uint64_t Pass = 1; Pass <= 20; ++Pass) {
+      int64_t Millis = static_cast<int64_t>(Pass) * PassMillis;
+      for (uint32_t Rank = 0; Rank < RankCount; ++Rank) {
+        EngineReport R;
+        R.Group = "g";
+        R.Epoch = 1;
+        R.Rank = Rank;
+        R.IsOpen = true;
+        R.Step = Pass;
+        R.Running = 5;
+        C.onReport(Rank, R, 0, at(Millis));
+      }
+      C.onCounts(Chosen, at(Millis));
+    }
+    return C;
+  }
+
+  static TimePoint after(int64_t PassMillis) { return at(20 * PassMillis); }
+
+public:
+  void planWhenPassesAreSlowAndDemandIsSkewedBegins() {
+    GroupController C = seen(90, 20);
+    std::optional<PlannedChange> Change = C.plan(after(90));
+    CPPUNIT_ASSERT(Change.has_value());
+    CPPUNIT_ASSERT(Change->SkewAfter < Change->SkewBefore * 0.75);
+    CPPUNIT_ASSERT(C.mapSwitch().phase() == SwitchPhase::Preparing);
+    CPPUNIT_ASSERT_EQUAL(size_t(RankCount),
+                         C.mapSwitch().takeOrders(after(90)).size());
+  }
+
+  void planWhenPassesAreFastLeavesTheMap() {
+    CPPUNIT_ASSERT(!seen(40, 20).plan(after(40)));
+  }
+
+  void planWhenDemandIsEvenLeavesTheMap() {
+    CPPUNIT_ASSERT(!seen(110, 1).plan(after(110)));
+  }
+
+  void planWhenAGainIsSmallNeedsSlowPasses() {
+    // One expert twice as popular costs the slowest rank a sixth more.
+    CPPUNIT_ASSERT(!seen(60, 2).plan(after(60)));
+    CPPUNIT_ASSERT(seen(110, 2).plan(after(110)).has_value());
+  }
+
+  void planWhenAMapIsUnknownWaits() {
+    GroupController C = seen(90, 20);
+    RankExperts Newer;
+    Newer.MapVersion = 7;
+    C.onExperts(2, Newer);
+    CPPUNIT_ASSERT(!C.plan(after(90)));
+  }
+
+  void versionsWhenTwoControllersPlanDiffer() {
+    auto First = seen(90, 20, 11).plan(after(90));
+    auto Second = seen(90, 20, 12).plan(after(90));
+    CPPUNIT_ASSERT(First->Version != Second->Version);
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(GroupControllerTest);
+
+} // namespace ragwort::rankgroup
--- a/libs/wire/include/ragwort/wire/Bounded.h
+++ b/libs/wire/include/ragwort/wire/Bounded.h
@@ -11,6 +11,8 @@
 #include "ragwort/base/Bytes.h"
 #include <cereal/cereal.hpp>
 #include <cstddef>
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -35,6 +37,31 @@
   return static_cast<size_t>(Length);
 }
 
+/// Transfers a flag. A byte that is neither 0 nor 1 is refused, since loading
+/// it into a bool is undefined.
+/// \throws cereal::Exception when the byte is no flag.
+template <class Archive> void transferFlag(Archive &Ar, bool &Flag) {
+  auto Byte = static_cast<uint8_t>(Flag);
+  Ar(Byte);
+  if (Byte > 1)
+    throw cereal::Exception("byte " + std::to_string(Byte) + " is no flag");
+  Flag = Byte == 1;
+}
+
+/// Transfers a value that may be absent.
+template <class Archive, class T>
+void transferOptional(Archive &Ar, std::optional<T> &Value) {
+  bool IsPresent = Value.has_value();
+  transferFlag(Ar, IsPresent);
+  if (!IsPresent) {
+    Value.reset();
+    return;
+  }
+  if (!Value)
+    Value.emplace();
+  Ar(*Value);
+}
+
 /// Transfers a string of at most \p Max bytes.
 template <class Archive>
 void transferText(Archive &Ar, std::string &Text, size_t Max) {
