Give map controllers epochs that no two can share

An epoch is now round, incarnation and rank, and a controller that has to start anew ends instead, so that its successor takes a later round. The randomised runs now let takers know of no other in a fifth of the cases.

--- a/libs/agent/src/GroupDuty.cpp
+++ b/libs/agent/src/GroupDuty.cpp
@@ -21,8 +21,6 @@
 // usually one alone tries.
 constexpr Duration DutySilence = 1500ms;
 constexpr Duration DutySilencePerRank = 300ms;
-// Epochs of two takers differ in their lowest part, which is the rank.
-constexpr uint64_t EpochsPerRound = 1024;
 constexpr uint64_t GrantLength = 128; // steps
 constexpr uint64_t GrantRefill = 64;  // steps
 
@@ -219,8 +217,9 @@
 }
 
 void GroupDuty::takeDutyUp(uint32_t Ranks) {
-  uint64_t Round = Guard->promised().Value / EpochsPerRound + 1;
-  Epoch Own{Round * EpochsPerRound + Context.Node.Backend.Rank};
+  Epoch Own = experts::controllerEpoch(
+      experts::roundAfter(Guard->promised()), Context.Node.Backend.Rank,
+      Context.Self);
   logEvent(LogLevel::Info, "group-duty-taken",
            {{"group", Context.Node.Backend.Group}, {"epoch", Own.Value}});
   Controller.emplace(Ranks, Own, horizon());
--- a/libs/experts/include/ragwort/experts/MapController.h
+++ b/libs/experts/include/ragwort/experts/MapController.h
@@ -30,6 +30,13 @@
   uint64_t Refill = 16;
 };
 
+/// An epoch that no other controller has: the round orders controllers that
+/// know of each other, rank and incarnation tell apart those that do not. A
+/// controller that ends and takes its duty up again takes a later round.
+Epoch controllerEpoch(uint64_t Round, uint32_t Rank, Incarnation Life);
+/// The round after that of \p Seen.
+uint64_t roundAfter(Epoch Seen);
+
 /// \code
 ///   MapController Controller(32, Epoch{7}, HorizonLimits());
 ///   Controller.start();
@@ -83,7 +90,6 @@
   void onAllPromised();
   void propose(Grant Next);
   void refill();
-  void restart(Epoch Above);
 
   const uint32_t Ranks;
   const HorizonLimits Limits;
--- a/libs/experts/src/MapController.cpp
+++ b/libs/experts/src/MapController.cpp
@@ -18,6 +18,24 @@
 
 } // namespace
 
+namespace {
+
+// Bits of an epoch below its round, and of those the ones for the rank.
+constexpr uint32_t RoundShift = 40;
+constexpr uint32_t RankBits = 12;
+
+} // namespace
+
+Epoch controllerEpoch(uint64_t Round, uint32_t Rank, Incarnation Life) {
+  constexpr uint64_t RankMask = (uint64_t(1) << RankBits) - 1;
+  constexpr uint64_t LifeMask =
+      (uint64_t(1) << (RoundShift - RankBits)) - 1;
+  return Epoch{(Round << RoundShift) | ((Life.Value & LifeMask) << RankBits) |
+               (Rank & RankMask)};
+}
+
+uint64_t roundAfter(Epoch Seen) { return (Seen.Value >> RoundShift) + 1; }
+
 MapController::MapController(uint32_t Ranks, Epoch Own, HorizonLimits Limits)
     : Ranks(Ranks), Limits(Limits), Own(Own), Highest(Own), States(Ranks),
       Promises(Ranks) {}
@@ -64,9 +82,10 @@
   RankState &State = States[Rank];
   bool IsOther = State.Known && *State.Known != Reply.Rank;
   if (IsOther && Current != Phase::Promising) {
-    // The rank's agent was replaced and forgot what it had accepted. Start
-    // anew, so that nothing it acknowledged before is counted.
-    restart(Highest);
+    // The rank's agent was replaced and forgot what it had accepted. This
+    // controller ends, and a successor with an epoch of its own asks all ranks
+    // again, so that nothing acknowledged before is counted.
+    Current = Phase::Fenced;
     return;
   }
   State.Known = Reply.Rank;
@@ -78,14 +97,6 @@
     onAllPromised();
 }
 
-void MapController::restart(Epoch Above) {
-  Own = Epoch{Above.Value + 1};
-  Highest = Own;
-  States.assign(Ranks, RankState());
-  Promises.assign(Ranks, PromiseReply());
-  start();
-}
-
 void MapController::onAllPromised() {
   // Merge what the ranks know: for each index the grant of the highest epoch.
   std::vector<Grant> Known;
--- a/libs/experts/src/MapRunTest.cpp
+++ b/libs/experts/src/MapRunTest.cpp
@@ -125,20 +125,22 @@
 
   void takeOver() {
     uint32_t Host = uint32_t(Random() % RankCount);
-    uint64_t Number = 1;
+    Epoch Seen;
     for (const ControllerPtr &C : Controllers)
-      Number = std::max(Number, C->Machine.highestSeen().Value + 1);
+      Seen = std::max(Seen, C->Machine.highestSeen());
+    // A taker may know of none of the others, as an agent that restarts beside
+    // an engine without fencing; each is a life of its own.
+    Epoch Number = controllerEpoch(chance(20) ? 1 : roundAfter(Seen), Host,
+                                   Incarnation{++Lives});
     HorizonLimits Limits;
     Limits.Length = 16;
     Limits.Refill = 8;
-    // Epochs of two takers differ in their lowest digit.
-    Number = (Number / 10 + 1) * 10 + Host;
     auto C = std::make_shared<Controller>(
-        Controller{MapController(RankCount, Epoch{Number}, Limits), Host,
+        Controller{MapController(RankCount, Number, Limits), Host,
                    Ranks[Host].Agent});
     C->Machine.setVersion(chance(50) ? LastVersion : 0);
     trace("controller on " + std::to_string(Host) + " epoch " +
-          std::to_string(Number));
+          std::to_string(Number.Value));
     Controllers.push_back(C);
     if (Controllers.size() > 4)
       Controllers.erase(Controllers.begin());
@@ -265,6 +267,7 @@
   bool ChecksFencing = true;
   uint64_t NextIncarnation = 1;
   uint64_t LastVersion = 1;
+  uint64_t Lives = 0;
   uint64_t LastUsed = 0;
   uint64_t Step = 0;
   uint64_t Switches = 0;
