--- a/libs/rankgroup/include/ragwort/rankgroup/GroupController.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/GroupController.h
@@ -44,6 +44,9 @@
   static constexpr double MinGain = 0.25;
   /// The same for one copied expert, in units of the ranks' mean load.
   static constexpr double MinGainPerCopy = 0.04;
+  /// Time in which the controller arms one rank: an order and its answer at a
+  /// seventh of a core.
+  static constexpr double ArmMillisPerRank = 5;
   /// Requests that must run in the group before its counts say anything.
   static constexpr uint32_t MinRunning = 4;
   /// Least time between two plans that led to nothing.
@@ -77,6 +80,7 @@
   std::optional<ExpertMap> mapInUse() const;
   void notePass(const EngineReport &Report, TimePoint Now);
   bool isFastEnough() const;
+  uint64_t armingPasses() const;
   uint64_t nextVersion() const;
 
   const GroupShape Shape;
--- a/libs/rankgroup/include/ragwort/rankgroup/MapSwitch.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/MapSwitch.h
@@ -84,9 +84,9 @@
   /// Preparing that takes longer is given up; the copies are bounded by the
   /// engines' links to little more than a second.
   static constexpr Duration PrepareTimeout = std::chrono::milliseconds(4000);
-  /// Passes ahead of the last one known that are held. One may begin while the
-  /// order is on its way.
-  static constexpr uint64_t PassesAhead = 2;
+  /// Least passes ahead of the last one known that are held. One may begin
+  /// while the order is on its way.
+  static constexpr uint64_t MinPassesAhead = 2;
   /// Attempts to hold a pass before it has begun.
   static constexpr uint32_t MaxHolds = 12;
 
@@ -108,6 +108,12 @@
   /// Settles what an earlier controller left.
   void beginRecovery(ExpertMap InUse, TimePoint Now);
 
+  /// Sets how many passes the ranks take to be armed. The held pass is so far
+  /// ahead, so that the group does not wait for it.
+  void setArmingPasses(uint64_t Passes) {
+    PassesAhead = MinPassesAhead + Passes;
+  }
+
   std::vector<SendOrder> takeOrders(TimePoint Now);
   /// An order was answered.
   void onAnswer(uint32_t Rank, uint64_t Number, OrderAnswer Answer,
@@ -172,6 +178,7 @@
   uint64_t CommittedVersion = 0;
   uint64_t HeldStep = 0;
   uint32_t Holds = 0;
+  uint64_t PassesAhead = MinPassesAhead;
   // Whether rank 0 is known to hold HeldStep.
   bool IsHolding = false;
   // The pass is released with all ranks armed.
--- a/libs/rankgroup/src/GroupController.cpp
+++ b/libs/rankgroup/src/GroupController.cpp
@@ -52,6 +52,13 @@
   return PassMillis < FastEnough * TargetMillis;
 }
 
+uint64_t GroupController::armingPasses() const {
+  if (PassMillis <= 0)
+    return 0;
+  double Millis = ArmMillisPerRank * static_cast<double>(Held.size());
+  return static_cast<uint64_t>(Millis / PassMillis);
+}
+
 void GroupController::onExperts(uint32_t Rank, RankExperts Experts) {
   if (Rank < Held.size())
     Held[Rank] = std::move(Experts);
@@ -117,6 +124,7 @@
   if (Change.SkewAfter > Change.SkewBefore * (1 - MinGain))
     return std::nullopt;
   Change.Version = nextVersion();
+  Switch.setArmingPasses(armingPasses());
   Switch.begin(std::move(*InUse), std::move(Target), Change.Version, Now);
   return Change;
 }
--- a/libs/rankgroup/src/GroupControllerTest.cpp
+++ b/libs/rankgroup/src/GroupControllerTest.cpp
@@ -11,6 +11,7 @@
   CPPUNIT_TEST(planWhenDemandIsEvenLeavesTheMap);
   CPPUNIT_TEST(planWhenTheGainIsSmallLeavesTheMap);
   CPPUNIT_TEST(planWhenAMapIsUnknownWaits);
+  CPPUNIT_TEST(changeWhenArmingTakesPassesHoldsOneFurtherAhead);
   CPPUNIT_TEST(versionsWhenTwoControllersPlanDiffer);
   CPPUNIT_TEST_SUITE_END();
 
@@ -88,6 +89,37 @@
     CPPUNIT_ASSERT(!C.plan(after(90)));
   }
 
+  void changeWhenArmingTakesPassesHoldsOneFurtherAhead() {
+    // 32 ranks at 5 ms each take 160 ms, two passes of 70 ms. Whoever is armed
+    // by then has not kept the group waiting.
+    GroupController C({1, 64, 6, 4, std::chrono::milliseconds(120)}, 32, 1);
+    std::vector<std::vector<uint64_t>> Chosen(1, std::vector<uint64_t>(64, 9));
+    Chosen[0][0] = 900;
+    SetMap InTurn = mapInTurn(64, 32);
+    auto Report = [&](uint64_t Pass, std::optional<uint64_t> Prepared) {
+      for (uint32_t Rank = 0; Rank < 32; ++Rank) {
+        EngineReport R;
+        R.Epoch = 1;
+        R.Rank = Rank;
+        R.IsOpen = true;
+        R.Step = Pass;
+        R.Running = 5;
+        R.Prepared = Prepared;
+        C.onReport(Rank, R, 0, at(static_cast<int64_t>(Pass) * 70));
+      }
+    };
+    for (uint32_t Rank = 0; Rank < 32; ++Rank)
+      C.onExperts(Rank, {0, {InTurn[Rank]}});
+    for (uint64_t Pass = 1; Pass <= 20; ++Pass) {
+      Report(Pass, std::nullopt);
+      C.onCounts(Chosen, at(static_cast<int64_t>(Pass) * 70));
+    }
+    std::optional<PlannedChange> Change = C.plan(at(1400));
+    CPPUNIT_ASSERT(Change.has_value());
+    Report(21, Change->Version);
+    CPPUNIT_ASSERT_EQUAL(uint64_t(21 + 2 + 2), C.mapSwitch().heldStep());
+  }
+
   void versionsWhenTwoControllersPlanDiffer() {
     auto First = seen(90, 20, 11).plan(after(90));
     auto Second = seen(90, 20, 12).plan(after(90));
--- a/libs/rankgroup/src/MapSwitchTest.cpp
+++ b/libs/rankgroup/src/MapSwitchTest.cpp
@@ -308,7 +308,7 @@
     for (uint32_t Rank : {0u, 1u})
       Switch.onReport(Rank, Report, 0, timeOf(1));
     AnswerAll(OrderKind::Hold, 1);
-    CPPUNIT_ASSERT_EQUAL(uint64_t(10 + MapSwitch::PassesAhead),
+    CPPUNIT_ASSERT_EQUAL(uint64_t(10 + MapSwitch::MinPassesAhead),
                          Switch.heldStep());
     AnswerAll(OrderKind::Arm, 2);
     AnswerAll(OrderKind::Release, 1);
