Compare three random servers instead of all

Cause: 26 nodes that see the same loads for 200 ms send to the same least loaded servers; some ran 16 requests on 10 slots while others had 2, and requests waited over a second for their first event. Ruled out: the ranks' own speed (a group's ranks pass together).

--- a/libs/gateway/include/ragwort/gateway/LoadBoard.h
+++ b/libs/gateway/include/ragwort/gateway/LoadBoard.h
@@ -134,6 +134,10 @@
   void eject(Server &S, TimePoint Now);
   void recountPeers(TimePoint Now);
   double typicalLatency(std::string_view Service) const;
+  const Server *bestOfFew(std::vector<const Server *> &Candidates,
+                          double TypicalLatency);
+  const Server *bestOf(std::span<const Server *const> Candidates,
+                       double TypicalLatency);
   double score(const Server &S, double TypicalLatency);
 
   const std::string LocalDataCentre;
--- a/libs/gateway/src/LoadBoard.cpp
+++ b/libs/gateway/src/LoadBoard.cpp
@@ -18,6 +18,11 @@
 // Bounds of the factor by which a slow server's load counts more.
 constexpr double MaxSlowFactor = 4.0;
 
+// Servers that a request is compared at, out of those that could take it.
+// Between two heartbeats the fleet places about as many requests as there are
+// servers, where two to three choices are known to serve best.
+constexpr size_t SampledServers = 3;
+
 bool contains(std::span<const std::string> Ids, std::string_view Id) {
   return std::find(Ids.begin(), Ids.end(), Id) != Ids.end();
 }
@@ -221,25 +226,52 @@
   // else, and leaving servers out would only overload the rest.
   bool HonoursEjection = Ejected * 2 <= Usable;
   double Typical = typicalLatency(Service);
-  const Server *Best = nullptr;
-  double BestScore = 0;
+  std::vector<const Server *> Candidates;
   for (const auto &[Id, S] : Servers) {
     if (S.Entry.Service != Service || !S.isUsable() || contains(Excluded, Id) ||
         (HonoursEjection && Now < S.EjectedUntil) ||
         (S.IsUnavailable && Now < S.NextTrial))
       continue;
-    double Score = score(S, Typical);
-    if (!Best || Score < BestScore) {
-      Best = &S;
-      BestScore = Score;
-    }
+    Candidates.push_back(&S);
   }
+  const Server *Best = bestOfFew(Candidates, Typical);
   if (!Best)
     return std::nullopt;
   uint32_t InFlight = Best->Own + Best->OfPeers;
   return Choice{&Best->Entry, InFlight, InFlight < Best->Entry.Slots};
 }
 
+const LoadBoard::Server *
+LoadBoard::bestOfFew(std::vector<const Server *> &Candidates,
+                     double TypicalLatency) {
+  // All nodes that saw the same least loaded server would send to it until the
+  // next heartbeats; a few random ones each spread them.
+  size_t Few = std::min(SampledServers, Candidates.size());
+  for (size_t I = 0; I < Few; ++I) {
+    std::uniform_int_distribution<size_t> Any(I, Candidates.size() - 1);
+    std::swap(Candidates[I], Candidates[Any(Random)]);
+  }
+  const Server *Best = bestOf(std::span(Candidates).first(Few), TypicalLatency);
+  if (Best && Best->Own + Best->OfPeers >= Best->Entry.Slots)
+    Best = bestOf(Candidates, TypicalLatency);
+  return Best;
+}
+
+const LoadBoard::Server *
+LoadBoard::bestOf(std::span<const Server *const> Candidates,
+                  double TypicalLatency) {
+  const Server *Best = nullptr;
+  double BestScore = 0;
+  for (const Server *S : Candidates) {
+    double Score = score(*S, TypicalLatency);
+    if (!Best || Score < BestScore) {
+      Best = S;
+      BestScore = Score;
+    }
+  }
+  return Best;
+}
+
 ServiceRoom LoadBoard::room(std::string_view Service, TimePoint Now) const {
   ServiceRoom Result;
   for (const auto &[Id, S] : Servers) {
--- a/libs/gateway/src/LoadBoardTest.cpp
+++ b/libs/gateway/src/LoadBoardTest.cpp
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(choiceWhenAnAddressHasANewerInstanceIsTheNewer);
   CPPUNIT_TEST(choiceWhenAServerWasReplacedIsNotItUntilItIsBack);
   CPPUNIT_TEST(choiceWhenAServerIsSlowPrefersTheOthers);
+  CPPUNIT_TEST(choicesWhenManyNodesSeeOldLoadsStayWithinTheSlots);
   CPPUNIT_TEST_SUITE_END();
 
   static TimePoint at(int64_t Millis) {
@@ -145,6 +146,60 @@
       Board->onStarted("c", at(0));
     }
   }
+
+  void choicesWhenManyNodesSeeOldLoadsStayWithinTheSlots() {
+    // 26 nodes place 240 requests a second of 1.5 s each on 64 servers with 10
+    // slots and hear of each other every 200 ms. Slots are 56 in 100 used, so
+    // a request seldom has reason to wait behind a full server.
+    constexpr size_t Nodes = 26;
+    constexpr int64_t BeatMillis = 200;
+    constexpr int64_t WorkMillis = 1500;
+    std::vector<BackendInstance> List;
+    for (int I = 0; I < 64; ++I) {
+      BackendInstance B = instance("i" + std::to_string(I),
+                                   "10.0.0.1:" + std::to_string(I + 1));
+      B.Slots = 10;
+      List.push_back(B);
+    }
+    Directory.replaceAll(List, ++Version, std::nullopt);
+    std::vector<std::unique_ptr<LoadBoard>> Boards;
+    for (size_t N = 0; N < Nodes; ++N) {
+      Boards.push_back(std::make_unique<LoadBoard>("here", N + 1));
+      Boards.back()->sync(Directory);
+    }
+    std::mt19937_64 Random(3);
+    std::exponential_distribution<double> Gap(0.24);
+    std::map<std::string, int> InFlight;
+    std::multimap<int64_t, std::pair<size_t, std::string>> Ends;
+    int64_t NextBeat = 0;
+    int Placed = 0;
+    int OnFull = 0;
+    for (double T = 0; T < 20'000; T += Gap(Random)) {
+      auto Millis = static_cast<int64_t>(T);
+      for (; NextBeat <= Millis; NextBeat += BeatMillis)
+        for (size_t From = 0; From < Nodes; ++From)
+          for (size_t To = 0; To < Nodes; ++To)
+            if (To != From)
+              Boards[To]->onPeerReport(std::to_string(From),
+                                       Boards[From]->ownReport(),
+                                       at(NextBeat));
+      while (!Ends.empty() && Ends.begin()->first <= Millis) {
+        auto [Node, Id] = Ends.begin()->second;
+        Boards[Node]->onEnded(Id);
+        --InFlight[Id];
+        Ends.erase(Ends.begin());
+      }
+      size_t Node = Random() % Nodes;
+      std::string Id = Boards[Node]->choose("s", {}, at(Millis))->Server->Id;
+      Boards[Node]->onStarted(Id, at(Millis));
+      ++Placed;
+      OnFull += InFlight[Id]++ >= 10;
+      Ends.emplace(Millis + WorkMillis, std::pair(Node, Id));
+    }
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(OnFull) + " of " +
+                               std::to_string(Placed) + " met a full server",
+                           OnFull * 100 <= Placed);
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(LoadBoardTest);
 
