--- a/libs/agent/src/GroupDuty.cpp
+++ b/libs/agent/src/GroupDuty.cpp
@@ -217,9 +217,8 @@
 }
 
 void GroupDuty::takeDutyUp(uint32_t Ranks) {
-  Epoch Own = experts::controllerEpoch(
-      experts::roundAfter(Guard->promised()), Context.Node.Backend.Rank,
-      Context.Self);
+  Epoch Own = experts::controllerEpoch(experts::roundAfter(Guard->promised()),
+                                       Context.Node.Backend.Rank, Context.Self);
   logEvent(LogLevel::Info, "group-duty-taken",
            {{"group", Context.Node.Backend.Group}, {"epoch", Own.Value}});
   Controller.emplace(Ranks, Own, horizon());
--- a/libs/experts/src/MapController.cpp
+++ b/libs/experts/src/MapController.cpp
@@ -28,8 +28,7 @@
 
 Epoch controllerEpoch(uint64_t Round, uint32_t Rank, Incarnation Life) {
   constexpr uint64_t RankMask = (uint64_t(1) << RankBits) - 1;
-  constexpr uint64_t LifeMask =
-      (uint64_t(1) << (RoundShift - RankBits)) - 1;
+  constexpr uint64_t LifeMask = (uint64_t(1) << (RoundShift - RankBits)) - 1;
   return Epoch{(Round << RoundShift) | ((Life.Value & LifeMask) << RankBits) |
                (Rank & RankMask)};
 }
--- a/libs/experts/src/MapRunTest.cpp
+++ b/libs/experts/src/MapRunTest.cpp
@@ -135,9 +135,8 @@
     HorizonLimits Limits;
     Limits.Length = 16;
     Limits.Refill = 8;
-    auto C = std::make_shared<Controller>(
-        Controller{MapController(RankCount, Number, Limits), Host,
-                   Ranks[Host].Agent});
+    auto C = std::make_shared<Controller>(Controller{
+        MapController(RankCount, Number, Limits), Host, Ranks[Host].Agent});
     C->Machine.setVersion(chance(50) ? LastVersion : 0);
     trace("controller on " + std::to_string(Host) + " epoch " +
           std::to_string(Number.Value));
--- a/libs/gateway/include/ragwort/gateway/BackendDirectory.h
+++ b/libs/gateway/include/ragwort/gateway/BackendDirectory.h
@@ -59,8 +59,7 @@
 
   uint64_t version() const { return Version; }
   bool isKnown() const { return Version > 0; }
-  const std::map<std::string, BackendInstance, std::less<>> &
-  instances() const {
+  const std::map<std::string, BackendInstance, std::less<>> &instances() const {
     return Entries;
   }
   std::vector<BackendInstance> snapshot() const;
--- a/libs/gateway/include/ragwort/gateway/RowStore.h
+++ b/libs/gateway/include/ragwort/gateway/RowStore.h
@@ -44,10 +44,10 @@
                             Duration Wait) {
   {
     Store.list(Table)
-  } -> std::same_as<asio::awaitable<absl::StatusOr<RowList>>>;
+    } -> std::same_as<asio::awaitable<absl::StatusOr<RowList>>>;
   {
     Store.follow(Table, After, Wait)
-  } -> std::same_as<asio::awaitable<absl::StatusOr<RowChanges>>>;
+    } -> std::same_as<asio::awaitable<absl::StatusOr<RowChanges>>>;
 };
 
 } // namespace ragwort::gateway
--- /dev/null
+++ b/libs/gateway/include/ragwort/gateway/StoreSinks.h
@@ -0,0 +1,67 @@
+//===- StoreSinks.h - From rows of the store to what is in force ----------===//
+//
+// The sinks of the two tables that a gateway follows. Rows are decoded by
+// functions of the adapter; what becomes of them is decided here.
+//
+//===----------------------------------------------------------------------===//
+#ifndef RAGWORT_GATEWAY_STORESINKS_H
+#define RAGWORT_GATEWAY_STORESINKS_H
+
+#include "ragwort/gateway/PeerExchange.h"
+#include "ragwort/gateway/RowStore.h"
+#include <functional>
+#include <set>
+
+namespace ragwort::gateway {
+
+using ConfigDecoder =
+    std::function<absl::StatusOr<std::shared_ptr<const TrafficConfig>>(
+        std::string_view Document)>;
+using InstanceDecoder = std::function<absl::StatusOr<BackendInstance>(
+    std::string_view Id, std::string_view Row)>;
+
+/// Puts the operators' configuration in force.
+class ConfigSink {
+public:
+  /// \p Key names the row that holds the newest configuration.
+  ConfigSink(Gateway &Node, PeerExchange &Peers, std::string Key,
+             ConfigDecoder Decode)
+      : Node(Node), Peers(Peers), Key(std::move(Key)),
+        Decode(std::move(Decode)) {}
+
+  void onList(RowList List, std::optional<TimePoint> GraceUntil);
+  void onChanges(RowChanges Changes, std::optional<TimePoint> GraceUntil);
+  /// Takes a document from the store or from a peer. A document that cannot be
+  /// read changes nothing.
+  void use(const std::string &Document);
+
+private:
+  Gateway &Node;
+  PeerExchange &Peers;
+  const std::string Key;
+  const ConfigDecoder Decode;
+};
+
+/// Keeps the gateway's directory of backend servers.
+class DirectorySink {
+public:
+  DirectorySink(Gateway &Node, InstanceDecoder Decode)
+      : Node(Node), Decode(std::move(Decode)) {}
+
+  void onList(RowList List, std::optional<TimePoint> GraceUntil);
+  void onChanges(RowChanges Changes, std::optional<TimePoint> GraceUntil);
+
+private:
+  std::optional<BackendInstance> decodeRow(const StoredRow &Row);
+  void logChange(const StoredRow &Row, const DirectoryChange &Change,
+                 bool IsInGrace) const;
+
+  Gateway &Node;
+  const InstanceDecoder Decode;
+  // Keys of rows that could not be read, so that each is logged once.
+  std::set<std::string> Unreadable;
+};
+
+} // namespace ragwort::gateway
+
+#endif
--- a/libs/gateway/src/BackendDirectoryTest.cpp
+++ b/libs/gateway/src/BackendDirectoryTest.cpp
@@ -28,8 +28,7 @@
   void listWhenOlderChangesNothing() {
     BackendDirectory D;
     D.replaceAll({instance("a"), instance("b")}, 9, std::nullopt);
-    CPPUNIT_ASSERT(
-        !D.replaceAll({instance("c")}, 8, std::nullopt));
+    CPPUNIT_ASSERT(!D.replaceAll({instance("c")}, 8, std::nullopt));
     D.apply({{"a", std::nullopt}}, 7, std::nullopt);
     CPPUNIT_ASSERT_EQUAL(size_t(2), D.instances().size());
     CPPUNIT_ASSERT_EQUAL(uint64_t(9), D.version());
--- a/libs/gateway/src/BackendPool.cpp
+++ b/libs/gateway/src/BackendPool.cpp
@@ -89,8 +89,8 @@
     Socket->close();
     return;
   }
-  List.push_back(std::make_unique<Kept>(*this, std::move(Id),
-                                        std::move(Socket), KeepAlive, Now));
+  List.push_back(std::make_unique<Kept>(*this, std::move(Id), std::move(Socket),
+                                        KeepAlive, Now));
 }
 
 void BackendPool::closeAll(std::string_view Id) {
@@ -103,9 +103,9 @@
 
 void BackendPool::expire(TimePoint Now) {
   for (auto &[Id, List] : ByInstance)
-    std::erase_if(List,
-                  [Now](const auto &Item) { return Now >= Item->Until; });
-  std::erase_if(ByInstance, [](const auto &Item) { return Item.second.empty(); });
+    std::erase_if(List, [Now](const auto &Item) { return Now >= Item->Until; });
+  std::erase_if(ByInstance,
+                [](const auto &Item) { return Item.second.empty(); });
 }
 
 size_t BackendPool::size() const {
--- a/libs/gateway/src/CallerSession.cpp
+++ b/libs/gateway/src/CallerSession.cpp
@@ -16,9 +16,8 @@
 TimePoint now() { return SteadyClock().now(); }
 
 std::string statusLine(unsigned Status) {
-  auto Reason =
-      boost::beast::http::obsolete_reason(
-          static_cast<boost::beast::http::status>(Status));
+  auto Reason = boost::beast::http::obsolete_reason(
+      static_cast<boost::beast::http::status>(Status));
   return "HTTP/1.1 " + std::to_string(Status) + " " + std::string(Reason) +
          "\r\n";
 }
@@ -89,8 +88,8 @@
   ParseStage Stage = Parser->stage();
   if (Stage == ParseStage::Failed) {
     bool IsTooLarge = Parser->failure() == ParseFailure::HeadTooLarge;
-    refuse(IsTooLarge ? 431 : 400, IsTooLarge ? "header-too-large"
-                                              : "malformed-request");
+    refuse(IsTooLarge ? 431 : 400,
+           IsTooLarge ? "header-too-large" : "malformed-request");
     return false;
   }
   if (Stage == ParseStage::Head)
--- a/libs/gateway/src/Dispatcher.cpp
+++ b/libs/gateway/src/Dispatcher.cpp
@@ -79,9 +79,9 @@
 }
 
 TimePoint Dispatcher::giveUpAt(const PlacementRequest &R, bool IsRecovering) {
-  return R.Arrived + scaled(R.UselessAt - R.Arrived,
-                            IsRecovering ? RecoveringGiveUpFraction
-                                         : GiveUpFraction);
+  return R.Arrived +
+         scaled(R.UselessAt - R.Arrived,
+                IsRecovering ? RecoveringGiveUpFraction : GiveUpFraction);
 }
 
 Placement Dispatcher::wait(Desk &D, const PlacementRequest &R,
--- a/libs/gateway/src/DispatcherTest.cpp
+++ b/libs/gateway/src/DispatcherTest.cpp
@@ -4,8 +4,8 @@
 // checks are about what callers get.
 //
 //===----------------------------------------------------------------------===//
-#include "VirtualRun.h"
 #include "ragwort/gateway/Dispatcher.h"
+#include "VirtualRun.h"
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace ragwort::gateway {
@@ -195,11 +195,10 @@
     double Peak = Capacity * PlayMillis / 1000.0;
     for (double Load : {1.5, 2.0, 3.0}) {
       Outcome O = LoadPlay(2).play(Load, PlayMillis);
-      std::string Seen = "load " + std::to_string(Load) + ": " +
-                         std::to_string(O.OnTime) + " on time, " +
-                         std::to_string(O.Late) + " late, " +
-                         std::to_string(O.Refused) + " refused of " +
-                         std::to_string(O.Asked);
+      std::string Seen =
+          "load " + std::to_string(Load) + ": " + std::to_string(O.OnTime) +
+          " on time, " + std::to_string(O.Late) + " late, " +
+          std::to_string(O.Refused) + " refused of " + std::to_string(O.Asked);
       // Callers above the capacity must not cost those within it.
       CPPUNIT_ASSERT_MESSAGE(Seen, static_cast<double>(O.OnTime + O.Late) >=
                                        0.95 * Peak);
@@ -218,8 +217,7 @@
     Outcome O = LoadPlay(4).play(2.0, PlayMillis);
     double Urgent = static_cast<double>(O.UrgentRefused) /
                     (0.1 * static_cast<double>(O.Asked));
-    double All =
-        static_cast<double>(O.Refused) / static_cast<double>(O.Asked);
+    double All = static_cast<double>(O.Refused) / static_cast<double>(O.Asked);
     CPPUNIT_ASSERT_MESSAGE(std::to_string(Urgent) + " against " +
                                std::to_string(All),
                            Urgent < All);
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -135,8 +135,7 @@
   R.Priority = Accepted.Priority;
   R.Arrived = Accepted.Arrived;
   R.TargetLatency = Accepted.Target->TargetLatency;
-  R.UselessAt =
-      std::min(Accepted.Deadline, Accepted.Arrived + patience());
+  R.UselessAt = std::min(Accepted.Deadline, Accepted.Arrived + patience());
   if (Flow.hasAnswerBegun())
     R.UselessAt = std::min(Accepted.Deadline, LastProgress + patience());
   R.IsBatched = Kind && Kind->Engine;
@@ -364,8 +363,8 @@
 
 void Forwarding::finishAnswer() {
   const http::ResponseHead &H = Parser.head();
-  bool IsDeclined = H.Status == StatusMisdirected ||
-                    !H.header(Context.Names.NotRun).empty();
+  bool IsDeclined =
+      H.Status == StatusMisdirected || !H.header(Context.Names.NotRun).empty();
   if (IsDeclined) {
     onDeclined();
     return;
@@ -431,8 +430,8 @@
                   now());
   Excluded.push_back(Server.Id);
   leaveServer(!IsReplaced);
-  RetryAfter = IsUnavailable ? Dispatcher::RecoveringRetryAfter
-                             : DefaultRetryAfter;
+  RetryAfter =
+      IsUnavailable ? Dispatcher::RecoveringRetryAfter : DefaultRetryAfter;
   carryOut(IsReplaced ? Flow.onMisdirected(means()) : Flow.onDeclined(means()));
 }
 
--- a/libs/gateway/src/Gateway.cpp
+++ b/libs/gateway/src/Gateway.cpp
@@ -185,8 +185,8 @@
 }
 
 size_t Gateway::activeRequests() const {
-  return static_cast<size_t>(std::count_if(
-      Sessions.begin(), Sessions.end(), [](const auto &Session) {
+  return static_cast<size_t>(
+      std::count_if(Sessions.begin(), Sessions.end(), [](const auto &Session) {
         return !Session->isClosed() && Session->isAnswering();
       }));
 }
@@ -201,8 +201,8 @@
   return Config ? Config->Limits : CallerLimits();
 }
 
-std::variant<AcceptedRequest, OwnAnswer>
-Gateway::accept(http::Request Message, TimePoint Arrived) {
+std::variant<AcceptedRequest, OwnAnswer> Gateway::accept(http::Request Message,
+                                                         TimePoint Arrived) {
   if (!Config || !Directory.isKnown())
     return OwnAnswer{503, "starting", StartingRetryAfter};
   std::string_view Host = Message.header("Host");
--- a/libs/gateway/src/GatewayTest.cpp
+++ b/libs/gateway/src/GatewayTest.cpp
@@ -27,8 +27,8 @@
 std::string answer(const std::string &Status, const std::string &Id,
                    const std::string &Extra, const std::string &Body) {
   return "HTTP/1.1 " + Status + "\r\nRagwort-Request-Id: " + Id + "\r\n" +
-         Extra + "Content-Length: " + std::to_string(Body.size()) +
-         "\r\n\r\n" + Body;
+         Extra + "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
+         Body;
 }
 
 const std::string Stamp = "Ragwort-Answer-Stamp: s\r\n";
@@ -101,8 +101,8 @@
       if (Error)
         return;
       ++Connections;
-      auto &Io = static_cast<asio::io_context &>(
-          Acceptor.get_executor().context());
+      auto &Io =
+          static_cast<asio::io_context &>(Acceptor.get_executor().context());
       auto C = std::make_shared<Connection>(*this, Io);
       Held.push_back(C);
       C->Socket->use(C.get());
@@ -240,10 +240,10 @@
   static std::string request(const std::string &Path, const std::string &Id,
                              const std::string &Extra = "",
                              const std::string &Body = "body") {
-    return "POST " + Path + " HTTP/1.1\r\nHost: h\r\nRagwort-Request-Id: " +
-           Id + "\r\nAuthorization: Bearer key\r\n" + Extra +
-           "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
-           Body;
+    return "POST " + Path +
+           " HTTP/1.1\r\nHost: h\r\nRagwort-Request-Id: " + Id +
+           "\r\nAuthorization: Bearer key\r\n" + Extra +
+           "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
   }
 
   /// Both servers answer by \p L, whichever is chosen.
@@ -274,9 +274,8 @@
   std::unique_ptr<Caller> call(const std::string &Bytes) {
     auto C = std::make_unique<Caller>(*Io);
     C->ToSend = Bytes;
-    C->Socket->connect(
-        endpointOf<asio::ip::tcp>({"127.0.0.1", Node->port()}),
-        std::chrono::seconds(5));
+    C->Socket->connect(endpointOf<asio::ip::tcp>({"127.0.0.1", Node->port()}),
+                       std::chrono::seconds(5));
     return C;
   }
 
@@ -491,9 +490,8 @@
     scriptBoth(
         [](const std::string &R) {
           return streamHead(idOf(R)) +
-                 chunk(event(R.find("Last-Event-Id") == std::string::npos
-                                 ? 1
-                                 : 2)) +
+                 chunk(event(
+                     R.find("Last-Event-Id") == std::string::npos ? 1 : 2)) +
                  ScriptedServer::Reset;
         },
         2);
@@ -549,9 +547,7 @@
     auto Bad = call("POST /once/ HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
                     "Content-Length: 5\r\n\r\nabcde");
     auto Good = call(request("/once/", "r1"));
-    runUntil([&] {
-      return Bad->IsEnded && Good->Received.ends_with("fine");
-    });
+    runUntil([&] { return Bad->IsEnded && Good->Received.ends_with("fine"); });
     CPPUNIT_ASSERT(Bad->Received.starts_with("HTTP/1.1 400 "));
     CPPUNIT_ASSERT_EQUAL(size_t(1), requestsSeen().size());
   }
--- a/libs/gateway/src/LoadBoard.cpp
+++ b/libs/gateway/src/LoadBoard.cpp
@@ -107,10 +107,10 @@
   if (!S)
     return;
   double Millis = static_cast<double>(Latency.count()) / 1000.0;
-  S->LatencyMillis = S->LatencyMillis == 0
-                         ? Millis
-                         : (1 - AverageWeight) * S->LatencyMillis +
-                               AverageWeight * Millis;
+  S->LatencyMillis =
+      S->LatencyMillis == 0
+          ? Millis
+          : (1 - AverageWeight) * S->LatencyMillis + AverageWeight * Millis;
   S->FailureRate *= 1 - AverageWeight;
   // An answer to a request from before the server's word proves nothing.
   if (Now - Latency >= S->UnavailableSince)
@@ -185,10 +185,10 @@
 
 double LoadBoard::score(const Server &S, double TypicalLatency) {
   double Load = (S.Own + S.OfPeers + 1.0) / std::max(1u, S.Entry.Slots);
-  double Slow = TypicalLatency > 0 && S.LatencyMillis > 0
-                    ? std::clamp(S.LatencyMillis / TypicalLatency, 1.0,
-                                 MaxSlowFactor)
-                    : 1.0;
+  double Slow =
+      TypicalLatency > 0 && S.LatencyMillis > 0
+          ? std::clamp(S.LatencyMillis / TypicalLatency, 1.0, MaxSlowFactor)
+          : 1.0;
   double Remote = S.Entry.DataCentre == LocalDataCentre ? 0.0 : RemotePenalty;
   std::uniform_real_distribution<double> Tie(0, 0.01);
   return Load * Slow + S.FailureRate + Remote + Tie(Random);
@@ -301,14 +301,15 @@
 std::string LoadBoard::describe(TimePoint Now) const {
   std::string Text;
   for (const auto &[Id, S] : Servers) {
-    Text += Id + " service=" + S.Entry.Service + " own=" +
-            std::to_string(S.Own) + " peers=" + std::to_string(S.OfPeers) +
-            " slots=" + std::to_string(S.Entry.Slots) + " failure_percent=" +
-            std::to_string(std::lround(S.FailureRate * 100)) +
-            " latency_ms=" + std::to_string(std::lround(S.LatencyMillis)) +
-            (S.Entry.IsDraining ? " draining" : "") +
-            (S.IsUnavailable ? " unavailable" : "") +
-            (Now < S.EjectedUntil ? " ejected" : "") + "\n";
+    Text +=
+        Id + " service=" + S.Entry.Service + " own=" + std::to_string(S.Own) +
+        " peers=" + std::to_string(S.OfPeers) +
+        " slots=" + std::to_string(S.Entry.Slots) +
+        " failure_percent=" + std::to_string(std::lround(S.FailureRate * 100)) +
+        " latency_ms=" + std::to_string(std::lround(S.LatencyMillis)) +
+        (S.Entry.IsDraining ? " draining" : "") +
+        (S.IsUnavailable ? " unavailable" : "") +
+        (Now < S.EjectedUntil ? " ejected" : "") + "\n";
   }
   return Text;
 }
--- a/libs/gateway/src/LoadBoardTest.cpp
+++ b/libs/gateway/src/LoadBoardTest.cpp
@@ -181,8 +181,7 @@
           for (size_t To = 0; To < Nodes; ++To)
             if (To != From)
               Boards[To]->onPeerReport(std::to_string(From),
-                                       Boards[From]->ownReport(),
-                                       at(NextBeat));
+                                       Boards[From]->ownReport(), at(NextBeat));
       while (!Ends.empty() && Ends.begin()->first <= Millis) {
         auto [Node, Id] = Ends.begin()->second;
         Boards[Node]->onEnded(Id);
--- a/libs/gateway/src/MessageParserTest.cpp
+++ b/libs/gateway/src/MessageParserTest.cpp
@@ -104,8 +104,7 @@
 
   void responseWhenBytesFollowLeavesThem() {
     ResponseParser P;
-    const std::string First =
-        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    const std::string First = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
     CPPUNIT_ASSERT_EQUAL(First.size(), P.feed(First + "HTTP/1.1 200 OK"));
     CPPUNIT_ASSERT(P.stage() == ParseStage::Done);
     CPPUNIT_ASSERT(P.keepsConnection());
--- a/libs/gateway/src/PeerBeat.cpp
+++ b/libs/gateway/src/PeerBeat.cpp
@@ -35,8 +35,7 @@
   Ar(Beat.Incarnation, Beat.ConfigVersion, Beat.DirectoryVersion);
   wire::transferFlag(Ar, Beat.IsLeaving);
   wire::transferList(Ar, Beat.InFlight, MaxBeatBytes);
-  size_t Peers =
-      wire::transferLength(Ar, Beat.PeerIps.size(), MaxNamedPeers);
+  size_t Peers = wire::transferLength(Ar, Beat.PeerIps.size(), MaxNamedPeers);
   Beat.PeerIps.resize(Peers);
   for (std::string &Ip : Beat.PeerIps)
     wire::transferText(Ar, Ip, wire::MaxNameBytes);
--- a/libs/gateway/src/PeerExchange.cpp
+++ b/libs/gateway/src/PeerExchange.cpp
@@ -41,9 +41,8 @@
   if (!Error)
     Socket.non_blocking(true, Error);
   if (Error)
-    return absl::UnavailableError("cannot bind UDP " +
-                                  toString(Options.Listen) + ": " +
-                                  Error.message());
+    return absl::UnavailableError(
+        "cannot bind UDP " + toString(Options.Listen) + ": " + Error.message());
   asio::co_spawn(Io, receiveLoop(), asio::detached);
   asio::co_spawn(Io, beatLoop(), asio::detached);
   return Documents.listen(Options.Listen);
@@ -201,10 +200,11 @@
       co_await http::fetch(From, std::move(R), FetchTimeout);
   IsFetchingConfig = false;
   if (!Answer.ok() || Answer->Head.Status != 200) {
-    logEvent(LogLevel::Warning, "peer-config-failed",
-             {{"peer", Ip},
-              {"reason", Answer.ok() ? std::to_string(Answer->Head.Status)
-                                     : std::string(Answer.status().message())}});
+    logEvent(
+        LogLevel::Warning, "peer-config-failed",
+        {{"peer", Ip},
+         {"reason", Answer.ok() ? std::to_string(Answer->Head.Status)
+                                : std::string(Answer.status().message())}});
     co_return;
   }
   ConfigDocument Document;
@@ -229,9 +229,9 @@
   absl::StatusOr<DirectorySnapshot> Snapshot =
       Answer.ok() ? decodeDirectory(Answer->Body) : Answer.status();
   if (!Snapshot.ok()) {
-    logEvent(LogLevel::Warning, "peer-directory-failed",
-             {{"peer", Ip},
-              {"reason", std::string(Snapshot.status().message())}});
+    logEvent(
+        LogLevel::Warning, "peer-directory-failed",
+        {{"peer", Ip}, {"reason", std::string(Snapshot.status().message())}});
     co_return;
   }
   logEvent(LogLevel::Info, "peer-directory-taken",
@@ -251,10 +251,9 @@
         {std::string(VersionHeader), std::to_string(Offered.Version)});
   } else if (X.request().Target == DirectoryPath &&
              Node.directory().isKnown()) {
-    R = http::makeResponse(
-        200, "application/octet-stream",
-        encodeDirectory(
-            {Node.directory().version(), Node.directory().snapshot()}));
+    R = http::makeResponse(200, "application/octet-stream",
+                           encodeDirectory({Node.directory().version(),
+                                            Node.directory().snapshot()}));
   } else {
     R = http::makeResponse(404, "text/plain", "not known here\n");
   }
--- a/libs/gateway/src/RequestFlowTest.cpp
+++ b/libs/gateway/src/RequestFlowTest.cpp
@@ -33,9 +33,9 @@
 
 public:
   void requestWhenNothingWasSentIsRefusedAsNotRun() {
-    for (Repeatability R : {Repeatability::Idempotent,
-                            Repeatability::AtMostOnce,
-                            Repeatability::Resumable})
+    for (Repeatability R :
+         {Repeatability::Idempotent, Repeatability::AtMostOnce,
+          Repeatability::Resumable})
       checkStep(Step::RefuseNotRun, RequestFlow(R, 2).onNoBackend());
   }
 
@@ -156,8 +156,8 @@
     while (Next == Step::TryAnother) {
       RetryMeans Random2{Random() % 5 != 0, Random() % 5 != 0};
       if (Random() % 8 == 0) {
-        Next = Random() % 2 ? Flow.onNoBackend()
-                            : Flow.onConnectFailed(Random2);
+        Next =
+            Random() % 2 ? Flow.onNoBackend() : Flow.onConnectFailed(Random2);
         if (Next == Step::TryAnother)
           continue;
         break;
--- a/libs/gateway/src/RetryBudget.cpp
+++ b/libs/gateway/src/RetryBudget.cpp
@@ -26,11 +26,10 @@
 
 bool RetryBudget::hasRoom(TimePoint Now, size_t Nodes) {
   expire(Now);
-  double Share = Limits.Allowance / static_cast<double>(std::max<size_t>(
-                                        Nodes, 1));
-  double Bound =
-      SafeFraction * (Limits.Ratio * static_cast<double>(Requests.size()) +
-                      Share);
+  double Share =
+      Limits.Allowance / static_cast<double>(std::max<size_t>(Nodes, 1));
+  double Bound = SafeFraction *
+                 (Limits.Ratio * static_cast<double>(Requests.size()) + Share);
   return static_cast<double>(Repeats.size()) + 1 <= Bound;
 }
 
--- /dev/null
+++ b/libs/gateway/src/StoreSinks.cpp
@@ -0,0 +1,94 @@
+//===- StoreSinks.cpp - From rows of the store to what is in force --------===//
+#include "ragwort/gateway/StoreSinks.h"
+#include "ragwort/observe/Log.h"
+
+namespace ragwort::gateway {
+
+void ConfigSink::use(const std::string &Document) {
+  auto Config = Decode(Document);
+  if (!Config.ok()) {
+    logEvent(LogLevel::Error, "config-rejected",
+             {{"reason", std::string(Config.status().message())},
+              {"kept", Node.configVersion()}});
+    return;
+  }
+  uint64_t Version = (*Config)->Version;
+  if (Node.useConfig(std::move(*Config)))
+    Peers.offerConfig({Version, Document});
+}
+
+void ConfigSink::onList(RowList List, std::optional<TimePoint>) {
+  for (const StoredRow &Row : List.Rows)
+    if (Row.Key == Key)
+      use(Row.Value);
+}
+
+void ConfigSink::onChanges(RowChanges Changes, std::optional<TimePoint>) {
+  // Only the newest of several versions comes into force.
+  const StoredRow *Newest = nullptr;
+  for (const StoredRow &Row : Changes.Rows)
+    if (Row.Key == Key && !Row.IsRemoved)
+      Newest = &Row;
+  if (Newest)
+    use(Newest->Value);
+}
+
+std::optional<BackendInstance> DirectorySink::decodeRow(const StoredRow &Row) {
+  auto Instance = Decode(Row.Key, Row.Value);
+  if (Instance.ok()) {
+    Unreadable.erase(Row.Key);
+    return std::move(*Instance);
+  }
+  if (Unreadable.insert(Row.Key).second)
+    logEvent(LogLevel::Warning, "server-row-skipped",
+             {{"key", Row.Key},
+              {"version", Row.Version},
+              {"reason", std::string(Instance.status().message())}});
+  return std::nullopt;
+}
+
+void DirectorySink::onList(RowList List, std::optional<TimePoint> GraceUntil) {
+  std::vector<BackendInstance> Listed;
+  for (const StoredRow &Row : List.Rows)
+    if (auto Instance = decodeRow(Row))
+      Listed.push_back(std::move(*Instance));
+  logEvent(LogLevel::Info, "directory-listed",
+           {{"version", List.Version},
+            {"servers", Listed.size()},
+            {"grace", int(GraceUntil.has_value())}});
+  Node.directory().replaceAll(std::move(Listed), List.Version, GraceUntil);
+  Node.onDirectoryChanged();
+}
+
+void DirectorySink::logChange(const StoredRow &Row,
+                              const DirectoryChange &Change,
+                              bool IsInGrace) const {
+  const auto &Known = Node.directory().instances();
+  auto Before = Known.find(Row.Key);
+  if (Change.Entry && Before != Known.end() && Before->second == *Change.Entry)
+    return;
+  std::string_view State = "gone";
+  if (Change.Entry)
+    State = Change.Entry->IsDraining ? "draining" : "ready";
+  logEvent(LogLevel::Info, "server-changed",
+           {{"instance", Row.Key},
+            {"version", Row.Version},
+            {"state", State},
+            {"grace", int(IsInGrace)}});
+}
+
+void DirectorySink::onChanges(RowChanges Changes,
+                              std::optional<TimePoint> GraceUntil) {
+  std::vector<DirectoryChange> Decoded;
+  for (const StoredRow &Row : Changes.Rows) {
+    DirectoryChange Change{Row.Key, std::nullopt};
+    if (!Row.IsRemoved)
+      Change.Entry = decodeRow(Row);
+    logChange(Row, Change, GraceUntil.has_value());
+    Decoded.push_back(std::move(Change));
+  }
+  Node.directory().apply(std::move(Decoded), Changes.Version, GraceUntil);
+  Node.onDirectoryChanged();
+}
+
+} // namespace ragwort::gateway
--- a/libs/gateway/src/StreamSocket.cpp
+++ b/libs/gateway/src/StreamSocket.cpp
@@ -27,14 +27,14 @@
   Socket.non_blocking(true, Error);
   Socket.set_option(asio::ip::tcp::no_delay(true), Error);
   Socket.set_option(asio::socket_base::keep_alive(true), Error);
-  Socket.set_option(
-      IntOption<IPPROTO_TCP, TCP_KEEPIDLE>(KeepAliveIdleSeconds), Error);
+  Socket.set_option(IntOption<IPPROTO_TCP, TCP_KEEPIDLE>(KeepAliveIdleSeconds),
+                    Error);
   Socket.set_option(
       IntOption<IPPROTO_TCP, TCP_KEEPINTVL>(KeepAliveIntervalSeconds), Error);
   Socket.set_option(IntOption<IPPROTO_TCP, TCP_KEEPCNT>(KeepAliveProbes),
                     Error);
-  Socket.set_option(
-      IntOption<IPPROTO_TCP, TCP_USER_TIMEOUT>(UserTimeoutMillis), Error);
+  Socket.set_option(IntOption<IPPROTO_TCP, TCP_USER_TIMEOUT>(UserTimeoutMillis),
+                    Error);
 }
 
 } // namespace
@@ -154,8 +154,8 @@
   if (State != Stage::Open)
     return;
   error_code Error;
-  OutTaken += Socket.write_some(
-      asio::buffer(Out.data() + OutTaken, unsent()), Error);
+  OutTaken +=
+      Socket.write_some(asio::buffer(Out.data() + OutTaken, unsent()), Error);
   if (Error && Error != asio::error::would_block) {
     end(SocketEnd::Broken);
     return;
--- a/libs/gateway/src/TableFollowerTest.cpp
+++ b/libs/gateway/src/TableFollowerTest.cpp
@@ -106,9 +106,9 @@
   }
 
   void followerWhenHistoryIsLostListsAnewWithoutGrace() {
-    CPPUNIT_ASSERT_EQUAL(std::string("llc"),
-                         seen({Answer::Ok, Answer::HistoryLost, Answer::Ok,
-                               Answer::Ok}));
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("llc"),
+        seen({Answer::Ok, Answer::HistoryLost, Answer::Ok, Answer::Ok}));
     CPPUNIT_ASSERT_EQUAL(2, Store.Lists);
   }
 
--- a/libs/observe/src/BoundedOutput.cpp
+++ b/libs/observe/src/BoundedOutput.cpp
@@ -17,9 +17,9 @@
 void BoundedOutput::refill(TimePoint Now) {
   if (LastRefill != TimePoint()) {
     double Seconds = std::chrono::duration<double>(Now - LastRefill).count();
-    Tokens = std::min(static_cast<double>(Bounds.BurstBytes),
-                      Tokens + Seconds * static_cast<double>(
-                                             Bounds.BytesPerSecond));
+    Tokens =
+        std::min(static_cast<double>(Bounds.BurstBytes),
+                 Tokens + Seconds * static_cast<double>(Bounds.BytesPerSecond));
   }
   LastRefill = Now;
 }
@@ -27,8 +27,7 @@
 bool BoundedOutput::hasRoom(size_t Bytes, LineClass Class) const {
   bool IsRoutine = Class == LineClass::Routine;
   size_t Buffer = IsRoutine ? Bounds.BufferBytes / 2 : Bounds.BufferBytes;
-  double Reserve =
-      IsRoutine ? static_cast<double>(Bounds.BurstBytes) / 2 : 0.0;
+  double Reserve = IsRoutine ? static_cast<double>(Bounds.BurstBytes) / 2 : 0.0;
   return Pending.size() + Bytes <= Buffer &&
          Tokens - Reserve >= static_cast<double>(Bytes);
 }
@@ -56,8 +55,8 @@
 void BoundedOutput::flush() {
   size_t Written = 0;
   while (Written < Pending.size()) {
-    ssize_t Count = ::write(Descriptor, Pending.data() + Written,
-                            Pending.size() - Written);
+    ssize_t Count =
+        ::write(Descriptor, Pending.data() + Written, Pending.size() - Written);
     if (Count <= 0)
       break; // Full or closed; what remains is tried with the next line.
     Written += static_cast<size_t>(Count);
--- a/libs/observe/src/Log.cpp
+++ b/libs/observe/src/Log.cpp
@@ -69,8 +69,8 @@
 } // namespace
 
 void boundLog(int Descriptor) {
-  BoundedDispatch::output() = std::make_unique<BoundedOutput>(
-      Descriptor, BoundedOutput::Limits());
+  BoundedDispatch::output() =
+      std::make_unique<BoundedOutput>(Descriptor, BoundedOutput::Limits());
   el::Helpers::uninstallLogDispatchCallback<
       el::base::DefaultLogDispatchCallback>("DefaultLogDispatchCallback");
   el::Helpers::installLogDispatchCallback<BoundedDispatch>("bounded-output");
--- a/libs/platform/include/ragwort/platform/TableClient.h
+++ b/libs/platform/include/ragwort/platform/TableClient.h
@@ -9,8 +9,8 @@
 #ifndef RAGWORT_PLATFORM_TABLECLIENT_H
 #define RAGWORT_PLATFORM_TABLECLIENT_H
 
-#include "ragwort/platform/Table.h"
 #include "ragwort/base/Time.h"
+#include "ragwort/platform/Table.h"
 #include "ragwort/transport/Asio.h"
 #include <absl/status/statusor.h>
 #include <memory>
--- a/libs/rankgroup/include/ragwort/rankgroup/GroupAgent.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/GroupAgent.h
@@ -30,13 +30,11 @@
   { E.report() } -> std::same_as<asio::awaitable<absl::StatusOr<EngineReport>>>;
   {
     E.counts(Sets, Experts)
-  } -> std::same_as<asio::awaitable<absl::StatusOr<ExpertCounts>>>;
-  {
-    E.experts()
-  } -> std::same_as<asio::awaitable<absl::StatusOr<RankExperts>>>;
+    } -> std::same_as<asio::awaitable<absl::StatusOr<ExpertCounts>>>;
+  { E.experts() } -> std::same_as<asio::awaitable<absl::StatusOr<RankExperts>>>;
   {
     E.order(Order)
-  } -> std::same_as<asio::awaitable<absl::StatusOr<OrderAnswer>>>;
+    } -> std::same_as<asio::awaitable<absl::StatusOr<OrderAnswer>>>;
 };
 
 struct AgentOptions {
@@ -62,11 +60,11 @@
   /// asked at its engine. Engines may show strangers a state that is this old.
   static constexpr Duration RemoteReportAge = std::chrono::milliseconds(600);
 
-  GroupAgent(asio::io_context &Io, AgentOptions Options,
-             MakeEngine Make, MetricsRegistry &Metrics)
+  GroupAgent(asio::io_context &Io, AgentOptions Options, MakeEngine Make,
+             MetricsRegistry &Metrics)
       : Io(Io), Options(std::move(Options)), Make(std::move(Make)),
-        Metrics(Metrics), Own(this->Make(this->Options.OwnEngine)),
-        Socket(Io) {}
+        Metrics(Metrics), Own(this->Make(this->Options.OwnEngine)), Socket(Io) {
+  }
 
   absl::Status listen() {
     auto Endpoint = endpointOf<asio::ip::udp>(Options.Listen);
@@ -95,8 +93,7 @@
   void beginStop() { IsStopping = true; }
   /// Whether a change is under way that must not be left alone.
   bool isBusy() const {
-    return Controller &&
-           Controller->mapSwitch().phase() != SwitchPhase::Idle;
+    return Controller && Controller->mapSwitch().phase() != SwitchPhase::Idle;
   }
 
 private:
@@ -237,8 +234,7 @@
     if (!Shape.isKnown() || Report.GroupSize == 0)
       return;
     if (Controller && ControlledGroup == Report.Group &&
-        Controller->ranks() == Report.GroupSize &&
-        Controller->shape() == Shape)
+        Controller->ranks() == Report.GroupSize && Controller->shape() == Shape)
       return;
     logEvent(LogLevel::Info, "controller-started",
              {{"group", Report.Group},
@@ -345,9 +341,9 @@
     GroupController &C = *Controller;
     SwitchPhase Before = C.mapSwitch().phase();
     if (C.recover(At))
-      logEvent(LogLevel::Warning, "map-change-recovered",
-               {{"group", ControlledGroup},
-                {"held", C.mapSwitch().heldStep()}});
+      logEvent(
+          LogLevel::Warning, "map-change-recovered",
+          {{"group", ControlledGroup}, {"held", C.mapSwitch().heldStep()}});
     if (!IsStopping)
       if (std::optional<PlannedChange> Change = C.plan(At)) {
         ChangeBegun = At;
--- a/libs/rankgroup/include/ragwort/rankgroup/GroupController.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/GroupController.h
@@ -30,9 +30,10 @@
 };
 
 /// \code
-///   Controller.onReport(...); Controller.onExperts(...); Controller.onCounts(...);
-///   if (auto Change = Controller.plan(Now)) log(*Change);
-///   for (const SendOrder &S : Controller.mapSwitch().takeOrders(Now)) ...
+///   Controller.onReport(...); Controller.onExperts(...);
+///   Controller.onCounts(...); if (auto Change = Controller.plan(Now))
+///   log(*Change); for (const SendOrder &S :
+///   Controller.mapSwitch().takeOrders(Now)) ...
 /// \endcode
 class GroupController {
 public:
--- a/libs/rankgroup/src/GroupController.cpp
+++ b/libs/rankgroup/src/GroupController.cpp
@@ -36,9 +36,9 @@
     double Millis =
         std::chrono::duration<double, std::milli>(Now - SeenAt).count() /
         static_cast<double>(Report.Step - SeenStep);
-    PassMillis = PassMillis == 0 ? Millis
-                                 : (1 - PassWeight) * PassMillis +
-                                       PassWeight * Millis;
+    PassMillis = PassMillis == 0
+                     ? Millis
+                     : (1 - PassWeight) * PassMillis + PassWeight * Millis;
   }
   if (Report.Step != SeenStep || !IsBusy) {
     SeenStep = Report.Step;
@@ -107,7 +107,8 @@
   for (const EngineReport &R : Reports)
     Running += R.Running;
   std::optional<ExpertMap> InUse = mapInUse();
-  if (Running < MinRunning || isFastEnough() || Demand.evidence() <= 0 || !InUse)
+  if (Running < MinRunning || isFastEnough() || Demand.evidence() <= 0 ||
+      !InUse)
     return std::nullopt;
   PlannedChange Change;
   Change.SkewBefore = 0;
--- a/libs/rankgroup/src/MapSwitch.cpp
+++ b/libs/rankgroup/src/MapSwitch.cpp
@@ -62,9 +62,9 @@
   R.IsKnown = true;
   R.Report = Report;
   LastStep = std::max(LastStep, Report.Step);
-  HighestVersion = std::max({HighestVersion, Report.MapVersion,
-                             Report.Prepared.value_or(0),
-                             Report.Armed ? Report.Armed->Version : 0});
+  HighestVersion =
+      std::max({HighestVersion, Report.MapVersion, Report.Prepared.value_or(0),
+                Report.Armed ? Report.Armed->Version : 0});
   if (Phase == SwitchPhase::Preparing && Report.Prepared == Version)
     R.IsPrepared = true;
   if (R.AwaitedToken != 0 && Token >= R.AwaitedToken) {
@@ -112,9 +112,8 @@
     awaitReport(I, Now);
 }
 
-void MapSwitch::giveOrder(uint32_t Index, OrderKind Kind,
-                          uint64_t OrderVersion, uint64_t Step,
-                          const ExpertMap *Map) {
+void MapSwitch::giveOrder(uint32_t Index, OrderKind Kind, uint64_t OrderVersion,
+                          uint64_t Step, const ExpertMap *Map) {
   Rank &R = Ranks[Index];
   RankOrder Order;
   Order.Kind = Kind;
@@ -263,11 +262,10 @@
   HeldStep = *Ranks[0].Report.Held;
   IsHolding = true;
   std::optional<ArmedMap> First = Ranks[0].Report.Armed;
-  bool AreArmed = First && First->Step == HeldStep &&
-                  std::all_of(Ranks.begin(), Ranks.end(),
-                              [&First](const Rank &R) {
-                                return R.Report.Armed == First;
-                              });
+  bool AreArmed =
+      First && First->Step == HeldStep &&
+      std::all_of(Ranks.begin(), Ranks.end(),
+                  [&First](const Rank &R) { return R.Report.Armed == First; });
   if (AreArmed) {
     Version = First->Version;
     release(true);
--- a/libs/rankgroup/src/MapSwitchTest.cpp
+++ b/libs/rankgroup/src/MapSwitchTest.cpp
@@ -10,8 +10,8 @@
 // fresh seeds for that long.
 //
 //===----------------------------------------------------------------------===//
-#include "VirtualRun.h"
 #include "ragwort/rankgroup/MapSwitch.h"
+#include "VirtualRun.h"
 #include <cppunit/extensions/HelperMacros.h>
 #include <iostream>
 #include <memory>
--- a/libs/rankgroup/src/SetPlanner.cpp
+++ b/libs/rankgroup/src/SetPlanner.cpp
@@ -27,8 +27,8 @@
 public:
   Workbench(const SetMap &InForce, std::span<const double> Popularity)
       : InForce(InForce), Current(InForce), Holders(Popularity.size()),
-        Weight(Popularity.begin(), Popularity.end()),
-        Loads(InForce.size(), 0), Fresh(InForce.size(), 0) {
+        Weight(Popularity.begin(), Popularity.end()), Loads(InForce.size(), 0),
+        Fresh(InForce.size(), 0) {
     double Sum = std::accumulate(Weight.begin(), Weight.end(), 0.0);
     double Scale = Sum > 0 ? static_cast<double>(InForce.size()) / Sum : 0;
     for (double &W : Weight)
@@ -140,9 +140,8 @@
     BestCost = State.cost();
     Best.reset();
     std::vector<ExpertId> Hot = State.map()[Slowest];
-    std::sort(Hot.begin(), Hot.end(), [this](ExpertId A, ExpertId B) {
-      return share(A) > share(B);
-    });
+    std::sort(Hot.begin(), Hot.end(),
+              [this](ExpertId A, ExpertId B) { return share(A) > share(B); });
     // The few heaviest decide; the others move too little to be worth a copy.
     if (Hot.size() > HotExperts)
       Hot.resize(HotExperts);
@@ -169,8 +168,7 @@
     for (ExpertId Other : Present) {
       if (State.copies(Other) > 1)
         tryStep({E, Rank, Other, std::nullopt});
-      bool CanSwap = !State.holds(Slowest, Other) &&
-                     share(Other) < share(E) &&
+      bool CanSwap = !State.holds(Slowest, Other) && share(Other) < share(E) &&
                      (State.wasHeld(Slowest, Other) ||
                       State.fresh(Slowest) < Limits.MaxNewPerRank);
       if (CanSwap)
--- a/libs/rankgroup/src/SetPlannerTest.cpp
+++ b/libs/rankgroup/src/SetPlannerTest.cpp
@@ -36,8 +36,8 @@
     SetPlan P = planSet(mapInTurn(Experts, RankCount), Demand, Limits);
     CPPUNIT_ASSERT(P.SkewBefore > 2.5);
     CPPUNIT_ASSERT(P.SkewAfter < 1.2);
-    auto Holders = std::count_if(
-        P.Target.begin(), P.Target.end(), [](const auto &Rank) {
+    auto Holders =
+        std::count_if(P.Target.begin(), P.Target.end(), [](const auto &Rank) {
           return std::find(Rank.begin(), Rank.end(), 24) != Rank.end();
         });
     CPPUNIT_ASSERT(Holders >= 3);
--- a/testing/standins/Platform.cpp
+++ b/testing/standins/Platform.cpp
@@ -2,7 +2,8 @@
 //
 // Rows are kept and followed as the platform publishes it. Faults are set by
 // POST /faults with any of: down (bool), delay_ms, lose_answers (count of
-// transactions that take effect unanswered), list_lag_ms, forget_history. The fault and instance endpoints themselves never fail.
+// transactions that take effect unanswered), list_lag_ms, forget_history. The
+// fault and instance endpoints themselves never fail.
 //
 //===----------------------------------------------------------------------===//
 #include "Standin.h"
@@ -111,8 +112,7 @@
     std::string From = queryValue(R.Target, "from");
     std::string Target = queryValue(R.Target, "target");
     size_t Limit = std::min<size_t>(
-        500,
-        std::strtoull(queryValue(R.Target, "limit").c_str(), nullptr, 10));
+        500, std::strtoull(queryValue(R.Target, "limit").c_str(), nullptr, 10));
     Json Answer = newestVersion();
     Answer["rows"] = Json::array();
     Answer["hasMore"] = false;
