Give up a silent run only where another server has a free slot

Ruled out: shorter or longer limits; the run that is given up is the caller's only one. The gateway's test with one slow server failed before.

--- a/libs/gateway/include/ragwort/gateway/Dispatcher.h
+++ b/libs/gateway/include/ragwort/gateway/Dispatcher.h
@@ -82,6 +82,9 @@
   const LoadBoard &board() const { return Board; }
 
   Placement place(const PlacementRequest &R, TimePoint Now);
+  /// Whether a server outside \p Excluded has a free slot now.
+  bool hasFreeServer(std::string_view Service,
+                     std::span<const std::string> Excluded, TimePoint Now);
   void cancelWait(std::string_view Service, uint64_t Ticket);
   /// Waiting requests to start or to refuse now. Each started one is placed
   /// again by its owner.
--- a/libs/gateway/include/ragwort/gateway/Forwarding.h
+++ b/libs/gateway/include/ragwort/gateway/Forwarding.h
@@ -119,6 +119,7 @@
   void armTimer();
   void onTimer();
   TimePoint silenceLimit() const;
+  bool isFreeElsewhere(TimePoint At);
   Duration patience() const;
 
   ForwardingContext &Context;
@@ -150,6 +151,7 @@
   http::ResponseHead Head;
   TimePoint SentAt{};
   TimePoint LastProgress{};
+  TimePoint NextSilenceCheck{};
   Duration FirstByteAfter{0};
   // No other send is possible: the rest of the time is waited out.
   bool IsSilenceAccepted = false;
--- a/libs/gateway/src/Dispatcher.cpp
+++ b/libs/gateway/src/Dispatcher.cpp
@@ -122,6 +122,13 @@
   return wait(D, R, GiveUpAt, Now);
 }
 
+bool Dispatcher::hasFreeServer(std::string_view Service,
+                               std::span<const std::string> Excluded,
+                               TimePoint Now) {
+  std::optional<Choice> Best = Board.choose(Service, Excluded, Now);
+  return Best && Best->HasFreeSlot;
+}
+
 void Dispatcher::cancelWait(std::string_view Service, uint64_t Ticket) {
   desk(Service).Queue.remove(Ticket);
 }
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -25,6 +25,8 @@
 constexpr Duration MaxIdleRepeatable = std::chrono::seconds(60);
 // A repeat needs at least this much time for its answer.
 constexpr Duration MinRepeatTime = std::chrono::milliseconds(80);
+// How often a silent run without an alternative is looked at again.
+constexpr Duration SilenceCheckInterval = std::chrono::milliseconds(100);
 // Return time told where nothing better is known.
 constexpr Duration DefaultRetryAfter = std::chrono::milliseconds(500);
 // Answers that are passed on whole may have this size.
@@ -558,6 +560,12 @@
   finish("caller-gone", 0);
 }
 
+bool Forwarding::isFreeElsewhere(TimePoint At) {
+  std::vector<std::string> Tried = Excluded;
+  Tried.push_back(Server.Id);
+  return Context.Dispatch.hasFreeServer(Service, Tried, At);
+}
+
 TimePoint Forwarding::silenceLimit() const {
   const Route &R = *Accepted.Target;
   if (R.IsStream)
@@ -569,7 +577,7 @@
 void Forwarding::armTimer() {
   TimePoint Due = Accepted.Deadline;
   if (Now == Phase::Sent && !IsSilenceAccepted)
-    Due = std::min(Due, silenceLimit());
+    Due = std::min(Due, std::max(silenceLimit(), NextSilenceCheck));
   Timer.expires_at(std::chrono::steady_clock::time_point(Due));
   Timer.async_wait([Weak = weak_from_this()](error_code Error) {
     if (Error)
@@ -591,12 +599,16 @@
     return;
   }
   if (Now == Phase::Sent && At >= silenceLimit()) {
-    if (Flow.couldRepeat(means())) {
+    if (!Flow.couldRepeat(means())) {
+      // Nothing better than to wait for the rest of the time.
+      IsSilenceAccepted = true;
+    } else if (isFreeElsewhere(At)) {
       onServerFault(ServerFault::Silent, "silent");
       return;
+    } else {
+      // Giving up a run without another place for it would only lose it.
+      NextSilenceCheck = At + SilenceCheckInterval;
     }
-    // Nothing better than to wait for the rest of the time.
-    IsSilenceAccepted = true;
   }
   armTimer();
 }
--- a/libs/gateway/src/GatewayTest.cpp
+++ b/libs/gateway/src/GatewayTest.cpp
@@ -53,6 +53,9 @@
     return "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
   }
 
+  /// Writes \p Text on the connection that was accepted last.
+  void sendLate(const std::string &Text) { Held.back()->send(Text); }
+
   std::deque<Line> Script;
   std::vector<std::string> Requests;
   int Connections = 0;
@@ -163,6 +166,7 @@
   CPPUNIT_TEST(answerWhenBytesFollowClosesTheServersConnection);
   CPPUNIT_TEST(streamWhenServerBreaksInAnEventGoesOnElsewhere);
   CPPUNIT_TEST(streamWhenItCannotGoOnIsCutVisibly);
+  CPPUNIT_TEST(streamWhenSilentWithNowhereElseToGoIsWaitedFor);
   CPPUNIT_TEST(callerWhenGoneClosesTheServersConnection);
   CPPUNIT_TEST(requestWhenRouteTimeIsUpIsAnsweredAtOnce);
   CPPUNIT_TEST(requestsWhenPipelinedAreAnsweredInOrder);
@@ -220,6 +224,9 @@
     Config->addRoute(route("/once/", Repeatability::AtMostOnce, 1));
     Config->addRoute(route("/safe/", Repeatability::Idempotent, 2));
     Config->addRoute(route("/stream/", Repeatability::Resumable, 2));
+    Route Slow = route("/slow/", Repeatability::Resumable, 2);
+    Slow.Timeout = std::chrono::seconds(4);
+    Config->addRoute(Slow);
     Config->requireKeys();
     Config->addOrganisation({"org", std::nullopt}, {"key"});
     Node->useConfig(std::move(Config));
@@ -233,9 +240,10 @@
       B.Slots = 4;
       List.push_back(B);
     }
-    Node->directory().replaceAll(List, 1, std::nullopt);
+    Node->directory().replaceAll(List, ++DirectoryVersion, std::nullopt);
     Node->onDirectoryChanged();
   }
+  uint64_t DirectoryVersion = 0;
 
   static std::string request(const std::string &Path, const std::string &Id,
                              const std::string &Extra = "",
@@ -504,6 +512,23 @@
     CPPUNIT_ASSERT_EQUAL(size_t(2), requestsSeen().size());
   }
 
+  void streamWhenSilentWithNowhereElseToGoIsWaitedFor() {
+    // The only server answers after more than half of a caller's patience.
+    Servers.resize(1);
+    configure();
+    Servers[0]->Script.push_back(literal(ScriptedServer::Silence));
+    auto C = call(request("/slow/", "r1"));
+    runUntil([this] { return Servers[0]->Requests.size() == 1; });
+    runFor(std::chrono::milliseconds(1300));
+    CPPUNIT_ASSERT(C->Received.empty());
+    Servers[0]->sendLate(streamHead("r1") + chunk(event(1)) + "0\r\n\r\n");
+    runUntil([&C] {
+      return C->Received.find("0\r\n\r\n") != std::string::npos;
+    });
+    CPPUNIT_ASSERT(C->Received.starts_with("HTTP/1.1 200 "));
+    CPPUNIT_ASSERT_EQUAL(size_t(1), Servers[0]->Requests.size());
+  }
+
   void callerWhenGoneClosesTheServersConnection() {
     scriptBoth(literal(ScriptedServer::Silence));
     auto C = call(request("/safe/", "r1"));
