--- a/libs/gateway/include/ragwort/gateway/BackendPool.h
+++ b/libs/gateway/include/ragwort/gateway/BackendPool.h
@@ -33,7 +33,6 @@
   /// for which the server keeps it, or zero when the server did not say.
   void keep(std::string Id, std::shared_ptr<StreamSocket> Socket,
             Duration KeepAlive, TimePoint Now);
-  void closeAll(std::string_view Id);
   void closeAll();
   /// Closes connections that the server is about to close.
   void expire(TimePoint Now);
--- a/libs/gateway/include/ragwort/gateway/LoadBoard.h
+++ b/libs/gateway/include/ragwort/gateway/LoadBoard.h
@@ -49,13 +49,6 @@
   bool HasFreeSlot = false;
 };
 
-/// Room of a service by this node's view.
-struct ServiceRoom {
-  uint32_t Slots = 0;
-  uint32_t InFlight = 0;
-  uint32_t Servers = 0;
-};
-
 class LoadBoard {
 public:
   /// Heartbeats older than this no longer count.
@@ -77,7 +70,6 @@
   std::optional<Choice> choose(std::string_view Service,
                                std::span<const std::string> Excluded,
                                TimePoint Now);
-  ServiceRoom room(std::string_view Service, TimePoint Now) const;
   /// Whether the service has servers, none of which works at the moment.
   bool isRecovering(std::string_view Service) const;
 
--- a/libs/gateway/include/ragwort/gateway/TableFollower.h
+++ b/libs/gateway/include/ragwort/gateway/TableFollower.h
@@ -71,9 +71,6 @@
   }
   void stop() { IsStopped = true; }
 
-  bool isReached() const { return IsReached; }
-  TimePoint lastAnswer() const { return LastAnswer; }
-
 private:
   asio::awaitable<absl::Status> step() {
     if (Version == 0) {
@@ -103,9 +100,8 @@
 
   // The first answer after an outage opens the time of recovery.
   void onAnswer() {
-    LastAnswer = Clock.now();
     if (!IsReached && WasReached)
-      RecoveredAt = LastAnswer;
+      RecoveredAt = Clock.now();
   }
 
   std::optional<TimePoint> graceUntil() const {
@@ -151,7 +147,6 @@
   // Zero: the table has to be listed.
   uint64_t Version = 0;
   Duration Backoff = Timing.FirstBackoff;
-  TimePoint LastAnswer{};
   TimePoint RecoveredAt{};
   bool IsReached = false;
   bool WasReached = false;
--- a/libs/gateway/include/ragwort/gateway/TrafficConfig.h
+++ b/libs/gateway/include/ragwort/gateway/TrafficConfig.h
@@ -55,18 +55,8 @@
   std::vector<WeightedService> Split;
 };
 
-/// How fast an engine works, as its operators publish it.
+/// What operators publish of a service's model engines.
 struct EngineFigures {
-  uint32_t Slots = 0;
-  uint64_t KvCapacityTokens = 0;
-  double StepMillis = 0;
-  double StepMillisPerSequence = 0;
-  double StepMillisPerThousandContext = 0;
-  double PrefillTokensPerSecond = 0;
-  /// Token steps in one pass, and thus tokens in one event.
-  uint32_t StepsPerPass = 1;
-  uint32_t UsualPromptTokens = 0;
-  uint32_t UsualOutputTokens = 0;
   /// How the experts of a group of ranks are arranged.
   rankgroup::GroupShape Experts;
 };
@@ -74,7 +64,7 @@
 /// A kind of backend server.
 struct Service {
   std::string Name;
-  uint32_t MaxConnections = 0;
+  /// Set for services whose servers batch requests.
   std::optional<EngineFigures> Engine;
 };
 
--- a/libs/gateway/src/BackendPool.cpp
+++ b/libs/gateway/src/BackendPool.cpp
@@ -93,12 +93,6 @@
                                         KeepAlive, Now));
 }
 
-void BackendPool::closeAll(std::string_view Id) {
-  auto Found = ByInstance.find(Id);
-  if (Found != ByInstance.end())
-    ByInstance.erase(Found);
-}
-
 void BackendPool::closeAll() { ByInstance.clear(); }
 
 void BackendPool::expire(TimePoint Now) {
--- a/libs/gateway/src/DispatcherTest.cpp
+++ b/libs/gateway/src/DispatcherTest.cpp
@@ -59,8 +59,11 @@
   /// Poisson arrivals of \p Load times the capacity for \p Millis.
   Outcome play(double Load, int64_t Millis) {
     std::exponential_distribution<double> Gap(Load * Capacity / 1000.0);
-    for (double T = 0; T < static_cast<double>(Millis); T += Gap(Random))
-      Events.at(static_cast<int64_t>(T), [this] { arrive(); });
+    double Arrival = 0;
+    while (Arrival < static_cast<double>(Millis)) {
+      Events.at(static_cast<int64_t>(Arrival), [this] { arrive(); });
+      Arrival += Gap(Random);
+    }
     for (int64_t T = 0; T < Millis + 5000; T += 100)
       Events.at(T, [this] { callWaiting(); });
     while (Events.runNext()) {
--- a/libs/gateway/src/GatewayTest.cpp
+++ b/libs/gateway/src/GatewayTest.cpp
@@ -522,9 +522,8 @@
     runFor(std::chrono::milliseconds(1300));
     CPPUNIT_ASSERT(C->Received.empty());
     Servers[0]->sendLate(streamHead("r1") + chunk(event(1)) + "0\r\n\r\n");
-    runUntil([&C] {
-      return C->Received.find("0\r\n\r\n") != std::string::npos;
-    });
+    runUntil(
+        [&C] { return C->Received.find("0\r\n\r\n") != std::string::npos; });
     CPPUNIT_ASSERT(C->Received.starts_with("HTTP/1.1 200 "));
     CPPUNIT_ASSERT_EQUAL(size_t(1), Servers[0]->Requests.size());
   }
--- a/libs/gateway/src/LoadBoard.cpp
+++ b/libs/gateway/src/LoadBoard.cpp
@@ -272,19 +272,6 @@
   return Best;
 }
 
-ServiceRoom LoadBoard::room(std::string_view Service, TimePoint Now) const {
-  ServiceRoom Result;
-  for (const auto &[Id, S] : Servers) {
-    if (S.Entry.Service != Service || !S.isUsable() || S.IsUnavailable ||
-        Now < S.EjectedUntil)
-      continue;
-    Result.Slots += S.Entry.Slots;
-    Result.InFlight += S.Own + S.OfPeers;
-    ++Result.Servers;
-  }
-  return Result;
-}
-
 std::vector<InFlightReport> LoadBoard::ownReport() const {
   std::vector<InFlightReport> Result;
   for (const auto &[Id, S] : Servers)
--- a/libs/gateway/src/LoadBoardTest.cpp
+++ b/libs/gateway/src/LoadBoardTest.cpp
@@ -174,8 +174,10 @@
     int64_t NextBeat = 0;
     int Placed = 0;
     int OnFull = 0;
-    for (double T = 0; T < 20'000; T += Gap(Random)) {
-      auto Millis = static_cast<int64_t>(T);
+    double Arrival = 0;
+    while (Arrival < 20'000) {
+      auto Millis = static_cast<int64_t>(Arrival);
+      Arrival += Gap(Random);
       for (; NextBeat <= Millis; NextBeat += BeatMillis)
         for (size_t From = 0; From < Nodes; ++From)
           for (size_t To = 0; To < Nodes; ++To)
--- a/libs/gateway/src/MessageParserTest.cpp
+++ b/libs/gateway/src/MessageParserTest.cpp
@@ -70,7 +70,7 @@
 
   void requestWhenHeadIsTooLargeSaysSo() {
     RequestParser P(MaxHead);
-    P.feed("GET / HTTP/1.1\r\nX: " + std::string(2 * MaxHead, 'a'));
+    P.feed("GET / HTTP/1.1\r\nX: " + std::string(2 * size_t(MaxHead), 'a'));
     CPPUNIT_ASSERT(P.failure() == ParseFailure::HeadTooLarge);
     RequestParser Q(MaxHead);
     Q.feed("GARBAGE\r\n\r\n");
