--- a/libs/observe/include/ragwort/observe/BoundedOutput.h
+++ b/libs/observe/include/ragwort/observe/BoundedOutput.h
@@ -8,6 +8,7 @@
 #ifndef RAGWORT_OBSERVE_BOUNDEDOUTPUT_H
 #define RAGWORT_OBSERVE_BOUNDEDOUTPUT_H
 
+#include "ragwort/base/Bytes.h"
 #include "ragwort/base/Time.h"
 #include <cstdint>
 #include <string>
@@ -30,10 +31,10 @@
 class BoundedOutput {
 public:
   struct Limits {
-    size_t BufferBytes = 256 * 1024;
+    size_t BufferBytes = 256 * KiB;
     /// Long-run volume, and how much may come at once.
-    size_t BytesPerSecond = 64 * 1024;
-    size_t BurstBytes = 256 * 1024;
+    size_t BytesPerSecond = 64 * KiB;
+    size_t BurstBytes = 256 * KiB;
   };
 
   /// Makes \p Descriptor non-blocking.
