--- a/libs/rankgroup/include/ragwort/rankgroup/GroupAgent.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/GroupAgent.h
@@ -99,7 +99,8 @@
 private:
   struct Member {
     std::string Ip;
-    std::unique_ptr<EngineClient> Client;
+    // Calls in flight hold it as well, since the member may be dropped.
+    std::shared_ptr<EngineClient> Client;
     std::string Engine;
     bool IsCalling = false;
     bool IsReading = false;
@@ -264,9 +265,6 @@
       return;
     M.Engine = EngineAddress;
     std::optional<Address> At = parseAddress(EngineAddress);
-    // Calls in flight keep the former client until they end.
-    if (M.Client)
-      Retired.push_back(std::move(M.Client));
     M.Client = At ? Make(*At) : nullptr;
   }
 
@@ -408,14 +406,15 @@
     Poke.Token = R.Token;
     send(Poke, M.Ip);
     // Its agent may be gone while the engine lives.
-    if (At - R.Since > RemoteReportAge && !M.IsReading && M.Client)
-      asio::co_spawn(Io, readRemote(R.Rank, R.Token), asio::detached);
+    std::optional<Address> Engine = parseAddress(M.Engine);
+    if (At - R.Since > RemoteReportAge && !M.IsReading && Engine) {
+      M.IsReading = true;
+      asio::co_spawn(Io, readRemote(R.Rank, *Engine, R.Token), asio::detached);
+    }
   }
 
-  asio::awaitable<void> readRemote(uint32_t Rank, uint64_t Token) {
-    Member &M = Members[Rank];
-    M.IsReading = true;
-    std::unique_ptr<EngineClient> Client = Make(*parseAddress(M.Engine));
+  asio::awaitable<void> readRemote(uint32_t Rank, Address At, uint64_t Token) {
+    std::unique_ptr<EngineClient> Client = Make(std::move(At));
     absl::StatusOr<EngineReport> Report = co_await Client->report();
     if (auto Found = Members.find(Rank); Found != Members.end())
       Found->second.IsReading = false;
@@ -429,9 +428,9 @@
         Found->second.IsCalling)
       co_return;
     Found->second.IsCalling = true;
-    EngineClient &Client = *Found->second.Client;
+    std::shared_ptr<EngineClient> Client = Found->second.Client;
     uint64_t Epoch = S.Order.Epoch;
-    absl::StatusOr<OrderAnswer> Answer = co_await Client.order(S.Order);
+    absl::StatusOr<OrderAnswer> Answer = co_await Client->order(S.Order);
     if (auto Again = Members.find(S.Rank); Again != Members.end())
       Again->second.IsCalling = false;
     if (!Controller || Controller->mapSwitch().epoch() != Epoch)
@@ -473,7 +472,6 @@
   std::unique_ptr<GroupController> Controller;
   std::string ControlledGroup;
   std::map<uint32_t, Member> Members;
-  std::vector<std::unique_ptr<EngineClient>> Retired;
   TimePoint LastCall{};
   TimePoint ChangeBegun{};
   uint64_t Completed = 0;
