--- a/libs/rankgroup/include/ragwort/rankgroup/GroupAgent.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/GroupAgent.h
@@ -414,7 +414,7 @@
   }
 
   asio::awaitable<void> readRemote(uint32_t Rank, Address At, uint64_t Token) {
-    std::unique_ptr<EngineClient> Client = Make(std::move(At));
+    std::unique_ptr<EngineClient> Client = Make(At);
     absl::StatusOr<EngineReport> Report = co_await Client->report();
     if (auto Found = Members.find(Rank); Found != Members.end())
       Found->second.IsReading = false;
--- a/libs/rankgroup/src/SetPlanner.cpp
+++ b/libs/rankgroup/src/SetPlanner.cpp
@@ -36,8 +36,8 @@
     for (uint32_t Rank = 0; Rank < Current.size(); ++Rank)
       for (ExpertId E : Current[Rank])
         Holders[E].push_back(Rank);
-    for (ExpertId E = 0; E < Holders.size(); ++E)
-      spread(E, 1);
+    for (size_t E = 0; E < Holders.size(); ++E)
+      spread(static_cast<ExpertId>(E), 1);
   }
 
   const SetMap &map() const { return Current; }
