Widen the heartbeat offsets of the map run before multiplying

Ruled out: other findings; a whole lint of the tree showed none. Change: the product is taken in 64 bits.

--- a/libs/rankgroup/src/MapSwitchTest.cpp
+++ b/libs/rankgroup/src/MapSwitchTest.cpp
@@ -58,7 +58,7 @@
     Events.at(PassMillis, [this] { pass(); });
     Events.at(0, [this] { drive(); });
     for (uint32_t I = 0; I < RankCount; ++I)
-      Events.at(I * 7, [this, I] { beat(I); });
+      Events.at(uint64_t{I} * 7, [this, I] { beat(I); });
     for (int I = 0; I < 6; ++I)
       Events.at(Random() % QuietMillis, [this] { restartController(); });
     for (int I = 0; I < 3; ++I)
