Relieve slow ranks, copy by the size of the group, share pauses between events

Ruled out: too little room: with 32 ranks, 5 places and 2 new experts a change, plans without a least gain a copy reach a skew of 1.02. Change: ranks' pace weighs their load in plans, experts can be moved away and spare copies retired; the least gain a copy falls with the group's size (the same as before for 8 ranks), the least gain of a change is 0.15; entry nodes tell each other the pauses between events and fill servers of twice the usual pause last; usual times are those of the best quarter. A heartbeat that would be too large drops its smallest loads instead of being refused by its peers. Tests that failed before: planWhenOneRankIsSlowRelievesIt, choiceWhenHalfOfTheServersAnswerSlowlyPrefersTheOthers, beatWhenTooLargeKeepsTheHighestLoads. Conclusion: maps no longer bind; what a slow rank itself takes in each pass does, and needs its streams moved away.

--- a/libs/gateway/include/ragwort/gateway/Forwarding.h
+++ b/libs/gateway/include/ragwort/gateway/Forwarding.h
@@ -144,6 +144,8 @@
   std::string Unparsed;
   // Whether a byte came back on this send.
   bool HasBytes = false;
+  // Whether a whole event came back on this send.
+  bool HasEvent = false;
   bool HasHead = false;
   bool IsEventStream = false;
   std::string Body;
--- a/libs/gateway/include/ragwort/gateway/LoadBoard.h
+++ b/libs/gateway/include/ragwort/gateway/LoadBoard.h
@@ -2,7 +2,9 @@
 //
 // Chooses the backend server for a request. The load it answers to is what the
 // fleet has in flight at each server: this node's requests exactly, the other
-// nodes' from their heartbeats. Servers that fail are left out for a while and
+// nodes' from their heartbeats. Streams show how fast a server works: pauses
+// between events are shared by the nodes, since each sees only a few of them.
+// Servers that fail are left out for a while and
 // come back by trial; at most half of a service is left out at a time. Servers
 // that say that they cannot work are left alone even if all do; then one trial
 // at a time shows when they are back.
@@ -34,10 +36,13 @@
   Full,
 };
 
-/// Requests in flight at one server, as a peer reports them.
+/// What a peer sees of one server at which it has requests in flight.
 struct InFlightReport {
   uint64_t InstanceKey = 0;
   uint32_t Count = 0;
+  /// Usual pause between two events of the peer's streams there, 0 while
+  /// unknown.
+  uint32_t GapMillis = 0;
 };
 
 /// A server to send to. Valid until the board next changes.
@@ -53,6 +58,8 @@
 public:
   /// Heartbeats older than this no longer count.
   static constexpr Duration ReportLife = std::chrono::milliseconds(1500);
+  /// Pauses between events seen longer ago than this no longer count.
+  static constexpr Duration GapLife = std::chrono::milliseconds(1500);
   /// First time that a failing server is left out; doubles up to MaxEjection.
   static constexpr Duration FirstEjection = std::chrono::milliseconds(1000);
   static constexpr Duration MaxEjection = std::chrono::milliseconds(8000);
@@ -77,6 +84,8 @@
   void onEnded(std::string_view Id);
   /// The server answered with success after \p Latency.
   void onAnswered(std::string_view Id, Duration Latency, TimePoint Now);
+  /// A stream's event came from the server \p Gap after the one before it.
+  void onEvent(std::string_view Id, Duration Gap, TimePoint Now);
   void onFault(std::string_view Id, ServerFault Fault, TimePoint Now);
   /// Another instance answered at the server's address: it is gone, whatever
   /// the list of servers still says.
@@ -86,7 +95,7 @@
                     TimePoint Now);
 
   /// This node's report for its peers.
-  std::vector<InFlightReport> ownReport() const;
+  std::vector<InFlightReport> ownReport(TimePoint Now) const;
   uint32_t inFlight(std::string_view Id) const;
   /// One line a server, for the state dump.
   std::string describe(TimePoint Now) const;
@@ -101,6 +110,11 @@
     double FailureRate = 0;
     // Recent answers' latency in milliseconds, 0 before the first.
     double LatencyMillis = 0;
+    // Recent pauses between events of this node's streams, 0 before the first.
+    double OwnGapMillis = 0;
+    TimePoint GapSeenAt{};
+    // Peers' mean pause, weighted by their requests; 0 while unknown.
+    double PeerGapMillis = 0;
     TimePoint EjectedUntil{};
     Duration NextEjection = FirstEjection;
     // It has said that it cannot work, and has not answered since.
@@ -124,13 +138,22 @@
   Server *find(std::string_view Id);
   void markSuperseded();
   void eject(Server &S, TimePoint Now);
+  /// What servers of a service that work well take, 0 while unknown.
+  struct UsualTimes {
+    double LatencyMillis = 0;
+    double GapMillis = 0;
+  };
+
   void recountPeers(TimePoint Now);
-  double typicalLatency(std::string_view Service) const;
+  UsualTimes usualTimes(std::string_view Service, TimePoint Now) const;
+  static double gapMillis(const Server &S, TimePoint Now);
+  static double slowness(const Server &S, const UsualTimes &Usual,
+                         TimePoint Now);
   const Server *bestOfFew(std::vector<const Server *> &Candidates,
-                          double TypicalLatency);
+                          const UsualTimes &Usual, TimePoint Now);
   const Server *bestOf(std::span<const Server *const> Candidates,
-                       double TypicalLatency);
-  double score(const Server &S, double TypicalLatency);
+                       const UsualTimes &Usual, TimePoint Now);
+  double score(const Server &S, const UsualTimes &Usual, TimePoint Now);
 
   const std::string LocalDataCentre;
   std::mt19937_64 Random;
--- a/libs/gateway/include/ragwort/gateway/PeerBeat.h
+++ b/libs/gateway/include/ragwort/gateway/PeerBeat.h
@@ -24,7 +24,7 @@
 
 struct PeerBeat {
   /// Beats of another protocol version are dropped.
-  static constexpr uint16_t Protocol = 1;
+  static constexpr uint16_t Protocol = 2;
 
   std::string Node;
   /// Tells two runs of one node apart.
@@ -37,7 +37,9 @@
   std::vector<std::string> PeerIps;
 };
 
-std::string encodeBeat(const PeerBeat &Beat);
+/// Leaves out names of peers, then the smallest loads, where the heartbeat
+/// would be larger than MaxBeatBytes.
+std::string encodeBeat(PeerBeat Beat);
 /// Never throws; fails on torn, oversized and foreign datagrams.
 absl::StatusOr<PeerBeat> decodeBeat(std::string_view Datagram);
 
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -258,6 +258,7 @@
   HasHead = false;
   IsEventStream = false;
   HasBytes = false;
+  HasEvent = false;
   if (Flow.sends() > 0)
     Context.Dispatch.onRepeat(Service, now());
   std::string Bytes = requestHead();
@@ -343,7 +344,10 @@
   std::string Whole = Events.takeWhole();
   if (Whole.empty())
     return;
-  LastProgress = now();
+  TimePoint Before = std::exchange(LastProgress, now());
+  if (std::exchange(HasEvent, true))
+    Context.Dispatch.board().onEvent(Server.Id, LastProgress - Before,
+                                     LastProgress);
   if (!Flow.hasAnswerBegun()) {
     Head = Parser.head();
     FirstByteAfter = LastProgress - Accepted.Arrived;
--- a/libs/gateway/src/LoadBoard.cpp
+++ b/libs/gateway/src/LoadBoard.cpp
@@ -17,6 +17,13 @@
 constexpr double RemotePenalty = 0.03;
 // Bounds of the factor by which a slow server's load counts more.
 constexpr double MaxSlowFactor = 4.0;
+// A server that takes so many times as long as usual is used when the others
+// are full. Load alone makes a batching server about one and a half times
+// slower.
+constexpr double SlowFactor = 2.0;
+// The times that servers which work well take are those of the best quarter: a
+// whole group of a service's servers can be slow at once.
+constexpr size_t UsualQuantile = 4;
 
 // Servers that a request is compared at, out of those that could take it.
 // Between two heartbeats the fleet places about as many requests as there are
@@ -118,6 +125,18 @@
   S->NextEjection = FirstEjection;
 }
 
+void LoadBoard::onEvent(std::string_view Id, Duration Gap, TimePoint Now) {
+  Server *S = find(Id);
+  if (!S)
+    return;
+  double Millis = static_cast<double>(Gap.count()) / 1000.0;
+  bool IsFresh = S->OwnGapMillis > 0 && Now - S->GapSeenAt <= GapLife;
+  S->OwnGapMillis =
+      IsFresh ? (1 - AverageWeight) * S->OwnGapMillis + AverageWeight * Millis
+              : Millis;
+  S->GapSeenAt = Now;
+}
+
 void LoadBoard::eject(Server &S, TimePoint Now) {
   if (Now < S.EjectedUntil)
     return;
@@ -161,37 +180,72 @@
   std::erase_if(Peers, [Now](const auto &Item) {
     return Now - Item.second.At > ReportLife;
   });
-  for (auto &[Id, S] : Servers)
+  for (auto &[Id, S] : Servers) {
     S.OfPeers = 0;
+    S.PeerGapMillis = 0;
+  }
+  std::unordered_map<uint64_t, uint32_t> Weights;
   for (const auto &[Peer, Report] : Peers)
     for (const InFlightReport &Part : Report.Counts) {
       auto Id = IdOfKey.find(Part.InstanceKey);
-      if (Id != IdOfKey.end())
-        Servers[Id->second].OfPeers += Part.Count;
+      if (Id == IdOfKey.end())
+        continue;
+      Server &S = Servers[Id->second];
+      S.OfPeers += Part.Count;
+      if (Part.GapMillis == 0 || Part.Count == 0)
+        continue;
+      uint32_t &Weight = Weights[Part.InstanceKey];
+      Weight += Part.Count;
+      S.PeerGapMillis +=
+          (Part.GapMillis - S.PeerGapMillis) * Part.Count / Weight;
     }
 }
 
-double LoadBoard::typicalLatency(std::string_view Service) const {
-  std::vector<double> Known;
-  for (const auto &[Id, S] : Servers)
-    if (S.Entry.Service == Service && S.LatencyMillis > 0)
-      Known.push_back(S.LatencyMillis);
-  if (Known.empty())
-    return 0;
-  auto Middle = Known.begin() + static_cast<ptrdiff_t>(Known.size() / 2);
-  std::nth_element(Known.begin(), Middle, Known.end());
-  return *Middle;
+double LoadBoard::gapMillis(const Server &S, TimePoint Now) {
+  bool IsOwnFresh = S.OwnGapMillis > 0 && Now - S.GapSeenAt <= GapLife;
+  return std::max(IsOwnFresh ? S.OwnGapMillis : 0, S.PeerGapMillis);
+}
+
+double LoadBoard::slowness(const Server &S, const UsualTimes &Usual,
+                           TimePoint Now) {
+  double Gap = gapMillis(S, Now);
+  double Factor = 1;
+  if (Gap > 0 && Usual.GapMillis > 0)
+    Factor = Gap / Usual.GapMillis;
+  else if (S.LatencyMillis > 0 && Usual.LatencyMillis > 0)
+    Factor = S.LatencyMillis / Usual.LatencyMillis;
+  return std::clamp(Factor, 1.0, MaxSlowFactor);
 }
 
-double LoadBoard::score(const Server &S, double TypicalLatency) {
+LoadBoard::UsualTimes LoadBoard::usualTimes(std::string_view Service,
+                                            TimePoint Now) const {
+  std::vector<double> Latencies;
+  std::vector<double> Gaps;
+  for (const auto &[Id, S] : Servers) {
+    if (S.Entry.Service != Service)
+      continue;
+    if (S.LatencyMillis > 0)
+      Latencies.push_back(S.LatencyMillis);
+    if (double Gap = gapMillis(S, Now); Gap > 0)
+      Gaps.push_back(Gap);
+  }
+  auto Usual = [](std::vector<double> &Known) {
+    if (Known.empty())
+      return 0.0;
+    auto At =
+        Known.begin() + static_cast<ptrdiff_t>(Known.size() / UsualQuantile);
+    std::nth_element(Known.begin(), At, Known.end());
+    return *At;
+  };
+  return {Usual(Latencies), Usual(Gaps)};
+}
+
+double LoadBoard::score(const Server &S, const UsualTimes &Usual,
+                        TimePoint Now) {
   double Load = (S.Own + S.OfPeers + 1.0) / std::max(1u, S.Entry.Slots);
-  double Slow =
-      TypicalLatency > 0 && S.LatencyMillis > 0
-          ? std::clamp(S.LatencyMillis / TypicalLatency, 1.0, MaxSlowFactor)
-          : 1.0;
   double Remote = S.Entry.DataCentre == LocalDataCentre ? 0.0 : RemotePenalty;
   std::uniform_real_distribution<double> Tie(0, 0.01);
-  return Load * Slow + S.FailureRate + Remote + Tie(Random);
+  return Load * slowness(S, Usual, Now) + S.FailureRate + Remote + Tie(Random);
 }
 
 bool LoadBoard::isRecovering(std::string_view Service) const {
@@ -225,7 +279,7 @@
   // Where most of a service seems to fail the evidence is about something
   // else, and leaving servers out would only overload the rest.
   bool HonoursEjection = Ejected * 2 <= Usable;
-  double Typical = typicalLatency(Service);
+  UsualTimes Usual = usualTimes(Service, Now);
   std::vector<const Server *> Candidates;
   for (const auto &[Id, S] : Servers) {
     if (S.Entry.Service != Service || !S.isUsable() || contains(Excluded, Id) ||
@@ -234,7 +288,7 @@
       continue;
     Candidates.push_back(&S);
   }
-  const Server *Best = bestOfFew(Candidates, Typical);
+  const Server *Best = bestOfFew(Candidates, Usual, Now);
   if (!Best)
     return std::nullopt;
   uint32_t InFlight = Best->Own + Best->OfPeers;
@@ -243,27 +297,32 @@
 
 const LoadBoard::Server *
 LoadBoard::bestOfFew(std::vector<const Server *> &Candidates,
-                     double TypicalLatency) {
+                     const UsualTimes &Usual, TimePoint Now) {
+  auto FirstSlow = std::partition(
+      Candidates.begin(), Candidates.end(),
+      [&](const Server *S) { return slowness(*S, Usual, Now) < SlowFactor; });
+  auto Fast = static_cast<size_t>(FirstSlow - Candidates.begin());
+  size_t Pool = Fast > 0 ? Fast : Candidates.size();
   // All nodes that saw the same least loaded server would send to it until the
   // next heartbeats; a few random ones each spread them.
-  size_t Few = std::min(SampledServers, Candidates.size());
+  size_t Few = std::min(SampledServers, Pool);
   for (size_t I = 0; I < Few; ++I) {
-    std::uniform_int_distribution<size_t> Any(I, Candidates.size() - 1);
+    std::uniform_int_distribution<size_t> Any(I, Pool - 1);
     std::swap(Candidates[I], Candidates[Any(Random)]);
   }
-  const Server *Best = bestOf(std::span(Candidates).first(Few), TypicalLatency);
+  const Server *Best = bestOf(std::span(Candidates).first(Few), Usual, Now);
   if (Best && Best->Own + Best->OfPeers >= Best->Entry.Slots)
-    Best = bestOf(Candidates, TypicalLatency);
+    Best = bestOf(Candidates, Usual, Now);
   return Best;
 }
 
 const LoadBoard::Server *
 LoadBoard::bestOf(std::span<const Server *const> Candidates,
-                  double TypicalLatency) {
+                  const UsualTimes &Usual, TimePoint Now) {
   const Server *Best = nullptr;
   double BestScore = 0;
   for (const Server *S : Candidates) {
-    double Score = score(*S, TypicalLatency);
+    double Score = score(*S, Usual, Now);
     if (!Best || Score < BestScore) {
       Best = S;
       BestScore = Score;
@@ -272,11 +331,15 @@
   return Best;
 }
 
-std::vector<InFlightReport> LoadBoard::ownReport() const {
+std::vector<InFlightReport> LoadBoard::ownReport(TimePoint Now) const {
   std::vector<InFlightReport> Result;
-  for (const auto &[Id, S] : Servers)
-    if (S.Own > 0)
-      Result.push_back({S.Key, S.Own});
+  for (const auto &[Id, S] : Servers) {
+    if (S.Own == 0)
+      continue;
+    bool IsFresh = Now - S.GapSeenAt <= GapLife;
+    double Gap = IsFresh ? S.OwnGapMillis : 0;
+    Result.push_back({S.Key, S.Own, static_cast<uint32_t>(std::lround(Gap))});
+  }
   return Result;
 }
 
@@ -294,6 +357,7 @@
         " slots=" + std::to_string(S.Entry.Slots) +
         " failure_percent=" + std::to_string(std::lround(S.FailureRate * 100)) +
         " latency_ms=" + std::to_string(std::lround(S.LatencyMillis)) +
+        " gap_ms=" + std::to_string(std::lround(gapMillis(S, Now))) +
         (S.Entry.IsDraining ? " draining" : "") +
         (S.IsUnavailable ? " unavailable" : "") +
         (Now < S.EjectedUntil ? " ejected" : "") + "\n";
--- a/libs/gateway/src/LoadBoardTest.cpp
+++ b/libs/gateway/src/LoadBoardTest.cpp
@@ -16,6 +16,10 @@
   CPPUNIT_TEST(choiceWhenAnAddressHasANewerInstanceIsTheNewer);
   CPPUNIT_TEST(choiceWhenAServerWasReplacedIsNotItUntilItIsBack);
   CPPUNIT_TEST(choiceWhenAServerIsSlowPrefersTheOthers);
+  CPPUNIT_TEST(choiceWhenHalfOfTheServersAnswerSlowlyPrefersTheOthers);
+  CPPUNIT_TEST(choiceWhenStreamsOfPeersAreSlowPrefersTheOthers);
+  CPPUNIT_TEST(choiceWhenTheFastServersAreOverloadedTakesASlowOne);
+  CPPUNIT_TEST(reportWhenEventsCameLongAgoHasNoGap);
   CPPUNIT_TEST(choicesWhenManyNodesSeeOldLoadsStayWithinTheSlots);
   CPPUNIT_TEST_SUITE_END();
 
@@ -147,6 +151,50 @@
     }
   }
 
+  void choiceWhenHalfOfTheServersAnswerSlowlyPrefersTheOthers() {
+    list({instance("a", "10.0.0.1:1"), instance("b", "10.0.0.2:1"),
+          instance("c", "10.0.0.3:1"), instance("d", "10.0.0.4:1")});
+    for (int I = 0; I < 10; ++I)
+      for (const char *Id : {"a", "b", "c", "d"})
+        Board->onAnswered(Id, std::chrono::milliseconds(*Id < 'c' ? 500 : 50),
+                          at(0));
+    for (int I = 0; I < 20; ++I)
+      CPPUNIT_ASSERT(chosen(at(0)) >= "c");
+  }
+
+  /// Four servers; peers see long pauses in the streams of the first two.
+  void listWithSlowStreams() {
+    list({instance("a", "10.0.0.1:1"), instance("b", "10.0.0.2:1"),
+          instance("c", "10.0.0.3:1"), instance("d", "10.0.0.4:1")});
+    Board->onPeerReport("p1", {{hash64("a"), 1, 460}, {hash64("c"), 1, 70}},
+                        at(0));
+    Board->onPeerReport("p2", {{hash64("b"), 1, 440}, {hash64("d"), 1, 75}},
+                        at(0));
+  }
+
+  void choiceWhenStreamsOfPeersAreSlowPrefersTheOthers() {
+    listWithSlowStreams();
+    for (int I = 0; I < 20; ++I)
+      CPPUNIT_ASSERT(chosen(at(0)) >= "c");
+  }
+
+  void choiceWhenTheFastServersAreOverloadedTakesASlowOne() {
+    listWithSlowStreams();
+    // Twice as many as a fast server has slots.
+    for (int I = 0; I < 8; ++I) {
+      Board->onStarted("c", at(0));
+      Board->onStarted("d", at(0));
+    }
+    CPPUNIT_ASSERT(chosen(at(0)) <= "b");
+  }
+
+  void reportWhenEventsCameLongAgoHasNoGap() {
+    Board->onStarted("a", at(0));
+    Board->onEvent("a", std::chrono::milliseconds(90), at(0));
+    CPPUNIT_ASSERT_EQUAL(90u, Board->ownReport(at(100)).front().GapMillis);
+    CPPUNIT_ASSERT_EQUAL(0u, Board->ownReport(at(3000)).front().GapMillis);
+  }
+
   void choicesWhenManyNodesSeeOldLoadsStayWithinTheSlots() {
     // 26 nodes place 240 requests a second of 1.5 s each on 64 servers with 10
     // slots and hear of each other every 200 ms. Slots are 56 in 100 used, so
@@ -183,7 +231,8 @@
           for (size_t To = 0; To < Nodes; ++To)
             if (To != From)
               Boards[To]->onPeerReport(std::to_string(From),
-                                       Boards[From]->ownReport(), at(NextBeat));
+                                       Boards[From]->ownReport(at(NextBeat)),
+                                       at(NextBeat));
       while (!Ends.empty() && Ends.begin()->first <= Millis) {
         auto [Node, Id] = Ends.begin()->second;
         Boards[Node]->onEnded(Id);
--- a/libs/gateway/src/PeerBeat.cpp
+++ b/libs/gateway/src/PeerBeat.cpp
@@ -1,13 +1,20 @@
 //===- PeerBeat.cpp - Heartbeat between gateway nodes ---------------------===//
 #include "ragwort/gateway/PeerBeat.h"
 #include "ragwort/wire/Bounded.h"
+#include <algorithm>
 #include <cereal/archives/portable_binary.hpp>
+#include <limits>
 #include <sstream>
 
 namespace ragwort::gateway {
 
 template <class Archive> void serialize(Archive &Ar, InFlightReport &Report) {
-  Ar(Report.InstanceKey, Report.Count);
+  constexpr uint32_t Most = std::numeric_limits<uint16_t>::max();
+  auto Count = static_cast<uint16_t>(std::min(Report.Count, Most));
+  auto Gap = static_cast<uint16_t>(std::min(Report.GapMillis, Most));
+  Ar(Report.InstanceKey, Count, Gap);
+  Report.Count = Count;
+  Report.GapMillis = Gap;
 }
 
 template <class Archive> void serialize(Archive &Ar, BackendInstance &B) {
@@ -66,7 +73,24 @@
 
 } // namespace
 
-std::string encodeBeat(const PeerBeat &Beat) { return encode(Beat); }
+std::string encodeBeat(PeerBeat Beat) {
+  std::string Bytes = encode(Beat);
+  if (Bytes.size() <= MaxBeatBytes)
+    return Bytes;
+  // Names of peers are repeated by others; loads are known here only, and the
+  // highest ones matter most.
+  Beat.PeerIps.clear();
+  std::sort(Beat.InFlight.begin(), Beat.InFlight.end(),
+            [](const InFlightReport &A, const InFlightReport &B) {
+              return A.Count > B.Count;
+            });
+  Bytes = encode(Beat);
+  while (Bytes.size() > MaxBeatBytes && !Beat.InFlight.empty()) {
+    Beat.InFlight.resize(Beat.InFlight.size() * 3 / 4);
+    Bytes = encode(Beat);
+  }
+  return Bytes;
+}
 
 absl::StatusOr<PeerBeat> decodeBeat(std::string_view Datagram) {
   if (Datagram.size() > MaxBeatBytes)
--- a/libs/gateway/src/PeerBeatTest.cpp
+++ b/libs/gateway/src/PeerBeatTest.cpp
@@ -8,6 +8,7 @@
 class PeerBeatTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PeerBeatTest);
   CPPUNIT_TEST(beatWhenEncodedComesBack);
+  CPPUNIT_TEST(beatWhenTooLargeKeepsTheHighestLoads);
   CPPUNIT_TEST(beatWhenTornOrChangedNeverThrows);
   CPPUNIT_TEST(directoryWhenEncodedComesBack);
   CPPUNIT_TEST_SUITE_END();
@@ -18,7 +19,7 @@
     B.Incarnation = 7;
     B.ConfigVersion = 3;
     B.DirectoryVersion = 44;
-    B.InFlight = {{1, 2}, {3, 4}};
+    B.InFlight = {{1, 2, 0}, {3, 4, 85}};
     B.PeerIps = {"10.0.0.1", "10.0.0.2"};
     return B;
   }
@@ -31,9 +32,23 @@
     CPPUNIT_ASSERT_EQUAL(uint64_t(44), Back->DirectoryVersion);
     CPPUNIT_ASSERT_EQUAL(size_t(2), Back->InFlight.size());
     CPPUNIT_ASSERT_EQUAL(4u, Back->InFlight[1].Count);
+    CPPUNIT_ASSERT_EQUAL(85u, Back->InFlight[1].GapMillis);
     CPPUNIT_ASSERT(Back->PeerIps == beat().PeerIps);
   }
 
+  void beatWhenTooLargeKeepsTheHighestLoads() {
+    PeerBeat Large = beat();
+    for (uint32_t I = 0; I < 1000; ++I)
+      Large.InFlight.push_back({I + 10, I % 10, 0});
+    Large.InFlight.push_back({5, 500, 0});
+    std::string Bytes = encodeBeat(Large);
+    CPPUNIT_ASSERT(Bytes.size() <= MaxBeatBytes);
+    auto Back = decodeBeat(Bytes);
+    CPPUNIT_ASSERT(Back.ok());
+    CPPUNIT_ASSERT(Back->InFlight.size() > 50);
+    CPPUNIT_ASSERT_EQUAL(500u, Back->InFlight[0].Count);
+  }
+
   void beatWhenTornOrChangedNeverThrows() {
     std::string Bytes = encodeBeat(beat());
     for (size_t Size = 0; Size < Bytes.size(); ++Size)
--- a/libs/gateway/src/PeerExchange.cpp
+++ b/libs/gateway/src/PeerExchange.cpp
@@ -73,15 +73,11 @@
   Beat.IsLeaving = IsLeaving;
   Beat.ConfigVersion = Offered.Version;
   Beat.DirectoryVersion = Node.directory().version();
-  Beat.InFlight = Node.dispatcher().board().ownReport();
+  Beat.InFlight = Node.dispatcher().board().ownReport(now());
   for (const auto &[Ip, P] : Peers)
     if (Beat.PeerIps.size() < MaxNamedPeers && P.HeardAt != TimePoint())
       Beat.PeerIps.push_back(Ip);
-  std::string Bytes = encodeBeat(Beat);
-  if (Bytes.size() > MaxBeatBytes) {
-    Beat.PeerIps.clear();
-    Bytes = encodeBeat(Beat);
-  }
+  std::string Bytes = encodeBeat(std::move(Beat));
   for (const auto &[Ip, P] : Peers) {
     error_code Error; // A lost heartbeat is made up for by the next.
     Socket.send_to(asio::buffer(Bytes),
--- a/libs/rankgroup/include/ragwort/rankgroup/GroupController.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/GroupController.h
@@ -42,9 +42,11 @@
   static constexpr double FastEnough = 0.45;
   /// Part of the groups' expert time that a change must save: it slows the
   /// group while weights are copied, and copies and orders cost.
-  static constexpr double MinGain = 0.25;
-  /// The same for one copied expert, in units of the ranks' mean load.
-  static constexpr double MinGainPerCopy = 0.04;
+  static constexpr double MinGain = 0.15;
+  /// The same for one copied expert, in units of the load of a whole group: a
+  /// copy costs the same in every group, and what it saves grows with the ranks
+  /// that wait for the slowest one.
+  static constexpr double MinGainOfGroupPerCopy = 0.32;
   /// Time in which the controller arms one rank: an order and its answer at a
   /// seventh of a core.
   static constexpr double ArmMillisPerRank = 5;
@@ -81,6 +83,9 @@
   std::optional<ExpertMap> mapInUse() const;
   void notePass(const EngineReport &Report, TimePoint Now);
   bool isFastEnough() const;
+  std::vector<double> paceOfRanks() const;
+  bool isGainPossible(const ExpertMap &InUse,
+                      std::span<const double> Pace) const;
   uint64_t armingPasses() const;
   uint64_t nextVersion() const;
 
--- a/libs/rankgroup/include/ragwort/rankgroup/SetPlanner.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/SetPlanner.h
@@ -1,9 +1,9 @@
 //===- SetPlanner.h - Places the experts of one set of layers -------------===//
 //
-// Improves the placement in force step by step: copies a hot expert to a rank
-// with room, in place of a copy that is spare, or exchanges two experts. Each
-// rank takes at most a few new experts a plan, since their weights have to be
-// copied while the group works.
+// Improves the placement in force step by step: copies or moves a hot expert to
+// a rank with room, in place of a copy that is spare, or exchanges two experts.
+// A slow rank is given less. Each rank takes at most a few new experts a plan,
+// since their weights have to be copied while the group works.
 //
 //===----------------------------------------------------------------------===//
 #ifndef RAGWORT_RANKGROUP_SETPLANNER_H
@@ -17,6 +17,15 @@
 /// The experts on each rank of one set of layers.
 using SetMap = std::vector<std::vector<ExpertId>>;
 
+/// What the ranks have to bear in one set of layers.
+struct SetDemand {
+  /// By expert, in any unit.
+  std::span<const double> Popularity;
+  /// By rank: how much longer than usual it takes for the same work. Ranks
+  /// beyond the end work at the usual speed.
+  std::span<const double> Pace;
+};
+
 struct SetLimits {
   /// Experts that a rank has room for.
   uint32_t Places = 0;
@@ -29,21 +38,21 @@
 
 struct SetPlan {
   SetMap Target;
-  /// Load of the slowest rank over the mean.
+  /// See skewOf().
   double SkewBefore = 1;
   double SkewAfter = 1;
   /// Copied experts, over all ranks.
   uint32_t Copies = 0;
 };
 
-/// Load of the slowest rank over the mean. An expert's load is shared evenly by
-/// the ranks that hold it.
-double skewOf(const SetMap &Map, std::span<const double> Popularity);
+/// Time of the slowest rank over that of the mean load at the usual speed. An
+/// expert's load is shared evenly by the ranks that hold it.
+double skewOf(const SetMap &Map, const SetDemand &Demand);
 
 /// \code
-///   SetPlan P = planSet(InForce, Popularity, {11, 4});
+///   SetPlan P = planSet(InForce, {Popularity, Pace}, {11, 4, 0.01});
 /// \endcode
-SetPlan planSet(const SetMap &InForce, std::span<const double> Popularity,
+SetPlan planSet(const SetMap &InForce, const SetDemand &Demand,
                 SetLimits Limits);
 
 /// Each expert on the rank of its number modulo the ranks: the engines' own.
--- a/libs/rankgroup/src/GroupController.cpp
+++ b/libs/rankgroup/src/GroupController.cpp
@@ -9,6 +9,10 @@
 // Versions are dealt in blocks; the controller's salt picks one of a block.
 constexpr uint64_t VersionBlock = 1'000'000;
 
+// Factor of slowness beyond which a rank is not told apart: it already gets the
+// least that a rank can hold.
+constexpr double MaxPace = 20;
+
 // Weight of the newest observation of the length of a pass.
 constexpr double PassWeight = 0.4;
 
@@ -84,6 +88,22 @@
   return Result;
 }
 
+std::vector<double> GroupController::paceOfRanks() const {
+  std::vector<double> Result;
+  for (const EngineReport &R : Reports)
+    Result.push_back(std::clamp(R.Pace, 1.0, MaxPace));
+  return Result;
+}
+
+bool GroupController::isGainPossible(const ExpertMap &InUse,
+                                     std::span<const double> Pace) const {
+  double Skew = 0;
+  for (uint32_t Set = 0; Set < Shape.Sets; ++Set)
+    Skew += skewOf(InUse.At[Set], {Demand.ofSet(Set), Pace}) / Shape.Sets;
+  // Even loads on all ranks are the best that can be planned.
+  return Skew * (1 - MinGain) >= 1;
+}
+
 uint64_t GroupController::nextVersion() const {
   uint64_t Block = Switch.highestVersion() / VersionBlock + 1;
   return Block * VersionBlock + Salt;
@@ -114,9 +134,13 @@
   Change.SkewBefore = 0;
   Change.SkewAfter = 0;
   ExpertMap Target;
-  SetLimits Limits{Shape.Places, Shape.Spare, MinGainPerCopy};
+  std::vector<double> Pace = paceOfRanks();
+  if (!isGainPossible(*InUse, Pace))
+    return std::nullopt;
+  SetLimits Limits{Shape.Places, Shape.Spare,
+                   MinGainOfGroupPerCopy / static_cast<double>(Held.size())};
   for (uint32_t Set = 0; Set < Shape.Sets; ++Set) {
-    SetPlan P = planSet(InUse->At[Set], Demand.ofSet(Set), Limits);
+    SetPlan P = planSet(InUse->At[Set], {Demand.ofSet(Set), Pace}, Limits);
     Change.SkewBefore += P.SkewBefore / Shape.Sets;
     Change.SkewAfter += P.SkewAfter / Shape.Sets;
     Change.Copies += P.Copies;
--- a/libs/rankgroup/src/SetPlanner.cpp
+++ b/libs/rankgroup/src/SetPlanner.cpp
@@ -8,27 +8,33 @@
 
 namespace {
 
-// Steps after which a plan is taken as it is; bounds the time of planning.
-constexpr uint32_t MaxSteps = 40;
+// Steps a rank after which a plan is taken as it is; bounds the time of
+// planning.
+constexpr size_t MaxStepsPerRank = 4;
 
 /// A change of one or two ranks.
 struct Step {
-  /// Taken in by Rank.
-  ExpertId Added = 0;
-  uint32_t Rank = 0;
-  /// Given up by Rank to make room.
-  std::optional<ExpertId> Dropped;
-  /// Where Dropped goes in exchange for Added; otherwise Added gains a copy.
-  std::optional<uint32_t> Partner;
+  ExpertId Expert = 0;
+  /// Takes the expert in.
+  std::optional<uint32_t> Taker = std::nullopt;
+  /// Given up by the taker to make room.
+  std::optional<ExpertId> Dropped = std::nullopt;
+  /// Gives the expert up; without one the taker holds a further copy.
+  std::optional<uint32_t> Giver = std::nullopt;
+  /// The giver takes in what the taker drops.
+  bool IsExchange = false;
 };
 
-/// A placement under improvement. Loads are in units of the mean.
+/// A placement under improvement. Loads are times, in units of what the mean
+/// load takes a rank of usual speed.
 class Workbench {
 public:
-  Workbench(const SetMap &InForce, std::span<const double> Popularity)
-      : InForce(InForce), Current(InForce), Holders(Popularity.size()),
-        Weight(Popularity.begin(), Popularity.end()), Loads(InForce.size(), 0),
+  Workbench(const SetMap &InForce, const SetDemand &Demand)
+      : InForce(InForce), Current(InForce), Holders(Demand.Popularity.size()),
+        Weight(Demand.Popularity.begin(), Demand.Popularity.end()),
+        Pace(Demand.Pace.begin(), Demand.Pace.end()), Loads(InForce.size(), 0),
         Fresh(InForce.size(), 0) {
+    Pace.resize(InForce.size(), 1);
     double Sum = std::accumulate(Weight.begin(), Weight.end(), 0.0);
     double Scale = Sum > 0 ? static_cast<double>(InForce.size()) / Sum : 0;
     for (double &W : Weight)
@@ -67,22 +73,24 @@
   }
 
   void apply(const Step &S) {
-    if (S.Dropped)
-      remove(S.Rank, *S.Dropped);
-    if (S.Partner)
-      remove(*S.Partner, S.Added);
-    add(S.Rank, S.Added);
-    if (S.Partner)
-      add(*S.Partner, *S.Dropped);
+    if (S.Taker && S.Dropped)
+      remove(*S.Taker, *S.Dropped);
+    if (S.Giver)
+      remove(*S.Giver, S.Expert);
+    if (S.Taker)
+      add(*S.Taker, S.Expert);
+    if (S.IsExchange)
+      add(*S.Giver, *S.Dropped);
   }
   void undo(const Step &S) {
-    if (S.Partner)
-      remove(*S.Partner, *S.Dropped);
-    remove(S.Rank, S.Added);
-    if (S.Partner)
-      add(*S.Partner, S.Added);
-    if (S.Dropped)
-      add(S.Rank, *S.Dropped);
+    if (S.IsExchange)
+      remove(*S.Giver, *S.Dropped);
+    if (S.Taker)
+      remove(*S.Taker, S.Expert);
+    if (S.Giver)
+      add(*S.Giver, S.Expert);
+    if (S.Taker && S.Dropped)
+      add(*S.Taker, *S.Dropped);
   }
 
 private:
@@ -91,7 +99,7 @@
       return;
     double Share = Sign * Weight[E] / static_cast<double>(Holders[E].size());
     for (uint32_t Rank : Holders[E])
-      Loads[Rank] += Share;
+      Loads[Rank] += Share * Pace[Rank];
   }
   void add(uint32_t Rank, ExpertId E) {
     spread(E, -1);
@@ -113,6 +121,7 @@
   // Invariant: the ranks of each expert in Current.
   std::vector<std::vector<uint32_t>> Holders;
   std::vector<double> Weight;
+  std::vector<double> Pace;
   std::vector<double> Loads;
   // Experts of each rank in Current that are not in InForce.
   std::vector<uint32_t> Fresh;
@@ -123,7 +132,8 @@
   Search(Workbench &State, SetLimits Limits) : State(State), Limits(Limits) {}
 
   void run() {
-    for (uint32_t I = 0; I < MaxSteps; ++I) {
+    size_t MaxSteps = MaxStepsPerRank * State.map().size();
+    for (size_t I = 0; I < MaxSteps; ++I) {
       std::optional<Step> Best = bestStep();
       if (!Best)
         return;
@@ -145,10 +155,12 @@
     // The few heaviest decide; the others move too little to be worth a copy.
     if (Hot.size() > HotExperts)
       Hot.resize(HotExperts);
-    for (ExpertId E : Hot)
+    for (ExpertId E : Hot) {
+      considerRetiring(E, Slowest);
       for (uint32_t Rank = 0; Rank < Loads.size(); ++Rank)
         if (Loads[Rank] < Before && !State.holds(Rank, E))
           consider(E, Slowest, Rank);
+    }
     return Best;
   }
 
@@ -156,23 +168,35 @@
     return State.weight(E) / static_cast<double>(State.copies(E));
   }
 
+  /// Gives up a copy that other ranks hold as well.
+  void considerRetiring(ExpertId E, uint32_t Slowest) {
+    if (State.copies(E) > 1 && State.map()[Slowest].size() > 1)
+      tryStep({E, std::nullopt, std::nullopt, Slowest});
+  }
+
   void consider(ExpertId E, uint32_t Slowest, uint32_t Rank) {
     bool IsNew = !State.wasHeld(Rank, E);
     if (IsNew && State.fresh(Rank) >= Limits.MaxNewPerRank)
       return;
+    bool CanMove = State.map()[Slowest].size() > 1;
     if (State.map()[Rank].size() < Limits.Places) {
-      tryStep({E, Rank, std::nullopt, std::nullopt});
+      tryStep({E, Rank});
+      if (CanMove)
+        tryStep({E, Rank, std::nullopt, Slowest});
       return;
     }
     const std::vector<ExpertId> Present = State.map()[Rank];
     for (ExpertId Other : Present) {
-      if (State.copies(Other) > 1)
-        tryStep({E, Rank, Other, std::nullopt});
+      if (State.copies(Other) > 1) {
+        tryStep({E, Rank, Other});
+        if (CanMove)
+          tryStep({E, Rank, Other, Slowest});
+      }
       bool CanSwap = !State.holds(Slowest, Other) && share(Other) < share(E) &&
                      (State.wasHeld(Slowest, Other) ||
                       State.fresh(Slowest) < Limits.MaxNewPerRank);
       if (CanSwap)
-        tryStep({E, Rank, Other, Slowest});
+        tryStep({E, Rank, Other, Slowest, true});
     }
   }
 
@@ -206,25 +230,25 @@
 
 } // namespace
 
-double skewOf(const SetMap &Map, std::span<const double> Popularity) {
-  Workbench State(Map, Popularity);
+double skewOf(const SetMap &Map, const SetDemand &Demand) {
+  Workbench State(Map, Demand);
   const auto &Loads = State.loads();
   double Max = *std::max_element(Loads.begin(), Loads.end());
   return Max > 0 ? Max : 1;
 }
 
-SetPlan planSet(const SetMap &InForce, std::span<const double> Popularity,
+SetPlan planSet(const SetMap &InForce, const SetDemand &Demand,
                 SetLimits Limits) {
   SetPlan Result;
-  Result.SkewBefore = skewOf(InForce, Popularity);
-  Workbench State(InForce, Popularity);
+  Result.SkewBefore = skewOf(InForce, Demand);
+  Workbench State(InForce, Demand);
   Search(State, Limits).run();
   Result.Target = State.map();
   for (std::vector<ExpertId> &Rank : Result.Target)
     std::sort(Rank.begin(), Rank.end());
   for (uint32_t Rank = 0; Rank < InForce.size(); ++Rank)
     Result.Copies += State.fresh(Rank);
-  Result.SkewAfter = skewOf(Result.Target, Popularity);
+  Result.SkewAfter = skewOf(Result.Target, Demand);
   return Result;
 }
 
--- a/libs/rankgroup/src/SetPlannerTest.cpp
+++ b/libs/rankgroup/src/SetPlannerTest.cpp
@@ -13,6 +13,8 @@
   CPPUNIT_TEST(planWhenDemandIsEvenMovesNothing);
   CPPUNIT_TEST(planWhenDemandIsSkewedKeepsAllBounds);
   CPPUNIT_TEST(plansWhenRepeatedApproachTheMean);
+  CPPUNIT_TEST(planWhenOneRankIsSlowRelievesIt);
+  CPPUNIT_TEST(planWhenOneRankIsSlowKeepsAllBounds);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr uint32_t Experts = 64;
@@ -33,7 +35,7 @@
   void planWhenOneExpertIsHotCopiesIt() {
     std::vector<double> Demand(Experts, 1);
     Demand[24] = 24;
-    SetPlan P = planSet(mapInTurn(Experts, RankCount), Demand, Limits);
+    SetPlan P = planSet(mapInTurn(Experts, RankCount), {Demand, {}}, Limits);
     CPPUNIT_ASSERT(P.SkewBefore > 2.5);
     CPPUNIT_ASSERT(P.SkewAfter < 1.2);
     auto Holders =
@@ -46,7 +48,7 @@
   void planWhenDemandIsEvenMovesNothing() {
     std::vector<double> Demand(Experts, 1);
     SetMap InForce = mapInTurn(Experts, RankCount);
-    SetPlan P = planSet(InForce, Demand, Limits);
+    SetPlan P = planSet(InForce, {Demand, {}}, Limits);
     CPPUNIT_ASSERT_EQUAL(0u, P.Copies);
     CPPUNIT_ASSERT(P.Target == InForce);
   }
@@ -54,7 +56,8 @@
   void planWhenDemandIsSkewedKeepsAllBounds() {
     SetMap InForce = mapInTurn(Experts, RankCount);
     for (uint64_t Seed = 1; Seed <= 200; ++Seed) {
-      SetPlan P = planSet(InForce, skewedDemand(Seed), Limits);
+      std::vector<double> Popularity = skewedDemand(Seed);
+      SetPlan P = planSet(InForce, {Popularity, {}}, Limits);
       std::set<ExpertId> Placed;
       for (uint32_t Rank = 0; Rank < RankCount; ++Rank) {
         const auto &Held = P.Target[Rank];
@@ -78,11 +81,11 @@
     for (uint64_t Seed = 1; Seed <= 50; ++Seed) {
       std::vector<double> Demand = skewedDemand(Seed);
       SetMap InForce = mapInTurn(Experts, RankCount);
-      double Skew = skewOf(InForce, Demand);
+      double Skew = skewOf(InForce, {Demand, {}});
       SetLimits AnyGain = Limits;
       AnyGain.MinGainPerCopy = 0;
       for (int Round = 0; Round < 4; ++Round) {
-        SetPlan P = planSet(InForce, Demand, AnyGain);
+        SetPlan P = planSet(InForce, {Demand, {}}, AnyGain);
         InForce = P.Target;
         Skew = P.SkewAfter;
       }
@@ -92,6 +95,54 @@
                              Skew < 1.25);
     }
   }
+
+  /// The larger deployments' groups: little room, and one rank slow.
+  static constexpr uint32_t LargeExperts = 128;
+  static constexpr uint32_t LargeRankCount = 32;
+  static constexpr SetLimits LargeLimits{5, 2, 0.01};
+
+  static SetPlan planWithSlowRank(uint64_t Seed) {
+    std::mt19937_64 Random(Seed);
+    std::vector<double> Popularity(LargeExperts);
+    for (double &Each : Popularity)
+      Each = 0.5 + static_cast<double>(Random() % 1000) / 1000.0;
+    std::vector<double> Pace(LargeRankCount, 1);
+    Pace[Seed % LargeRankCount] = 6;
+    return planSet(mapInTurn(LargeExperts, LargeRankCount), {Popularity, Pace},
+                   LargeLimits);
+  }
+
+  void planWhenOneRankIsSlowRelievesIt() {
+    // With a sixth of the speed the rank needs a sixth of the mean load to keep
+    // up with the others.
+    for (uint64_t Seed = 1; Seed <= 50; ++Seed) {
+      SetPlan P = planWithSlowRank(Seed);
+      CPPUNIT_ASSERT(P.SkewBefore > 4);
+      CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(Seed) + ": skew " +
+                                 std::to_string(P.SkewAfter),
+                             P.SkewAfter < 1.5);
+    }
+  }
+
+  void planWhenOneRankIsSlowKeepsAllBounds() {
+    SetMap Before = mapInTurn(LargeExperts, LargeRankCount);
+    for (uint64_t Seed = 1; Seed <= 50; ++Seed) {
+      SetPlan P = planWithSlowRank(Seed);
+      std::set<ExpertId> Placed;
+      for (uint32_t Rank = 0; Rank < LargeRankCount; ++Rank) {
+        const auto &Held = P.Target[Rank];
+        CPPUNIT_ASSERT(!Held.empty());
+        CPPUNIT_ASSERT(Held.size() <= LargeLimits.Places);
+        auto New = std::count_if(Held.begin(), Held.end(), [&](ExpertId E) {
+          return std::find(Before[Rank].begin(), Before[Rank].end(), E) ==
+                 Before[Rank].end();
+        });
+        CPPUNIT_ASSERT(New <= LargeLimits.MaxNewPerRank);
+        Placed.insert(Held.begin(), Held.end());
+      }
+      CPPUNIT_ASSERT_EQUAL(size_t(LargeExperts), Placed.size());
+    }
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(SetPlannerTest);
 
