Move streams away from stragglers and leave them alone

Cause: in a group all ranks wait for the slowest. A rank six times slower made every stream of its 32 ranks late for as long as it was slow, and with it the other group, which took the load. What it takes of a pass is its own requests' part; a rank without requests holds nobody back. Ruled out: relieving it of experts alone (passes 460 to 340 ms, the part of its own requests stays); a survey of all replicas by probes (dear; the agent beside a replica reads its pace for nothing). Change: an agent whose engine takes twice as long as usual tells the entry nodes it knows, and these their peers. They send it nothing while most servers of the service are no stragglers, and move streams that can be resumed elsewhere. One long pause no longer moves load between servers. Popularity forgets in half the time, so one change follows a shift of demand where two did. A pass is held ahead by the time of one lost order more. request-finished tells the longest pause between events. Tests that failed before: streamWhenItsServerStragglesGoesOnElsewhere, choiceWhenAServerStragglesLeavesItOutUntilNoticesEnd, choiceWhenOnePauseWasLongDoesNotChange. The test of the held pass now asks for the time of a lost order too.

--- a/libs/gateway/include/ragwort/gateway/Forwarding.h
+++ b/libs/gateway/include/ragwort/gateway/Forwarding.h
@@ -85,6 +85,9 @@
   void onCallerGone();
   /// The turn of a waiting request has come.
   void onCalled(const Called &C);
+  /// Moves the request away from a straggler if it can go on elsewhere. Called
+  /// a few times a second.
+  void onTick(TimePoint At);
   /// The caller has taken the bytes that were held back.
   void onSinkDrained();
 
@@ -155,6 +158,8 @@
   TimePoint LastProgress{};
   TimePoint NextSilenceCheck{};
   Duration FirstByteAfter{0};
+  // Longest pause between two events that came on one send.
+  Duration LongestGap{0};
   // No other send is possible: the rest of the time is waited out.
   bool IsSilenceAccepted = false;
   std::string LastFault;
--- a/libs/gateway/include/ragwort/gateway/LoadBoard.h
+++ b/libs/gateway/include/ragwort/gateway/LoadBoard.h
@@ -3,7 +3,9 @@
 // Chooses the backend server for a request. The load it answers to is what the
 // fleet has in flight at each server: this node's requests exactly, the other
 // nodes' from their heartbeats. Streams show how fast a server works: pauses
-// between events are shared by the nodes, since each sees only a few of them.
+// between events are shared by the nodes, since each sees only a few of them. A
+// straggler, a slow rank that holds a whole group back, is left out while most
+// servers of its service are none.
 // Servers that fail are left out for a while and
 // come back by trial; at most half of a service is left out at a time. Servers
 // that say that they cannot work are left alone even if all do; then one trial
@@ -60,6 +62,8 @@
   static constexpr Duration ReportLife = std::chrono::milliseconds(1500);
   /// Pauses between events seen longer ago than this no longer count.
   static constexpr Duration GapLife = std::chrono::milliseconds(1500);
+  /// A straggler's agent repeats its notice several times within this time.
+  static constexpr Duration StragglerLife = std::chrono::milliseconds(700);
   /// First time that a failing server is left out; doubles up to MaxEjection.
   static constexpr Duration FirstEjection = std::chrono::milliseconds(1000);
   static constexpr Duration MaxEjection = std::chrono::milliseconds(8000);
@@ -90,12 +94,19 @@
   /// Another instance answered at the server's address: it is gone, whatever
   /// the list of servers still says.
   void onReplaced(std::string_view Id);
+  /// The server at \p Address says that it holds its group back.
+  void onStragglerNotice(std::string_view Address, TimePoint Now);
+  /// Servers of which a peer has such notices.
+  void onPeerStragglers(std::span<const uint64_t> InstanceKeys, TimePoint Now);
   /// A peer's whole report.
   void onPeerReport(std::string_view Peer, std::vector<InFlightReport> Report,
                     TimePoint Now);
 
   /// This node's report for its peers.
   std::vector<InFlightReport> ownReport(TimePoint Now) const;
+  /// Servers whose own notices this node has, for its peers.
+  std::vector<uint64_t> ownStragglers(TimePoint Now) const;
+  bool isStraggler(std::string_view Id, TimePoint Now) const;
   uint32_t inFlight(std::string_view Id) const;
   /// One line a server, for the state dump.
   std::string describe(TimePoint Now) const;
@@ -121,6 +132,9 @@
     bool IsUnavailable = false;
     TimePoint UnavailableSince{};
     TimePoint NextTrial{};
+    // Its own notice, or a peer's word of one, counts until then.
+    TimePoint NoticeUntil{};
+    TimePoint StragglerUntil{};
     // Seen gone at its address.
     bool IsReplaced = false;
     // A newer instance is registered at the same address.
@@ -136,6 +150,7 @@
   };
 
   Server *find(std::string_view Id);
+  static void markStraggler(Server &S, std::string_view Source, TimePoint Now);
   void markSuperseded();
   void eject(Server &S, TimePoint Now);
   /// What servers of a service that work well take, 0 while unknown.
--- a/libs/gateway/include/ragwort/gateway/PeerBeat.h
+++ b/libs/gateway/include/ragwort/gateway/PeerBeat.h
@@ -19,6 +19,8 @@
 
 /// Largest heartbeat that is sent or accepted, in bytes.
 inline constexpr size_t MaxBeatBytes = 1400;
+/// Stragglers named in one heartbeat.
+inline constexpr size_t MaxNamedStragglers = 32;
 /// Peers named in one heartbeat.
 inline constexpr size_t MaxNamedPeers = 32;
 
@@ -33,6 +35,8 @@
   uint64_t ConfigVersion = 0;
   uint64_t DirectoryVersion = 0;
   std::vector<InFlightReport> InFlight;
+  /// Keys of the instances that told this node that they are stragglers.
+  std::vector<uint64_t> Stragglers;
   /// IP numbers of other nodes, so that a new one finds them all.
   std::vector<std::string> PeerIps;
 };
@@ -43,6 +47,18 @@
 /// Never throws; fails on torn, oversized and foreign datagrams.
 absl::StatusOr<PeerBeat> decodeBeat(std::string_view Datagram);
 
+/// An agent's word that the engine beside it is slow and holds its group back.
+struct StragglerNotice {
+  /// Tells notices from heartbeats.
+  static constexpr uint16_t Protocol = 1001;
+
+  std::string EngineAddress;
+  /// How much longer than usual the engine takes, in hundredths.
+  uint32_t PacePercent = 100;
+};
+std::string encodeNotice(const StragglerNotice &Notice);
+absl::StatusOr<StragglerNotice> decodeNotice(std::string_view Datagram);
+
 /// A list of backend servers with its version.
 struct DirectorySnapshot {
   uint64_t Version = 0;
--- a/libs/gateway/src/CallerSession.cpp
+++ b/libs/gateway/src/CallerSession.cpp
@@ -239,9 +239,13 @@
 }
 
 void CallerSession::onTick(TimePoint Now) {
-  if (IsClosed || Active)
+  if (IsClosed)
     return;
   auto Self = shared_from_this();
+  if (Active) {
+    Active->onTick(Now);
+    return;
+  }
   const CallerLimits Limits = Desk.limits();
   if (Parser) {
     if (Now - ReadSince > Limits.HeaderTimeout)
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -345,9 +345,11 @@
   if (Whole.empty())
     return;
   TimePoint Before = std::exchange(LastProgress, now());
-  if (std::exchange(HasEvent, true))
-    Context.Dispatch.board().onEvent(Server.Id, LastProgress - Before,
-                                     LastProgress);
+  if (std::exchange(HasEvent, true)) {
+    Duration Gap = LastProgress - Before;
+    LongestGap = std::max(LongestGap, Gap);
+    Context.Dispatch.board().onEvent(Server.Id, Gap, LastProgress);
+  }
   if (!Flow.hasAnswerBegun()) {
     Head = Parser.head();
     FirstByteAfter = LastProgress - Accepted.Arrived;
@@ -570,6 +572,26 @@
   return Context.Dispatch.hasFreeServer(Service, Tried, At);
 }
 
+void Forwarding::onTick(TimePoint At) {
+  // The streams of a slow rank make every stream of its group late, and are
+  // late themselves.
+  if (Now != Phase::Sent ||
+      !Context.Dispatch.board().isStraggler(Server.Id, At) ||
+      !Flow.couldRepeat(means()) || !isFreeElsewhere(At))
+    return;
+  auto Self = shared_from_this();
+  logEvent(LogLevel::Info, "request-moved",
+           {{"request", Accepted.RequestId},
+            {"cause", "straggler"},
+            {"instance", Server.Id},
+            {"events", Events.events()},
+            {"sends", Flow.sends()}});
+  LastFault = "straggler";
+  Excluded.push_back(Server.Id);
+  leaveServer(false);
+  carryOut(Flow.onBroken(means()));
+}
+
 TimePoint Forwarding::silenceLimit() const {
   const Route &R = *Accepted.Target;
   if (R.IsStream)
@@ -644,6 +666,7 @@
             {"fault", LastFault},
             {"events", Events.events()},
             {"first_ms", millis(FirstByteAfter)},
+            {"longest_gap_ms", millis(LongestGap)},
             {"total_ms", millis(Total)},
             {"in_flight", Context.Dispatch.board().inFlight(Server.Id)},
             {"waiting", Context.Dispatch.waiting()},
--- a/libs/gateway/src/GatewayTest.cpp
+++ b/libs/gateway/src/GatewayTest.cpp
@@ -167,6 +167,8 @@
   CPPUNIT_TEST(streamWhenServerBreaksInAnEventGoesOnElsewhere);
   CPPUNIT_TEST(streamWhenItCannotGoOnIsCutVisibly);
   CPPUNIT_TEST(streamWhenSilentWithNowhereElseToGoIsWaitedFor);
+  CPPUNIT_TEST(streamWhenItsServerStragglesGoesOnElsewhere);
+  CPPUNIT_TEST(atMostOnceWhenItsServerStragglesIsLeftThere);
   CPPUNIT_TEST(callerWhenGoneClosesTheServersConnection);
   CPPUNIT_TEST(requestWhenRouteTimeIsUpIsAnsweredAtOnce);
   CPPUNIT_TEST(requestsWhenPipelinedAreAnsweredInOrder);
@@ -528,6 +530,44 @@
     CPPUNIT_ASSERT_EQUAL(size_t(1), Servers[0]->Requests.size());
   }
 
+  /// Notices of the server that got the first request.
+  void reportFirstAsStraggler() {
+    ScriptedServer &First = *Servers[Servers[0]->Requests.empty() ? 1 : 0];
+    Node->dispatcher().board().onStragglerNotice(First.address(),
+                                                 SteadyClock().now());
+  }
+
+  void streamWhenItsServerStragglesGoesOnElsewhere() {
+    scriptFirst(
+        [](const std::string &R) {
+          return streamHead(idOf(R)) + chunk(event(1) + event(2));
+        },
+        [](const std::string &R) {
+          CPPUNIT_ASSERT(R.find("Last-Event-Id: 2\r\n") != std::string::npos);
+          return streamHead(idOf(R)) + chunk(event(3)) + "0\r\n\r\n";
+        });
+    auto C = call(request("/slow/", "r1"));
+    runUntil([&C] { return C->Received.find("id: 2") != std::string::npos; });
+    reportFirstAsStraggler();
+    runUntil(
+        [&C] { return C->Received.find("0\r\n\r\n") != std::string::npos; });
+    ResponseParser P;
+    P.feed(C->Received);
+    CPPUNIT_ASSERT_EQUAL(event(1) + event(2) + event(3), P.takeBody());
+    CPPUNIT_ASSERT_EQUAL(1, Servers[0]->ClosedByGateway +
+                                Servers[1]->ClosedByGateway);
+  }
+
+  void atMostOnceWhenItsServerStragglesIsLeftThere() {
+    scriptBoth(literal(ScriptedServer::Silence));
+    auto C = call(request("/once/", "r1"));
+    runUntil([this] { return requestsSeen().size() == 1; });
+    reportFirstAsStraggler();
+    runFor(std::chrono::milliseconds(250));
+    CPPUNIT_ASSERT_EQUAL(size_t(1), requestsSeen().size());
+    CPPUNIT_ASSERT(C->Received.empty());
+  }
+
   void callerWhenGoneClosesTheServersConnection() {
     scriptBoth(literal(ScriptedServer::Silence));
     auto C = call(request("/safe/", "r1"));
--- a/libs/gateway/src/LoadBoard.cpp
+++ b/libs/gateway/src/LoadBoard.cpp
@@ -1,6 +1,7 @@
 //===- LoadBoard.cpp - Load and health of backend servers -----------------===//
 #include "ragwort/gateway/LoadBoard.h"
 #include "ragwort/base/Hash.h"
+#include "ragwort/observe/Log.h"
 #include <algorithm>
 #include <cmath>
 
@@ -21,6 +22,8 @@
 // are full. Load alone makes a batching server about one and a half times
 // slower.
 constexpr double SlowFactor = 2.0;
+// Factor by which one pause between events may exceed the average it enters.
+constexpr double MaxGapRise = 2.0;
 // The times that servers which work well take are those of the best quarter: a
 // whole group of a service's servers can be slow at once.
 constexpr size_t UsualQuantile = 4;
@@ -169,6 +172,46 @@
   }
 }
 
+void LoadBoard::markStraggler(Server &S, std::string_view Source,
+                              TimePoint Now) {
+  if (Now >= S.StragglerUntil)
+    logEvent(LogLevel::Warning, "straggler-reported",
+             {{"instance", S.Entry.Id},
+              {"source", Source},
+              {"own", S.Own},
+              {"peers", S.OfPeers}});
+  S.StragglerUntil = Now + StragglerLife;
+}
+
+void LoadBoard::onStragglerNotice(std::string_view Address, TimePoint Now) {
+  for (auto &[Id, S] : Servers) {
+    if (S.Entry.Address != Address || !S.isUsable())
+      continue;
+    S.NoticeUntil = Now + StragglerLife;
+    markStraggler(S, "agent", Now);
+  }
+}
+
+void LoadBoard::onPeerStragglers(std::span<const uint64_t> InstanceKeys,
+                                 TimePoint Now) {
+  for (uint64_t Key : InstanceKeys)
+    if (auto Id = IdOfKey.find(Key); Id != IdOfKey.end())
+      markStraggler(Servers[Id->second], "peer", Now);
+}
+
+std::vector<uint64_t> LoadBoard::ownStragglers(TimePoint Now) const {
+  std::vector<uint64_t> Result;
+  for (const auto &[Id, S] : Servers)
+    if (Now < S.NoticeUntil)
+      Result.push_back(S.Key);
+  return Result;
+}
+
+bool LoadBoard::isStraggler(std::string_view Id, TimePoint Now) const {
+  auto Found = Servers.find(Id);
+  return Found != Servers.end() && Now < Found->second.StragglerUntil;
+}
+
 void LoadBoard::onPeerReport(std::string_view Peer,
                              std::vector<InFlightReport> Report,
                              TimePoint Now) {
@@ -270,20 +313,24 @@
   }
   size_t Usable = 0;
   size_t Ejected = 0;
+  size_t Stragglers = 0;
   for (const auto &[Id, S] : Servers) {
     if (S.Entry.Service != Service || !S.isUsable() || S.IsUnavailable)
       continue;
     ++Usable;
     Ejected += Now < S.EjectedUntil;
+    Stragglers += Now < S.StragglerUntil;
   }
   // Where most of a service seems to fail the evidence is about something
   // else, and leaving servers out would only overload the rest.
   bool HonoursEjection = Ejected * 2 <= Usable;
+  bool AvoidsStragglers = Stragglers * 2 <= Usable;
   UsualTimes Usual = usualTimes(Service, Now);
   std::vector<const Server *> Candidates;
   for (const auto &[Id, S] : Servers) {
     if (S.Entry.Service != Service || !S.isUsable() || contains(Excluded, Id) ||
         (HonoursEjection && Now < S.EjectedUntil) ||
+        (AvoidsStragglers && Now < S.StragglerUntil) ||
         (S.IsUnavailable && Now < S.NextTrial))
       continue;
     Candidates.push_back(&S);
@@ -360,6 +407,7 @@
         " gap_ms=" + std::to_string(std::lround(gapMillis(S, Now))) +
         (S.Entry.IsDraining ? " draining" : "") +
         (S.IsUnavailable ? " unavailable" : "") +
+        (Now < S.StragglerUntil ? " straggler" : "") +
         (Now < S.EjectedUntil ? " ejected" : "") + "\n";
   }
   return Text;
--- a/libs/gateway/src/LoadBoardTest.cpp
+++ b/libs/gateway/src/LoadBoardTest.cpp
@@ -19,6 +19,10 @@
   CPPUNIT_TEST(choiceWhenHalfOfTheServersAnswerSlowlyPrefersTheOthers);
   CPPUNIT_TEST(choiceWhenStreamsOfPeersAreSlowPrefersTheOthers);
   CPPUNIT_TEST(choiceWhenTheFastServersAreOverloadedTakesASlowOne);
+  CPPUNIT_TEST(choiceWhenAServerStragglesLeavesItOutUntilNoticesEnd);
+  CPPUNIT_TEST(choiceWhenMostServersStraggleStillHasOne);
+  CPPUNIT_TEST(stragglersWhenToldByPeersAreNotRelayed);
+  CPPUNIT_TEST(choiceWhenOnePauseWasLongDoesNotChange);
   CPPUNIT_TEST(reportWhenEventsCameLongAgoHasNoGap);
   CPPUNIT_TEST(choicesWhenManyNodesSeeOldLoadsStayWithinTheSlots);
   CPPUNIT_TEST_SUITE_END();
@@ -188,6 +192,49 @@
     CPPUNIT_ASSERT(chosen(at(0)) <= "b");
   }
 
+  void choiceWhenAServerStragglesLeavesItOutUntilNoticesEnd() {
+    Board->onStragglerNotice("10.0.0.1:1", at(0));
+    CPPUNIT_ASSERT(Board->isStraggler("a", at(500)));
+    for (int I = 0; I < 20; ++I) {
+      CPPUNIT_ASSERT(chosen(at(500)) != "a");
+      Board->onStarted("b", at(500));
+      Board->onStarted("c", at(500));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), chosen(at(1500)));
+  }
+
+  void choiceWhenMostServersStraggleStillHasOne() {
+    Board->onStragglerNotice("10.0.0.1:1", at(0));
+    Board->onStragglerNotice("10.0.0.2:1", at(0));
+    Board->onStragglerNotice("10.0.0.3:1", at(0));
+    CPPUNIT_ASSERT(!chosen(at(100)).empty());
+  }
+
+  void stragglersWhenToldByPeersAreNotRelayed() {
+    Board->onStragglerNotice("10.0.0.1:1", at(0));
+    std::vector<uint64_t> ToldByPeer = {hash64("b")};
+    Board->onPeerStragglers(ToldByPeer, at(0));
+    CPPUNIT_ASSERT(Board->isStraggler("b", at(0)));
+    CPPUNIT_ASSERT(Board->ownStragglers(at(0)) ==
+                   std::vector<uint64_t>{hash64("a")});
+  }
+
+  void choiceWhenOnePauseWasLongDoesNotChange() {
+    Board->onStarted("a", at(0));
+    Board->onStarted("b", at(0));
+    for (int I = 0; I < 10; ++I)
+      for (const char *Id : {"a", "b"})
+        Board->onEvent(Id, std::chrono::milliseconds(80), at(I * 80));
+    // The group of the first waited once for a slow rank.
+    Board->onEvent("a", std::chrono::milliseconds(470), at(1270));
+    for (int I = 0; I < 3; ++I)
+      Board->onStarted("b", at(1270));
+    CPPUNIT_ASSERT(chosen(at(1270)) != "b");
+    for (int I = 1; I <= 8; ++I)
+      Board->onEvent("a", std::chrono::milliseconds(470), at(1270 + I * 470));
+    CPPUNIT_ASSERT(Board->ownReport(at(5030)).front().GapMillis > 160);
+  }
+
   void reportWhenEventsCameLongAgoHasNoGap() {
     Board->onStarted("a", at(0));
     Board->onEvent("a", std::chrono::milliseconds(90), at(0));
--- a/libs/gateway/src/PeerBeat.cpp
+++ b/libs/gateway/src/PeerBeat.cpp
@@ -42,12 +42,23 @@
   Ar(Beat.Incarnation, Beat.ConfigVersion, Beat.DirectoryVersion);
   wire::transferFlag(Ar, Beat.IsLeaving);
   wire::transferList(Ar, Beat.InFlight, MaxBeatBytes);
+  wire::transferList(Ar, Beat.Stragglers, MaxNamedStragglers);
   size_t Peers = wire::transferLength(Ar, Beat.PeerIps.size(), MaxNamedPeers);
   Beat.PeerIps.resize(Peers);
   for (std::string &Ip : Beat.PeerIps)
     wire::transferText(Ar, Ip, wire::MaxNameBytes);
 }
 
+template <class Archive> void serialize(Archive &Ar, StragglerNotice &Notice) {
+  uint16_t Protocol = StragglerNotice::Protocol;
+  Ar(Protocol);
+  if (Protocol != StragglerNotice::Protocol)
+    throw cereal::Exception("straggler notice of protocol version " +
+                            std::to_string(Protocol));
+  wire::transferText(Ar, Notice.EngineAddress, wire::MaxNameBytes);
+  Ar(Notice.PacePercent);
+}
+
 namespace {
 
 template <class T> std::string encode(T Value) {
@@ -74,6 +85,8 @@
 } // namespace
 
 std::string encodeBeat(PeerBeat Beat) {
+  if (Beat.Stragglers.size() > MaxNamedStragglers)
+    Beat.Stragglers.resize(MaxNamedStragglers);
   std::string Bytes = encode(Beat);
   if (Bytes.size() <= MaxBeatBytes)
     return Bytes;
@@ -98,6 +111,16 @@
   return decode<PeerBeat>(Datagram);
 }
 
+std::string encodeNotice(const StragglerNotice &Notice) {
+  return encode(Notice);
+}
+
+absl::StatusOr<StragglerNotice> decodeNotice(std::string_view Datagram) {
+  if (Datagram.size() > MaxBeatBytes)
+    return absl::InvalidArgumentError("straggler notice is too large");
+  return decode<StragglerNotice>(Datagram);
+}
+
 std::string encodeDirectory(const DirectorySnapshot &Snapshot) {
   return encode(Snapshot);
 }
--- a/libs/gateway/src/PeerBeatTest.cpp
+++ b/libs/gateway/src/PeerBeatTest.cpp
@@ -10,6 +10,7 @@
   CPPUNIT_TEST(beatWhenEncodedComesBack);
   CPPUNIT_TEST(beatWhenTooLargeKeepsTheHighestLoads);
   CPPUNIT_TEST(beatWhenTornOrChangedNeverThrows);
+  CPPUNIT_TEST(noticeWhenEncodedIsNoBeat);
   CPPUNIT_TEST(directoryWhenEncodedComesBack);
   CPPUNIT_TEST_SUITE_END();
 
@@ -20,6 +21,7 @@
     B.ConfigVersion = 3;
     B.DirectoryVersion = 44;
     B.InFlight = {{1, 2, 0}, {3, 4, 85}};
+    B.Stragglers = {8};
     B.PeerIps = {"10.0.0.1", "10.0.0.2"};
     return B;
   }
@@ -33,6 +35,7 @@
     CPPUNIT_ASSERT_EQUAL(size_t(2), Back->InFlight.size());
     CPPUNIT_ASSERT_EQUAL(4u, Back->InFlight[1].Count);
     CPPUNIT_ASSERT_EQUAL(85u, Back->InFlight[1].GapMillis);
+    CPPUNIT_ASSERT(Back->Stragglers == beat().Stragglers);
     CPPUNIT_ASSERT(Back->PeerIps == beat().PeerIps);
   }
 
@@ -62,6 +65,17 @@
     }
   }
 
+  void noticeWhenEncodedIsNoBeat() {
+    std::string Bytes = encodeNotice({"10.0.0.1:8405", 661});
+    auto Back = decodeNotice(Bytes);
+    CPPUNIT_ASSERT(Back.ok());
+    CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1:8405"), Back->EngineAddress);
+    CPPUNIT_ASSERT_EQUAL(661u, Back->PacePercent);
+    CPPUNIT_ASSERT(!decodeBeat(Bytes).ok());
+    CPPUNIT_ASSERT(!decodeNotice(encodeBeat(beat())).ok());
+    CPPUNIT_ASSERT(!decodeNotice(Bytes.substr(0, 9)).ok());
+  }
+
   void directoryWhenEncodedComesBack() {
     DirectorySnapshot S{9, {BackendInstance()}};
     S.Instances[0].Id = "i";
--- a/libs/gateway/src/PeerExchange.cpp
+++ b/libs/gateway/src/PeerExchange.cpp
@@ -74,6 +74,7 @@
   Beat.ConfigVersion = Offered.Version;
   Beat.DirectoryVersion = Node.directory().version();
   Beat.InFlight = Node.dispatcher().board().ownReport(now());
+  Beat.Stragglers = Node.dispatcher().board().ownStragglers(now());
   for (const auto &[Ip, P] : Peers)
     if (Beat.PeerIps.size() < MaxNamedPeers && P.HeardAt != TimePoint())
       Beat.PeerIps.push_back(Ip);
@@ -109,10 +110,15 @@
     // Errors of earlier sends (port unreachable) surface here; go on.
     if (Error)
       continue;
-    absl::StatusOr<PeerBeat> Beat =
-        decodeBeat(std::string_view(Buffer.data(), Count));
-    if (Beat.ok())
+    std::string_view Datagram(Buffer.data(), Count);
+    absl::StatusOr<PeerBeat> Beat = decodeBeat(Datagram);
+    if (Beat.ok()) {
       onBeat(*Beat, From.address().to_string());
+      continue;
+    }
+    absl::StatusOr<StragglerNotice> Notice = decodeNotice(Datagram);
+    if (Notice.ok())
+      Node.dispatcher().board().onStragglerNotice(Notice->EngineAddress, now());
   }
 }
 
@@ -134,6 +140,7 @@
   for (const std::string &Known : Beat.PeerIps)
     if (parseAddress(Known + ":1"))
       addPeer(Known);
+  Node.dispatcher().board().onPeerStragglers(Beat.Stragglers, At);
   Node.onPeerReport(Beat.Node, Beat.InFlight);
 }
 
--- a/libs/rankgroup/include/ragwort/rankgroup/GroupAgent.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/GroupAgent.h
@@ -89,6 +89,11 @@
   /// IP numbers of the instances that may run agents of the service.
   void setNeighbours(std::set<std::string> Ips) { Neighbours = std::move(Ips); }
 
+  /// Called with each report of the own engine.
+  void setReportHandler(std::function<void(const EngineReport &)> Handler) {
+    OnReport = std::move(Handler);
+  }
+
   /// Starts no further change.
   void beginStop() { IsStopping = true; }
   /// Whether a change is under way that must not be left alone.
@@ -160,6 +165,8 @@
     }
     IsEngineReached = true;
     OwnReport = Report;
+    if (OnReport)
+      OnReport(Report);
   }
 
   asio::awaitable<void> readExperts() {
@@ -457,6 +464,7 @@
   asio::ip::udp::socket Socket;
   GroupShape Shape;
   std::set<std::string> Neighbours;
+  std::function<void(const EngineReport &)> OnReport;
 
   EngineReport OwnReport;
   RankExperts LastExperts;
--- a/libs/rankgroup/include/ragwort/rankgroup/GroupController.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/GroupController.h
@@ -39,7 +39,7 @@
 public:
   /// Part of the target gap up to which passes are fast enough as they are. A
   /// pass that reads prompts takes up to about twice the usual.
-  static constexpr double FastEnough = 0.45;
+  static constexpr double FastEnough = 0.55;
   /// Part of the groups' expert time that a change must save: it slows the
   /// group while weights are copied, and copies and orders cost.
   static constexpr double MinGain = 0.15;
--- a/libs/rankgroup/include/ragwort/rankgroup/Popularity.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/Popularity.h
@@ -20,7 +20,7 @@
 class Popularity {
 public:
   /// Time after which a count has half its weight.
-  static constexpr Duration HalfLife = std::chrono::milliseconds(400);
+  static constexpr Duration HalfLife = std::chrono::milliseconds(200);
 
   Popularity(uint32_t Sets, uint32_t Experts);
 
--- a/libs/rankgroup/src/GroupController.cpp
+++ b/libs/rankgroup/src/GroupController.cpp
@@ -1,6 +1,7 @@
 //===- GroupController.cpp - Keeps the ranks of one group evenly loaded ---===//
 #include "ragwort/rankgroup/GroupController.h"
 #include <algorithm>
+#include <cmath>
 
 namespace ragwort::rankgroup {
 
@@ -59,8 +60,10 @@
 uint64_t GroupController::armingPasses() const {
   if (PassMillis <= 0)
     return 0;
-  double Millis = ArmMillisPerRank * static_cast<double>(Held.size());
-  return static_cast<uint64_t>(Millis / PassMillis);
+  double Millis =
+      ArmMillisPerRank * static_cast<double>(Held.size()) +
+      std::chrono::duration<double, std::milli>(MapSwitch::ResendAfter).count();
+  return static_cast<uint64_t>(std::ceil(Millis / PassMillis));
 }
 
 void GroupController::onExperts(uint32_t Rank, RankExperts Experts) {
