Use free slots of slow servers before queues; change skewed maps sooner

Change: where the compared servers are full, any with a free slot goes first; maps with twice the mean load on one rank are changed from 0.4 of the target gap on; controllers call members each 100 ms until all have reported. Tests that failed before: choiceWhenTheFastServersAreFullTakesASlowOne, planWhenSkewIsLargeBeginsAtFasterPasses.

--- a/libs/gateway/src/LoadBoard.cpp
+++ b/libs/gateway/src/LoadBoard.cpp
@@ -358,9 +358,19 @@
     std::swap(Candidates[I], Candidates[Any(Random)]);
   }
   const Server *Best = bestOf(std::span(Candidates).first(Few), Usual, Now);
-  if (Best && Best->Own + Best->OfPeers >= Best->Entry.Slots)
-    Best = bestOf(Candidates, Usual, Now);
-  return Best;
+  auto HasFreeSlot = [](const Server *S) {
+    return S->Own + S->OfPeers < S->Entry.Slots;
+  };
+  if (!Best || HasFreeSlot(Best))
+    return Best;
+  // A free slot at a slow server is worth more than a place in a queue: groups
+  // are seldom slow for long.
+  auto FirstFull =
+      std::partition(Candidates.begin(), Candidates.end(), HasFreeSlot);
+  auto Free = static_cast<size_t>(FirstFull - Candidates.begin());
+  if (Free > 0)
+    return bestOf(std::span(Candidates).first(Free), Usual, Now);
+  return bestOf(Candidates, Usual, Now);
 }
 
 const LoadBoard::Server *
--- a/libs/gateway/src/LoadBoardTest.cpp
+++ b/libs/gateway/src/LoadBoardTest.cpp
@@ -18,7 +18,7 @@
   CPPUNIT_TEST(choiceWhenAServerIsSlowPrefersTheOthers);
   CPPUNIT_TEST(choiceWhenHalfOfTheServersAnswerSlowlyPrefersTheOthers);
   CPPUNIT_TEST(choiceWhenStreamsOfPeersAreSlowPrefersTheOthers);
-  CPPUNIT_TEST(choiceWhenTheFastServersAreOverloadedTakesASlowOne);
+  CPPUNIT_TEST(choiceWhenTheFastServersAreFullTakesASlowOne);
   CPPUNIT_TEST(choiceWhenAServerStragglesLeavesItOutUntilNoticesEnd);
   CPPUNIT_TEST(choiceWhenMostServersStraggleStillHasOne);
   CPPUNIT_TEST(stragglersWhenToldByPeersAreNotRelayed);
@@ -182,10 +182,10 @@
       CPPUNIT_ASSERT(chosen(at(0)) >= "c");
   }
 
-  void choiceWhenTheFastServersAreOverloadedTakesASlowOne() {
+  void choiceWhenTheFastServersAreFullTakesASlowOne() {
     listWithSlowStreams();
-    // Twice as many as a fast server has slots.
-    for (int I = 0; I < 8; ++I) {
+    // With the peers' one, all four slots.
+    for (int I = 0; I < 3; ++I) {
       Board->onStarted("c", at(0));
       Board->onStarted("d", at(0));
     }
--- a/libs/rankgroup/include/ragwort/rankgroup/GroupAgent.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/GroupAgent.h
@@ -52,6 +52,9 @@
 
   static constexpr Duration BeatInterval = std::chrono::milliseconds(150);
   static constexpr Duration CallInterval = std::chrono::milliseconds(600);
+  /// The same while some rank has not reported in this epoch: without it the
+  /// group keeps the map that it was formed with.
+  static constexpr Duration UrgentCallInterval = std::chrono::milliseconds(100);
   /// How often a controller looks at an ongoing change.
   static constexpr Duration DriveInterval = std::chrono::milliseconds(10);
   /// How often it looks while there is none.
@@ -339,7 +342,9 @@
 
   void drive() {
     TimePoint At = now();
-    if (At - LastCall >= CallInterval) {
+    if (At - LastCall >= (Controller->mapSwitch().areAllKnown()
+                              ? CallInterval
+                              : UrgentCallInterval)) {
       LastCall = At;
       callMembers();
     }
--- a/libs/rankgroup/include/ragwort/rankgroup/GroupController.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/GroupController.h
@@ -40,6 +40,10 @@
   /// Part of the target gap up to which passes are fast enough as they are. A
   /// pass that reads prompts takes up to about twice the usual.
   static constexpr double FastEnough = 0.55;
+  /// The same while the slowest rank has LargeSkew times the mean load, as
+  /// after a group has formed: passes grow with the load, which is to come.
+  static constexpr double FastEnoughWhenSkewed = 0.4;
+  static constexpr double LargeSkew = 2.0;
   /// Part of the groups' expert time that a change must save: it slows the
   /// group while weights are copied, and copies and orders cost.
   static constexpr double MinGain = 0.15;
@@ -82,10 +86,9 @@
 private:
   std::optional<ExpertMap> mapInUse() const;
   void notePass(const EngineReport &Report, TimePoint Now);
-  bool isFastEnough() const;
+  bool isFastEnough(double Skew) const;
   std::vector<double> paceOfRanks() const;
-  bool isGainPossible(const ExpertMap &InUse,
-                      std::span<const double> Pace) const;
+  double skewInUse(const ExpertMap &InUse, std::span<const double> Pace) const;
   uint64_t armingPasses() const;
   uint64_t nextVersion() const;
 
--- a/libs/rankgroup/include/ragwort/rankgroup/MapSwitch.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/MapSwitch.h
@@ -96,6 +96,8 @@
   /// the request for the report (see awaitedReports()), or zero.
   void onReport(uint32_t Rank, const EngineReport &Report, uint64_t Token,
                 TimePoint Now);
+  /// Whether all ranks have reported in this epoch.
+  bool areAllKnown() const;
   /// Whether all ranks are known, in one epoch and open, and nothing is left
   /// from an earlier switch.
   bool canBegin() const;
--- a/libs/rankgroup/src/GroupController.cpp
+++ b/libs/rankgroup/src/GroupController.cpp
@@ -51,10 +51,11 @@
   }
 }
 
-bool GroupController::isFastEnough() const {
+bool GroupController::isFastEnough(double Skew) const {
   double TargetMillis =
       std::chrono::duration<double, std::milli>(Shape.TargetGap).count();
-  return PassMillis < FastEnough * TargetMillis;
+  double Part = Skew >= LargeSkew ? FastEnoughWhenSkewed : FastEnough;
+  return PassMillis < Part * TargetMillis;
 }
 
 uint64_t GroupController::armingPasses() const {
@@ -98,13 +99,12 @@
   return Result;
 }
 
-bool GroupController::isGainPossible(const ExpertMap &InUse,
-                                     std::span<const double> Pace) const {
+double GroupController::skewInUse(const ExpertMap &InUse,
+                                  std::span<const double> Pace) const {
   double Skew = 0;
   for (uint32_t Set = 0; Set < Shape.Sets; ++Set)
     Skew += skewOf(InUse.At[Set], {Demand.ofSet(Set), Pace}) / Shape.Sets;
-  // Even loads on all ranks are the best that can be planned.
-  return Skew * (1 - MinGain) >= 1;
+  return Skew;
 }
 
 uint64_t GroupController::nextVersion() const {
@@ -130,15 +130,16 @@
   for (const EngineReport &R : Reports)
     Running += R.Running;
   std::optional<ExpertMap> InUse = mapInUse();
-  if (Running < MinRunning || isFastEnough() || Demand.evidence() <= 0 ||
-      !InUse)
+  if (Running < MinRunning || Demand.evidence() <= 0 || !InUse)
     return std::nullopt;
   PlannedChange Change;
   Change.SkewBefore = 0;
   Change.SkewAfter = 0;
   ExpertMap Target;
   std::vector<double> Pace = paceOfRanks();
-  if (!isGainPossible(*InUse, Pace))
+  double Skew = skewInUse(*InUse, Pace);
+  // Even loads on all ranks are the best that can be planned.
+  if (isFastEnough(Skew) || Skew * (1 - MinGain) < 1)
     return std::nullopt;
   SetLimits Limits{Shape.Places, Shape.Spare,
                    MinGainOfGroupPerCopy / static_cast<double>(Held.size())};
--- a/libs/rankgroup/src/GroupControllerTest.cpp
+++ b/libs/rankgroup/src/GroupControllerTest.cpp
@@ -8,6 +8,7 @@
   CPPUNIT_TEST_SUITE(GroupControllerTest);
   CPPUNIT_TEST(planWhenPassesAreSlowAndDemandIsSkewedBegins);
   CPPUNIT_TEST(planWhenPassesAreFastLeavesTheMap);
+  CPPUNIT_TEST(planWhenSkewIsLargeBeginsAtFasterPasses);
   CPPUNIT_TEST(planWhenDemandIsEvenLeavesTheMap);
   CPPUNIT_TEST(planWhenTheGainIsSmallLeavesTheMap);
   CPPUNIT_TEST(planWhenAMapIsUnknownWaits);
@@ -72,6 +73,14 @@
     CPPUNIT_ASSERT(!seen(40, 20).plan(after(40)));
   }
 
+  void planWhenSkewIsLargeBeginsAtFasterPasses() {
+    // Expert 0 at 12 times the others' demand gives its rank over twice the
+    // mean load, at 4 times less than that.
+    CPPUNIT_ASSERT(seen(55, 12).plan(after(55)));
+    CPPUNIT_ASSERT(!seen(55, 4).plan(after(55)));
+    CPPUNIT_ASSERT(seen(90, 4).plan(after(90)));
+  }
+
   void planWhenDemandIsEvenLeavesTheMap() {
     CPPUNIT_ASSERT(!seen(110, 1).plan(after(110)));
   }
--- a/libs/rankgroup/src/MapSwitch.cpp
+++ b/libs/rankgroup/src/MapSwitch.cpp
@@ -74,6 +74,11 @@
   advance(Now);
 }
 
+bool MapSwitch::areAllKnown() const {
+  return std::all_of(Ranks.begin(), Ranks.end(),
+                     [](const Rank &R) { return R.IsKnown; });
+}
+
 bool MapSwitch::canBegin() const {
   if (Phase != SwitchPhase::Idle || Epoch == 0)
     return false;
