Play faults against the platform's programs as separate processes

Change: testing/soak starts three entry nodes and the store stand-in, plays callers and backend servers, and injects faults from outside by proxied links, signals, the store and the servers themselves, in overlapping series. Promises are checked from what callers and servers see.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SECONDS ?= 60
 SECONDS_OF_SOAK = $(SECONDS)
 
-.PHONY: deps build test demo soak scenarios experiments lint \
+.PHONY: deps build test demo soak fault-soak scenarios experiments lint \
   format bench prove-failing
 
 deps:
@@ -24,6 +24,12 @@
 soak: build
 	RAGWORT_SOAK_SECONDS=$(SECONDS_OF_SOAK) $(BUILD)/libs/journal/journal_tests
 	RAGWORT_SOAK_SECONDS=$(SECONDS_OF_SOAK) $(BUILD)/libs/experts/experts_tests
+	RAGWORT_SOAK_SECONDS=$(SECONDS_OF_SOAK) $(BUILD)/libs/rankgroup/rankgroup_tests
+
+# Faults against the platform's programs: seeds 1 to 50, then fresh ones.
+fault-soak: build
+	python3 testing/soak/soak.py $(BUILD) --seeds 1-50 --jobs 4
+	python3 testing/soak/soak.py $(BUILD) --fresh $(SECONDS) --jobs 4
 
 scenarios: build
 	python3 testing/scenarios/run_all.py $(BUILD)
--- /dev/null
+++ b/testing/soak/soak.py
@@ -0,0 +1,463 @@
+#!/usr/bin/env python3
+"""Randomised faults against the platform's programs as separate processes.
+
+usage: soak.py BUILD-FOLDER [--seeds A-B | --fresh SECONDS] [--jobs N]
+
+Each seed starts entry nodes and a store, plays callers and backend servers in
+this process, and injects faults from outside: proxied links that delay, reset,
+cut or silence; signals that stop, pause, kill and restart; a store that is
+away, slow, loses answers or forgets its history; back ends that spoil answers,
+leave, crash and hand their address on. The promises are checked from what
+callers and back ends see. Seeds in regressions.txt are always played.
+"""
+
+import argparse
+import asyncio
+import base64
+import json
+import os
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+
+import promises
+from backends import MODES, Backend, Ledger
+from callers import Caller
+from links import Link
+
+FOLDER = os.path.dirname(os.path.abspath(__file__))
+FAULTS_S = 10.0
+# The platform allows 12 s for recovery; traffic is judged after it.
+RECOVER_S = 5.0
+JUDGED_S = 2.0
+GRACE_S = 4
+CALLERS = 10
+NODES = 3
+LAPSE_S = 3.6
+PATHS = ["/pay/", "/look/", "/draft/", "/moved/"]
+
+
+class Node:
+    """One entry node with its own link to the store."""
+
+    def __init__(self, run, index):
+        self.run = run
+        self.name = f"entry-{index}"
+        self.ip = f"127.{run.net}.1.{index}"
+        self.front = (self.ip, run.ports[0])
+        self.ready = (self.ip, run.ports[1])
+        self.store_link = Link(("127.0.0.1", run.store_port))
+        self.settings = os.path.join(run.dir, f"{self.name}.conf")
+        self.popen = None
+        self.incarnation = 0
+        self.in_rotation = False
+        self.is_wanted = True
+        self.misses = 0
+
+    def write_settings(self):
+        seeds = ",".join(f"{n.ip}:1" for n in self.run.nodes)
+        with open(self.settings, "w", encoding="utf-8") as out:
+            out.write(
+                f"node={self.name}\nip={self.ip}\nzone=z1\n"
+                f"listen.front={self.ip}:{self.front[1]}\n"
+                f"listen.ready={self.ip}:{self.ready[1]}\n"
+                f"internalPorts={self.run.ports[2]},{self.run.ports[2] + 1}\n"
+                f"seeds={seeds}\nprovider.address=127.0.0.1:{self.store_link.port}\n"
+                f"limits.maxFds=2870\nbounds.graceS={GRACE_S}\n"
+                "bounds.retryBudgetRatio=0.2\nbounds.budgetWindowS=10\n"
+                "bounds.budgetSlack=180\n"
+            )
+
+    def start(self):
+        self.incarnation += 1
+        self.is_wanted = True
+        with open(os.path.join(self.run.dir, f"{self.name}.log"), "ab") as log:
+            self.popen = subprocess.Popen(
+                [os.path.join(self.run.build, "platform/ragwort-platform-entry")],
+                stdout=log, stderr=log, stdin=subprocess.DEVNULL,
+                env={"RAGWORTTHREAD_NODE_FILE": self.settings, "PATH": os.environ["PATH"]},
+            )
+
+    def send(self, number):
+        if self.popen.poll() is None:
+            self.popen.send_signal(number)
+
+    async def wait(self, limit_s):
+        end = time.monotonic() + limit_s
+        while self.popen.poll() is None and time.monotonic() < end:
+            await asyncio.sleep(0.02)
+        return self.popen.poll() is not None
+
+    async def probe(self):
+        """The balancer's question: a node is out after two misses."""
+        while True:
+            is_ready = False
+            try:
+                reader, writer = await asyncio.wait_for(
+                    asyncio.open_connection(*self.ready), 1)
+                writer.write(b"GET /ready HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n")
+                line = await asyncio.wait_for(reader.readline(), 1)
+                is_ready = b" 200 " in line
+                writer.transport.abort()
+            except (OSError, asyncio.TimeoutError):
+                pass  # Not ready.
+            self.misses = 0 if is_ready else self.misses + 1
+            self.in_rotation = is_ready or (self.in_rotation and self.misses < 2)
+            await asyncio.sleep(1)
+
+
+class Run:
+    """One seed."""
+
+    def __init__(self, build, seed, slot):
+        self.build = build
+        self.seed = seed
+        self.random = random.Random(seed)
+        self.net = 20 + slot
+        self.dir = tempfile.mkdtemp(prefix=f"ragwort-soak-{seed}-")
+        self.ledger = Ledger()
+        self.attempts = []
+        self.backends = []
+        self.rows = {}
+        self.version = 0
+        # (acknowledged at, version); services of /moved/ go round by version.
+        self.acks = []
+        # (begin, end, what): whatever excuses time-bound promises.
+        self.disturbances = []
+        # (begin, end, node, what)
+        self.planned = []
+        self.exits = []
+        self.sequence = 0
+        self.is_over = False
+
+    def disturb(self, what, length_s):
+        now = time.monotonic()
+        self.disturbances.append((now, now + length_s, what))
+
+    async def store_call(self, path, body):
+        """A call of the operator, which no fault but the store's own touches."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.store_port)
+        data = json.dumps(body).encode()
+        writer.write(f"POST {path} HTTP/1.1\r\nHost: s\r\nConnection: close\r\n"
+                     f"Content-Length: {len(data)}\r\n\r\n".encode() + data)
+        answer = await reader.read()
+        writer.transport.abort()
+        return b" 200 " in answer.split(b"\r\n")[0]
+
+    async def write_row(self, table, key, value):
+        """Tries until the store has acknowledged it."""
+        entry = {"table": table, "part": "", "key": key}
+        change = {"remove": [entry]}
+        if value is not None:
+            entry["value"] = base64.b64encode(json.dumps(value).encode()).decode()
+            change = {"upserts": [entry]}
+        while not await self.store_call("/rows-tx", change):
+            await asyncio.sleep(0.05)
+
+    async def write_server(self, backend):
+        self.sequence += 1
+        await self.write_row("servers", backend.id, backend.row(self.sequence))
+
+    async def change_config(self):
+        version = self.version + self.random.randrange(1, 4)
+        moved = f"m{version % 3}"
+        routes = [
+            self.route("pay", "unsafe", "pay", 1), self.route("look", "safe", "pay", 2),
+            self.route("draft", "streaming", "draft", 2),
+            self.route("moved", "safe", moved, 2),
+        ]
+        self.version = version
+        await self.write_row("op", "config", {
+            "version": version, "routes": routes,
+            "services": [{"name": n} for n in ("pay", "draft", "m0", "m1", "m2")],
+            "limits": {"maxHeaderBytes": 8192, "maxBodyBytes": 65536,
+                       "headerTimeoutMs": 2000, "idleTimeoutMs": 15000},
+            "tenants": [{"name": "org-one", "apiKeys": ["key-one"]}]})
+        self.acks.append((time.monotonic(), version))
+
+    @staticmethod
+    def route(name, kind, service, attempts):
+        return {"name": name, "host": "h.example", "pathPrefix": f"/{name}/",
+                "kind": kind, "timeoutMs": 3000, "targetLatencyMs": 300,
+                "priority": 1, "service": service, "maxAttempts": attempts,
+                "public": False, "resumable": kind == "streaming", "gapTargetMs": 120}
+
+    async def add_backend(self, service, port=0, link=None):
+        backend = Backend(service, self.ledger, self.random, port)
+        backend.link = link
+        await backend.start()
+        self.backends.append(backend)
+        await self.write_server(backend)
+        return backend
+
+    async def start(self):
+        self.store = subprocess.Popen(
+            [os.path.join(self.build, "testing/standins/ragwort-standin"),
+             "--kind", "platform", "--port", "0"],
+            stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, stdin=subprocess.DEVNULL)
+        self.store_port = int(self.store.stdout.readline().decode().split("=")[1])
+        self.ports = free_ports(f"127.{self.net}.1.1", 4)
+        self.nodes = [Node(self, i) for i in range(1, NODES + 1)]
+        for service in ("pay", "pay", "pay", "draft", "draft", "draft", "m0", "m1", "m2"):
+            await self.add_backend(service)
+        await self.change_config()
+        for node in self.nodes:
+            await node.store_link.start()
+            node.write_settings()
+            node.start()
+
+    # Faults. Each holds for its own time; they overlap.
+
+    async def fault_link(self):
+        links = [b.link for b in self.backends if b.state == "ready"]
+        links += [n.store_link for n in self.nodes] * 2
+        link = self.random.choice(links)
+        kind = self.random.choice(["delay", "reset", "cut_up", "cut_down", "silence"])
+        length = self.random.uniform(0.3, 2.5)
+        self.disturb(f"link {kind}", length)
+        if kind == "delay":
+            link.delay_s = self.random.uniform(0.02, 0.3)
+        elif kind == "reset":
+            link.reset_all()
+        else:
+            link.cut_up = kind != "cut_down"
+            link.cut_down = kind != "cut_up"
+        await asyncio.sleep(length)
+        link.heal()
+
+    async def fault_store(self):
+        length = self.random.uniform(0.3, 2.5)
+        fault, healed = self.random.choice([
+            ({"down": True}, {"down": False}),
+            ({"delay_ms": 400}, {"delay_ms": 0}),
+            ({"lose_answers": 2}, {"lose_answers": 0}),
+            ({"forget_history": True}, {})])
+        self.disturb(f"store {next(iter(fault))}", length)
+        await self.store_call("/faults", fault)
+        await asyncio.sleep(length)
+        await self.store_call("/faults", healed)
+
+    async def fault_kill(self):
+        node = self.random.choice(self.nodes)
+        if not node.is_wanted:
+            return
+        node.is_wanted = False
+        self.disturb("kill", 1.0)
+        node.send(signal.SIGKILL)
+        await node.wait(5)
+        await asyncio.sleep(self.random.uniform(0.05, 0.6))
+        self.disturb("start", 0.1)
+        node.start()
+
+    async def fault_pause(self):
+        node = self.random.choice(self.nodes)
+        length = self.random.uniform(0.2, 3.0)
+        self.disturb("pause", length)
+        node.send(signal.SIGSTOP)
+        await asyncio.sleep(length)
+        node.send(signal.SIGCONT)
+
+    async def plan_stop(self):
+        node = self.random.choice(self.nodes)
+        if not node.is_wanted or sum(n.is_wanted for n in self.nodes) < 2:
+            return
+        node.is_wanted = False
+        now = time.monotonic()
+        self.planned.append((now, now + GRACE_S + 1, node.name, "stop"))
+        node.send(signal.SIGTERM)
+        if not await node.wait(GRACE_S + 3):
+            self.exits.append(f"{node.name} still runs {GRACE_S + 3} s after SIGTERM")
+            node.send(signal.SIGKILL)
+            await node.wait(5)
+        node.start()
+
+    async def plan_reload(self):
+        node = self.random.choice(self.nodes)
+        node.write_settings()
+        if self.random.random() < 0.7:
+            node.send(signal.SIGHUP)
+
+    async def plan_config(self):
+        for _ in range(self.random.choice([1, 1, 3])):
+            await self.change_config()
+            await asyncio.sleep(0.3)
+
+    async def plan_drain(self):
+        """One backend server leaves; another takes its place."""
+        old = self.random.choice([b for b in self.backends if b.state == "ready"])
+        old.state = "leaving"
+        await self.add_backend(old.service)
+        old.state = "draining"
+        await self.write_server(old)
+        old.drained_at = time.monotonic()
+        await asyncio.sleep(4)
+        self.backends.remove(old)
+        await self.write_row("servers", old.id, None)
+        await old.stop()
+
+    async def fault_crash(self):
+        """A backend server is gone; its address may go to another service."""
+        old = self.random.choice([b for b in self.backends if b.state == "ready"])
+        old.state = "crashed"
+        self.disturb("crash", LAPSE_S)
+        await old.stop()
+        await asyncio.sleep(self.random.uniform(0.2, 2.0))
+        self.backends.remove(old)
+        if self.random.random() < 0.5:
+            # Under its id again, with nothing of before.
+            old.state, old.born = "ready", old.born + 5000
+            await old.start()
+            self.backends.append(old)
+            await self.write_server(old)
+            return
+        other = self.random.choice(["pay", "draft", "m0"])
+        await self.add_backend(other, old.port, old.link)
+        await asyncio.sleep(LAPSE_S - 2.0)
+        await self.write_row("servers", old.id, None)
+        if other != old.service:
+            await self.add_backend(old.service)
+
+    async def fault_mode(self):
+        backend = self.random.choice(self.backends)
+        length = self.random.uniform(0.5, 2.5)
+        backend.mode = self.random.choice(MODES)
+        backend.mode_share = self.random.choice([0.1, 0.5, 1.0])
+        self.disturb(f"back end {backend.mode}", length)
+        await asyncio.sleep(length)
+        backend.mode = None
+
+    async def inject(self, until):
+        kinds = [self.fault_link, self.fault_link, self.fault_store, self.fault_kill,
+                 self.fault_pause, self.plan_stop, self.plan_stop, self.plan_reload,
+                 self.plan_config, self.plan_config, self.plan_drain, self.fault_crash,
+                 self.fault_mode]
+        # Some runs have planned work only, which must cut nothing.
+        if self.seed % 4 == 0:
+            kinds = [k for k in kinds if k.__name__.startswith("plan")]
+        tasks = []
+        while time.monotonic() < until:
+            tasks.append(asyncio.create_task(self.random.choice(kinds)()))
+            await asyncio.sleep(self.random.uniform(0.1, 0.9))
+        await asyncio.gather(*tasks)
+
+    async def watch(self):
+        """Notes processes that end by themselves, and a machine too busy to
+        judge times."""
+        last = time.monotonic()
+        while not self.is_over:
+            await asyncio.sleep(0.05)
+            now = time.monotonic()
+            if now - last > 0.25:
+                self.disturbances.append((last, now, "this machine is too busy"))
+            last = now
+            for node in self.nodes:
+                if node.is_wanted and node.popen.poll() is not None:
+                    self.exits.append(f"{node.name} ended with {node.popen.returncode}")
+                    node.start()
+
+    async def play(self):
+        await self.start()
+        try:
+            background = [asyncio.create_task(n.probe()) for n in self.nodes]
+            background.append(asyncio.create_task(self.watch()))
+            self.disturb("start", 2.5)
+            await asyncio.sleep(2.5)
+            begun = time.monotonic()
+            until = begun + FAULTS_S + RECOVER_S + JUDGED_S
+            callers = [Caller(i, self.nodes, self.random, self.attempts, PATHS)
+                       for i in range(CALLERS)]
+            tasks = [asyncio.create_task(c.run(until)) for c in callers]
+            await self.inject(begun + FAULTS_S)
+            self.healed_at = time.monotonic()
+            judged = self.healed_at + RECOVER_S + JUDGED_S
+            extra = [Caller(100 + i, self.nodes, self.random, self.attempts, PATHS)
+                     for i in range(CALLERS)]
+            tasks += [asyncio.create_task(c.run(judged)) for c in extra]
+            await asyncio.gather(*tasks)
+            await asyncio.sleep(0.5)
+            self.is_over = True
+            for task in background:
+                task.cancel()
+            return promises.broken(self)
+        finally:
+            for node in self.nodes:
+                if node.popen and node.popen.poll() is None:
+                    node.send(signal.SIGCONT)
+                    node.send(signal.SIGKILL)
+                    node.popen.wait()
+            self.store.kill()
+            self.store.wait()
+
+
+def free_ports(ip, count):
+    import socket
+    ports = []
+    while len(ports) < count:
+        with socket.socket() as probe:
+            probe.bind((ip, 0))
+            ports.append(probe.getsockname()[1])
+    return ports
+
+
+async def play_seed(build, seed, slot):
+    run = Run(build, seed, slot)
+    failures = await run.play()
+    served = sum(a.end == "whole" and a.status == 200 for a in run.attempts)
+    print(f"seed {seed}: {len(run.attempts)} requests, {served} served, "
+          f"{len(run.disturbances)} faults, {len(failures)} promises broken", flush=True)
+    for failure in failures[:8]:
+        print(f"  seed {seed}: {failure}")
+    if failures:
+        print(f"  logs in {run.dir}", flush=True)
+    return not failures
+
+
+def regression_seeds():
+    with open(os.path.join(FOLDER, "regressions.txt"), encoding="utf-8") as lines:
+        return [int(line.split()[0]) for line in lines if line[0].isdigit()]
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("build")
+    parser.add_argument("--seeds", default="")
+    parser.add_argument("--fresh", type=float, default=0, metavar="SECONDS")
+    parser.add_argument("--jobs", type=int, default=4)
+    options = parser.parse_args()
+    seeds = regression_seeds()
+    if options.seeds:
+        first, _, last = options.seeds.partition("-")
+        seeds += range(int(first), int(last or first) + 1)
+    end = time.monotonic() + options.fresh
+    fresh = random.Random()
+
+    # A run shares nothing with others but the machine; each has a process of
+    # its own, so that one's checks do not delay another's.
+    running, results = {}, []
+    slots = set(range(options.jobs))
+    while seeds or running or time.monotonic() < end:
+        while slots and (seeds or time.monotonic() < end):
+            seed = seeds.pop(0) if seeds else fresh.randrange(10**9)
+            slot = slots.pop()
+            running[slot] = subprocess.Popen(
+                [sys.executable, __file__, options.build, "--one", str(seed), str(slot)])
+        for slot, child in list(running.items()):
+            if child.poll() is not None:
+                results.append(child.returncode == 0)
+                slots.add(slot)
+                del running[slot]
+        time.sleep(0.05)
+    print(f"{sum(results)} passed, {len(results) - sum(results)} failed")
+    return 0 if results and all(results) else 1
+
+
+if __name__ == "__main__":
+    if "--one" in sys.argv:
+        at = sys.argv.index("--one")
+        passed = asyncio.run(
+            play_seed(sys.argv[1], int(sys.argv[at + 1]), int(sys.argv[at + 2])))
+        sys.exit(0 if passed else 1)
+    sys.exit(main())
