Give orders to engines through the agents beside them

Ruled out: fewer changes (they follow the shifts of demand). Change: orders go in datagrams to the agents, which give them to their engines and answer; every second copy of an unanswered order goes to the engine itself. What may happen to an order is what MapSwitch already allows for: lost, doubled, late. A pass is held less far ahead. Tests: OrderMessageTest (parts, mixed parts, torn datagrams); the randomised runs of MapSwitch are unchanged and pass.

--- a/libs/rankgroup/include/ragwort/rankgroup/GroupAgent.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/GroupAgent.h
@@ -1,8 +1,9 @@
 //===- GroupAgent.h - The process beside one engine -----------------------===//
 //
 // Reads its own engine, where that is free, and reports to the controller of
-// the engine's group. Beside the first rank it is the controller itself and
-// gives the group's orders.
+// the engine's group, whose orders it carries out. Beside the first rank it is
+// the controller itself. Orders reach an engine directly only where its agent
+// does not answer.
 //
 //===----------------------------------------------------------------------===//
 #ifndef RAGWORT_RANKGROUP_GROUPAGENT_H
@@ -11,6 +12,7 @@
 #include "ragwort/observe/Log.h"
 #include "ragwort/observe/Metrics.h"
 #include "ragwort/rankgroup/AgentMessage.h"
+#include "ragwort/rankgroup/OrderMessage.h"
 #include "ragwort/transport/Asio.h"
 #include <absl/status/status.h>
 #include <array>
@@ -59,6 +61,8 @@
   static constexpr Duration DriveInterval = std::chrono::milliseconds(10);
   /// How often it looks while there is none.
   static constexpr Duration IdleInterval = std::chrono::milliseconds(50);
+  /// Members unheard for this long get orders at their engines.
+  static constexpr Duration AgentLife = std::chrono::milliseconds(400);
   /// A member that does not answer a request for its report for so long is
   /// asked at its engine. Engines may show strangers a state that is this old.
   static constexpr Duration RemoteReportAge = std::chrono::milliseconds(600);
@@ -66,8 +70,8 @@
   GroupAgent(asio::io_context &Io, AgentOptions Options, MakeEngine Make,
              MetricsRegistry &Metrics)
       : Io(Io), Options(std::move(Options)), Make(std::move(Make)),
-        Metrics(Metrics), Own(this->Make(this->Options.OwnEngine)), Socket(Io) {
-  }
+        Metrics(Metrics), Own(this->Make(this->Options.OwnEngine)),
+        OwnOrders(this->Make(this->Options.OwnEngine)), Socket(Io) {}
 
   absl::Status listen() {
     auto Endpoint = endpointOf<asio::ip::udp>(Options.Listen);
@@ -110,6 +114,7 @@
     // Calls in flight hold it as well, since the member may be dropped.
     std::shared_ptr<EngineClient> Client;
     std::string Engine;
+    TimePoint HeardAt{};
     bool IsCalling = false;
     bool IsReading = false;
   };
@@ -271,6 +276,7 @@
                   const std::string &EngineAddress) {
     Member &M = Members[Rank];
     M.Ip = Ip;
+    M.HeardAt = now();
     if (M.Engine == EngineAddress)
       return;
     M.Engine = EngineAddress;
@@ -291,13 +297,59 @@
       // Errors of earlier sends (port unreachable) surface here; go on.
       if (Error)
         continue;
-      absl::StatusOr<AgentMessage> M =
-          decodeMessage(std::string_view(Buffer.data(), Count));
-      if (M.ok())
-        onMessage(*M, From.address().to_string());
+      onDatagram(std::string_view(Buffer.data(), Count),
+                 From.address().to_string());
     }
   }
 
+  void onDatagram(std::string_view Datagram, const std::string &Ip) {
+    if (absl::StatusOr<AgentMessage> M = decodeMessage(Datagram); M.ok())
+      onMessage(*M, Ip);
+    else if (auto Part = decodeOrderPart(Datagram); Part.ok())
+      onOrderPart(std::move(*Part), Ip);
+    else if (auto Reply = decodeReply(Datagram); Reply.ok())
+      onReply(*Reply);
+  }
+
+  void onOrderPart(OrderPart Part, const std::string &Ip) {
+    // Only who has called this agent may give its engine orders.
+    if (Ip != ControllerIp || Part.Group != OwnReport.Group)
+      return;
+    uint64_t Number = Part.Number;
+    std::optional<RankOrder> Whole = Orders.add(std::move(Part));
+    if (Whole && !IsOrdering)
+      asio::co_spawn(Io, carryOut(std::move(*Whole), Number, Ip),
+                     asio::detached);
+  }
+
+  /// Gives the own engine an order. Without an answer the controller repeats
+  /// it.
+  asio::awaitable<void> carryOut(RankOrder Order, uint64_t Number,
+                                 std::string Ip) {
+    IsOrdering = true;
+    absl::StatusOr<OrderAnswer> Answer = co_await OwnOrders->order(Order);
+    IsOrdering = false;
+    if (!Answer.ok())
+      co_return;
+    OrderReply Reply;
+    Reply.Group = OwnReport.Group;
+    Reply.Rank = OwnReport.Rank;
+    Reply.Epoch = Order.Epoch;
+    Reply.Number = Number;
+    Reply.Answer = *Answer;
+    sendBytes(encodeReply(Reply), Ip);
+  }
+
+  void onReply(const OrderReply &Reply) {
+    if (!Controller || Reply.Group != ControlledGroup ||
+        Reply.Rank >= Controller->ranks() ||
+        Controller->mapSwitch().epoch() != Reply.Epoch)
+      return;
+    Controller->mapSwitch().onAnswer(Reply.Rank, Reply.Number, Reply.Answer,
+                                     now());
+    drive();
+  }
+
   void onMessage(const AgentMessage &M, const std::string &Ip) {
     bool IsOwnGroup = M.Group == OwnReport.Group && !M.Group.empty();
     switch (M.Kind) {
@@ -366,8 +418,10 @@
                   {"copies", Change->Copies},
                   {"pass_us", C.passTime().count()}});
       }
-    for (SendOrder &S : C.mapSwitch().takeOrders(At))
-      asio::co_spawn(Io, giveOrder(std::move(S)), asio::detached);
+    for (SendOrder &S : C.mapSwitch().takeOrders(At)) {
+      if (!relayOrder(S, At))
+        asio::co_spawn(Io, giveOrder(std::move(S)), asio::detached);
+    }
     for (const ReportRequest &R : C.mapSwitch().awaitedReports())
       requestReport(R, At);
     noteEnds(Before, At);
@@ -434,6 +488,19 @@
       Controller->onReport(Report->Rank, *Report, Token, now());
   }
 
+  /// Sends an order to the agent beside its engine. Every second copy goes to
+  /// the engine itself, since either way may be cut. \returns whether it did.
+  bool relayOrder(const SendOrder &S, TimePoint At) {
+    auto Found = Members.find(S.Rank);
+    if (Found == Members.end() || Found->second.Ip == Options.Listen.Ip ||
+        At - Found->second.HeardAt > AgentLife || S.Copy % 2 == 0)
+      return false;
+    for (const std::string &Bytes :
+         encodeOrder(ControlledGroup, S.Number, S.Order))
+      sendBytes(Bytes, Found->second.Ip);
+    return true;
+  }
+
   asio::awaitable<void> giveOrder(SendOrder S) {
     auto Found = Members.find(S.Rank);
     if (Found == Members.end() || !Found->second.Client ||
@@ -455,8 +522,12 @@
   }
 
   void send(const AgentMessage &M, const std::string &Ip) {
+    sendBytes(encodeMessage(M), Ip);
+  }
+
+  void sendBytes(const std::string &Bytes, const std::string &Ip) {
     error_code Error; // A lost datagram is made up for by the next.
-    Socket.send_to(asio::buffer(encodeMessage(M)),
+    Socket.send_to(asio::buffer(Bytes),
                    endpointOf<asio::ip::udp>({Ip, Options.Listen.Port}), 0,
                    Error);
   }
@@ -466,6 +537,8 @@
   const MakeEngine Make;
   MetricsRegistry &Metrics;
   std::unique_ptr<EngineClient> Own;
+  // A connection of its own, so that an order never waits for a report.
+  std::unique_ptr<EngineClient> OwnOrders;
   asio::ip::udp::socket Socket;
   GroupShape Shape;
   std::set<std::string> Neighbours;
@@ -476,6 +549,8 @@
   std::vector<std::vector<uint64_t>> LastCounts;
   uint64_t LastCountedStep = 0;
   std::string ControllerIp;
+  OrderAssembler Orders;
+  bool IsOrdering = false;
   bool IsEngineReached = false;
   bool IsBeating = false;
   uint64_t PendingToken = 0;
--- a/libs/rankgroup/include/ragwort/rankgroup/GroupController.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/GroupController.h
@@ -51,9 +51,9 @@
   /// copy costs the same in every group, and what it saves grows with the ranks
   /// that wait for the slowest one.
   static constexpr double MinGainOfGroupPerCopy = 0.32;
-  /// Time in which the controller arms one rank: an order and its answer at a
+  /// Time in which the controller arms one rank: a datagram and its answer at a
   /// seventh of a core.
-  static constexpr double ArmMillisPerRank = 5;
+  static constexpr double ArmMillisPerRank = 2;
   /// Requests that must run in the group before its counts say anything.
   static constexpr uint32_t MinRunning = 4;
   /// Least time between two plans that led to nothing.
--- a/libs/rankgroup/include/ragwort/rankgroup/MapSwitch.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/MapSwitch.h
@@ -44,6 +44,8 @@
   uint32_t Rank = 0;
   uint64_t Number = 0;
   RankOrder Order;
+  /// 1 when the order is sent for the first time.
+  uint32_t Copy = 1;
 };
 
 /// Asks for a rank's report, read from now on.
--- a/libs/rankgroup/src/MapSwitch.cpp
+++ b/libs/rankgroup/src/MapSwitch.cpp
@@ -148,7 +148,7 @@
       R.Number = NextNumber++;
     ++R.Copies;
     R.SentAt = Now;
-    Result.push_back({I, R.Number, *R.Open});
+    Result.push_back({I, R.Number, *R.Open, R.Copies});
   }
   return Result;
 }
--- /dev/null
+++ b/libs/rankgroup/src/OrderMessage.cpp
@@ -0,0 +1,178 @@
+//===- OrderMessage.cpp - Orders that agents carry out for a controller ---===//
+#include "ragwort/rankgroup/OrderMessage.h"
+#include "ragwort/rankgroup/AgentMessage.h"
+#include "ragwort/wire/Bounded.h"
+#include <cereal/archives/portable_binary.hpp>
+#include <sstream>
+
+namespace ragwort::rankgroup {
+
+namespace {
+
+constexpr size_t MaxSets = 256;
+constexpr size_t MaxRanks = 1024;
+// Left in a datagram for everything but the map.
+constexpr size_t HeaderBytes = wire::MaxNameBytes + 100;
+
+/// A list of experts has its length and each id in one byte where they fit.
+template <class Archive>
+void transferExperts(Archive &Ar, std::vector<ExpertId> &List, bool IsSmall) {
+  auto Length = static_cast<uint16_t>(List.size());
+  Ar(Length);
+  if (Length > MaxAgentDatagram)
+    throw cereal::Exception("too many experts in a datagram");
+  List.resize(Length);
+  for (ExpertId &Id : List) {
+    auto Byte = static_cast<uint8_t>(Id);
+    if (IsSmall)
+      Ar(Byte);
+    else
+      Ar(Id);
+    if (IsSmall)
+      Id = Byte;
+  }
+}
+
+bool isSmall(const ExpertMap &Map) {
+  for (const auto &Set : Map.At)
+    for (const auto &Rank : Set)
+      for (ExpertId Id : Rank)
+        if (Id > 255)
+          return false;
+  return true;
+}
+
+size_t bytesOf(const std::vector<std::vector<ExpertId>> &Set, bool IsSmall) {
+  size_t Bytes = sizeof(uint64_t);
+  for (const auto &Rank : Set)
+    Bytes += sizeof(uint16_t) + Rank.size() * (IsSmall ? 1 : 2);
+  return Bytes;
+}
+
+template <class Archive> void checkProtocol(Archive &Ar, uint16_t Expected) {
+  uint16_t Protocol = Expected;
+  Ar(Protocol);
+  if (Protocol != Expected)
+    throw cereal::Exception("message of another protocol");
+}
+
+template <class E, class Archive>
+void transferEnum(Archive &Ar, E &Value, E Last) {
+  auto Byte = static_cast<uint8_t>(Value);
+  Ar(Byte);
+  if (Byte > static_cast<uint8_t>(Last))
+    throw cereal::Exception("value out of range");
+  Value = static_cast<E>(Byte);
+}
+
+} // namespace
+
+template <class Archive> void serialize(Archive &Ar, OrderPart &P) {
+  checkProtocol(Ar, OrderPart::Protocol);
+  wire::transferText(Ar, P.Group, wire::MaxNameBytes);
+  transferEnum(Ar, P.Order.Kind, OrderKind::Release);
+  Ar(P.Number, P.Order.Epoch, P.Order.Version, P.Order.Step, P.Sets,
+     P.FirstSet);
+  if (P.Sets > MaxSets || P.FirstSet > P.Sets)
+    throw cereal::Exception("sets out of range");
+  bool IsSmall = isSmall(P.Part);
+  wire::transferFlag(Ar, IsSmall);
+  size_t Count = wire::transferLength(Ar, P.Part.At.size(), MaxSets);
+  P.Part.At.resize(Count);
+  for (auto &Set : P.Part.At) {
+    Set.resize(wire::transferLength(Ar, Set.size(), MaxRanks));
+    for (auto &Rank : Set)
+      transferExperts(Ar, Rank, IsSmall);
+  }
+}
+
+template <class Archive> void serialize(Archive &Ar, OrderReply &R) {
+  checkProtocol(Ar, OrderReply::Protocol);
+  wire::transferText(Ar, R.Group, wire::MaxNameBytes);
+  transferEnum(Ar, R.Answer, OrderAnswer::Conflict);
+  Ar(R.Rank, R.Epoch, R.Number);
+}
+
+namespace {
+
+template <class T> std::string encode(T Value) {
+  std::ostringstream Text;
+  cereal::PortableBinaryOutputArchive Archive(Text);
+  Archive(Value);
+  return Text.str();
+}
+
+template <class T> absl::StatusOr<T> decode(std::string_view Bytes) {
+  if (Bytes.size() > MaxAgentDatagram)
+    return absl::InvalidArgumentError("message is too large");
+  T Value;
+  try {
+    std::istringstream Text{std::string(Bytes)};
+    cereal::PortableBinaryInputArchive Archive(Text);
+    Archive(Value);
+    if (Text.peek() != std::istringstream::traits_type::eof())
+      return absl::InvalidArgumentError("bytes behind the message");
+  } catch (const std::exception &Error) {
+    return absl::InvalidArgumentError(Error.what());
+  }
+  return Value;
+}
+
+} // namespace
+
+std::vector<std::string> encodeOrder(const std::string &Group, uint64_t Number,
+                                     const RankOrder &Order) {
+  OrderPart Part;
+  Part.Group = Group;
+  Part.Number = Number;
+  Part.Order = Order;
+  Part.Order.Map = ExpertMap();
+  const auto &Sets = Order.Map.At;
+  Part.Sets = static_cast<uint32_t>(Sets.size());
+  bool IsSmall = isSmall(Order.Map);
+  std::vector<std::string> Result;
+  size_t Next = 0;
+  do {
+    Part.FirstSet = static_cast<uint32_t>(Next);
+    Part.Part.At.clear();
+    size_t Bytes = HeaderBytes;
+    while (Next < Sets.size()) {
+      Bytes += bytesOf(Sets[Next], IsSmall);
+      if (Bytes > MaxAgentDatagram && !Part.Part.At.empty())
+        break;
+      Part.Part.At.push_back(Sets[Next++]);
+    }
+    Result.push_back(encode(Part));
+  } while (Next < Sets.size());
+  return Result;
+}
+
+std::string encodeReply(const OrderReply &Reply) { return encode(Reply); }
+
+absl::StatusOr<OrderPart> decodeOrderPart(std::string_view Datagram) {
+  return decode<OrderPart>(Datagram);
+}
+
+absl::StatusOr<OrderReply> decodeReply(std::string_view Datagram) {
+  return decode<OrderReply>(Datagram);
+}
+
+std::optional<RankOrder> OrderAssembler::add(OrderPart Part) {
+  if (Part.Number != Number) {
+    Number = Part.Number;
+    Sets.clear();
+  }
+  for (size_t I = 0; I < Part.Part.At.size(); ++I)
+    Sets.insert_or_assign(Part.FirstSet + static_cast<uint32_t>(I),
+                          std::move(Part.Part.At[I]));
+  if (Sets.size() != Part.Sets)
+    return std::nullopt;
+  RankOrder Whole = std::move(Part.Order);
+  for (auto &[Index, Set] : Sets)
+    Whole.Map.At.push_back(std::move(Set));
+  Sets.clear();
+  Number = 0;
+  return Whole;
+}
+
+} // namespace ragwort::rankgroup
--- /dev/null
+++ b/libs/rankgroup/src/OrderMessageTest.cpp
@@ -0,0 +1,102 @@
+//===- OrderMessageTest.cpp - Tests of OrderMessage.h ---------------------===//
+#include "ragwort/rankgroup/OrderMessage.h"
+#include "ragwort/rankgroup/AgentMessage.h"
+#include "ragwort/rankgroup/SetPlanner.h"
+#include <cppunit/extensions/HelperMacros.h>
+#include <random>
+
+namespace ragwort::rankgroup {
+
+class OrderMessageTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(OrderMessageTest);
+  CPPUNIT_TEST(orderWhenWithoutMapIsOneDatagram);
+  CPPUNIT_TEST(orderWhenMapIsLargeComesBackFromItsParts);
+  CPPUNIT_TEST(orderWhenPartsOfTwoMixIsNeverPutTogether);
+  CPPUNIT_TEST(replyWhenEncodedComesBack);
+  CPPUNIT_TEST(partWhenTornOrChangedNeverThrows);
+  CPPUNIT_TEST_SUITE_END();
+
+  static RankOrder prepare(uint32_t Sets, uint32_t Experts, uint32_t Ranks) {
+    RankOrder Order;
+    Order.Kind = OrderKind::Prepare;
+    Order.Epoch = 3;
+    Order.Version = 1'000'007;
+    for (uint32_t Set = 0; Set < Sets; ++Set)
+      Order.Map.At.push_back(mapInTurn(Experts, Ranks));
+    return Order;
+  }
+
+  static std::optional<RankOrder>
+  assembled(const std::vector<std::string> &Datagrams) {
+    OrderAssembler Assembler;
+    std::optional<RankOrder> Whole;
+    for (const std::string &Bytes : Datagrams) {
+      CPPUNIT_ASSERT(!Whole);
+      CPPUNIT_ASSERT(Bytes.size() <= MaxAgentDatagram);
+      auto Part = decodeOrderPart(Bytes);
+      CPPUNIT_ASSERT(Part.ok());
+      Whole = Assembler.add(std::move(*Part));
+    }
+    return Whole;
+  }
+
+public:
+  void orderWhenWithoutMapIsOneDatagram() {
+    RankOrder Arm;
+    Arm.Kind = OrderKind::Arm;
+    Arm.Epoch = 3;
+    Arm.Version = 9;
+    Arm.Step = 140;
+    auto Datagrams = encodeOrder("g", 5, Arm);
+    CPPUNIT_ASSERT_EQUAL(size_t(1), Datagrams.size());
+    auto Whole = assembled(Datagrams);
+    CPPUNIT_ASSERT(Whole && Whole->Kind == OrderKind::Arm);
+    CPPUNIT_ASSERT_EQUAL(uint64_t(140), Whole->Step);
+    CPPUNIT_ASSERT_EQUAL(uint64_t(9), Whole->Version);
+    CPPUNIT_ASSERT_EQUAL(uint64_t(3), Whole->Epoch);
+  }
+
+  void orderWhenMapIsLargeComesBackFromItsParts() {
+    for (uint32_t Experts : {128u, 600u}) {
+      RankOrder Order = prepare(12, Experts, 32);
+      auto Datagrams = encodeOrder("group-of-some-name", 5, Order);
+      CPPUNIT_ASSERT(Datagrams.size() > 1);
+      auto Whole = assembled(Datagrams);
+      CPPUNIT_ASSERT(Whole && Whole->Map == Order.Map);
+    }
+  }
+
+  void orderWhenPartsOfTwoMixIsNeverPutTogether() {
+    auto First = encodeOrder("g", 5, prepare(12, 128, 32));
+    auto Second = encodeOrder("g", 6, prepare(12, 128, 32));
+    std::vector<std::string> Mixed = First;
+    Mixed.back() = Second.back();
+    CPPUNIT_ASSERT(!assembled(Mixed));
+  }
+
+  void replyWhenEncodedComesBack() {
+    auto Back =
+        decodeReply(encodeReply({"g", 7, 3, 11, OrderAnswer::Accepted}));
+    CPPUNIT_ASSERT(Back.ok());
+    CPPUNIT_ASSERT_EQUAL(7u, Back->Rank);
+    CPPUNIT_ASSERT_EQUAL(uint64_t(3), Back->Epoch);
+    CPPUNIT_ASSERT_EQUAL(uint64_t(11), Back->Number);
+    CPPUNIT_ASSERT(Back->Answer == OrderAnswer::Accepted);
+  }
+
+  void partWhenTornOrChangedNeverThrows() {
+    std::string Bytes = encodeOrder("g", 5, prepare(4, 16, 4)).front();
+    for (size_t Size = 0; Size < Bytes.size(); ++Size)
+      CPPUNIT_ASSERT(!decodeOrderPart(Bytes.substr(0, Size)).ok());
+    std::mt19937_64 Random(1);
+    for (int I = 0; I < 20'000; ++I) {
+      std::string Changed = Bytes;
+      Changed[Random() % Changed.size()] = static_cast<char>(Random());
+      decodeOrderPart(Changed).status().IgnoreError();
+      decodeReply(Changed).status().IgnoreError();
+    }
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(OrderMessageTest);
+
+} // namespace ragwort::rankgroup
