Watch the configuration closely from three nodes only

Ruled out: the same for the list of servers: a node that holds one long call through an outage cannot tell lapsed entries from removed ones. Change: three live nodes renew the feed each 2 s as before, the others each 10 s. Whose connection falls silent learns newer versions from the watchers. Test that failed before: followerWhenOthersWatchWaitsLonger.

--- a/libs/gateway/include/ragwort/gateway/PeerExchange.h
+++ b/libs/gateway/include/ragwort/gateway/PeerExchange.h
@@ -38,6 +38,10 @@
   static constexpr Duration ForgetAfter = std::chrono::seconds(60);
   /// Peers unheard for this long do not share the repeat budget any more.
   static constexpr Duration ShareAfter = std::chrono::seconds(15);
+  /// Nodes that watch the store closely. Two may fall silent at once.
+  static constexpr size_t Watchers = 3;
+  /// Peers unheard for this long watch nothing.
+  static constexpr Duration WatcherLife = std::chrono::milliseconds(1000);
   static constexpr Duration FetchTimeout = std::chrono::milliseconds(500);
 
   /// \p UseConfig decodes a document and puts it in force.
@@ -52,6 +56,9 @@
   /// Tells peers at once that this node leaves.
   void announceLeaving();
   size_t livePeers() const;
+  /// Whether this node is one of the few that watch the store closely for all:
+  /// those of the live nodes whose addresses come first by hash.
+  bool isWatcher() const;
   std::string describe() const;
 
 private:
--- a/libs/gateway/include/ragwort/gateway/TableFollower.h
+++ b/libs/gateway/include/ragwort/gateway/TableFollower.h
@@ -11,6 +11,7 @@
 #include "ragwort/gateway/RowStore.h"
 #include "ragwort/observe/Log.h"
 #include <algorithm>
+#include <functional>
 #include <optional>
 #include <random>
 
@@ -30,6 +31,10 @@
   /// How long the store may hold an answer while nothing changes. Bounds the
   /// time for which a connection that fell silent goes unnoticed.
   Duration Wait = std::chrono::milliseconds(2000);
+  /// The same while IsRelaxed: other nodes watch with Wait and tell this one
+  /// what it has missed.
+  Duration RelaxedWait = std::chrono::milliseconds(10'000);
+  std::function<bool()> IsRelaxed = [] { return false; };
   /// Least time between two calls.
   Duration Pause = std::chrono::milliseconds(0);
   /// First pause after a failed call; doubles up to MaxBackoff.
@@ -83,7 +88,7 @@
       co_return absl::OkStatus();
     }
     absl::StatusOr<RowChanges> Changes =
-        co_await From.follow(Table, Version, Timing.Wait);
+        co_await From.follow(Table, Version, wait());
     if (!Changes.ok())
       co_return Changes.status();
     onAnswer();
@@ -98,6 +103,10 @@
     co_return absl::OkStatus();
   }
 
+  Duration wait() const {
+    return Timing.IsRelaxed() ? Timing.RelaxedWait : Timing.Wait;
+  }
+
   // The first answer after an outage opens the time of recovery.
   void onAnswer() {
     if (!IsReached && WasReached)
--- a/libs/gateway/src/LoadBoardTest.cpp
+++ b/libs/gateway/src/LoadBoardTest.cpp
@@ -224,14 +224,15 @@
     Board->onStarted("b", at(0));
     for (int I = 0; I < 10; ++I)
       for (const char *Id : {"a", "b"})
-        Board->onEvent(Id, std::chrono::milliseconds(80), at(I * 80));
+        Board->onEvent(Id, std::chrono::milliseconds(80), at(int64_t{I} * 80));
     // The group of the first waited once for a slow rank.
     Board->onEvent("a", std::chrono::milliseconds(470), at(1270));
     for (int I = 0; I < 3; ++I)
       Board->onStarted("b", at(1270));
     CPPUNIT_ASSERT(chosen(at(1270)) != "b");
     for (int I = 1; I <= 8; ++I)
-      Board->onEvent("a", std::chrono::milliseconds(470), at(1270 + I * 470));
+      Board->onEvent("a", std::chrono::milliseconds(470),
+                     at(1270 + int64_t{I} * 470));
     CPPUNIT_ASSERT(Board->ownReport(at(5030)).front().GapMillis > 160);
   }
 
--- a/libs/gateway/src/PeerExchange.cpp
+++ b/libs/gateway/src/PeerExchange.cpp
@@ -1,7 +1,9 @@
 //===- PeerExchange.cpp - Loads and versions between gateway nodes --------===//
 #include "ragwort/gateway/PeerExchange.h"
+#include "ragwort/base/Hash.h"
 #include "ragwort/http/HttpClient.h"
 #include "ragwort/observe/Log.h"
+#include <algorithm>
 
 namespace ragwort::gateway {
 
@@ -152,6 +154,17 @@
   return Live;
 }
 
+bool PeerExchange::isWatcher() const {
+  TimePoint At = now();
+  uint64_t Own = hash64(Options.Listen.Ip);
+  auto Before = std::count_if(Peers.begin(), Peers.end(), [&](const auto &P) {
+    const Peer &Each = P.second;
+    return Each.HeardAt != TimePoint() && At - Each.HeardAt <= WatcherLife &&
+           !Each.IsLeaving && hash64(P.first) < Own;
+  });
+  return static_cast<size_t>(Before) < Watchers;
+}
+
 void PeerExchange::forgetSilent(TimePoint Now) {
   std::erase_if(Peers, [Now](const auto &Item) {
     TimePoint Last = std::max(Item.second.HeardAt, Item.second.AddedAt);
--- a/libs/gateway/src/TableFollowerTest.cpp
+++ b/libs/gateway/src/TableFollowerTest.cpp
@@ -20,9 +20,10 @@
     co_return List;
   }
 
-  asio::awaitable<absl::StatusOr<RowChanges>> follow(std::string,
-                                                     uint64_t After, Duration) {
+  asio::awaitable<absl::StatusOr<RowChanges>>
+  follow(std::string, uint64_t After, Duration Wait) {
     LastAfter = After;
+    LastWait = Wait;
     Answer Next = next();
     if (Next == Answer::Fail)
       co_return absl::UnavailableError("store is away");
@@ -46,6 +47,7 @@
   std::function<void()> OnScriptEnd;
   uint64_t Version = 40;
   uint64_t LastAfter = 0;
+  Duration LastWait{0};
   int Lists = 0;
 };
 
@@ -67,13 +69,14 @@
   CPPUNIT_TEST(followerWhenTheStoreAnswersListsOnce);
   CPPUNIT_TEST(followerWhenTheStoreReturnsGivesGrace);
   CPPUNIT_TEST(followerWhenHistoryIsLostListsAnewWithoutGrace);
+  CPPUNIT_TEST(followerWhenOthersWatchWaitsLonger);
   CPPUNIT_TEST(followerWhenTheFirstCallsFailHasNothingToKeep);
   CPPUNIT_TEST_SUITE_END();
 
   using Answer = ScriptedStore::Answer;
 
   /// What the sink saw of \p Script.
-  std::string seen(std::deque<Answer> Script) {
+  std::string seen(std::deque<Answer> Script, bool IsRelaxed = false) {
     asio::io_context Io;
     Store = ScriptedStore();
     Store.Script = std::move(Script);
@@ -81,6 +84,7 @@
     FollowerTiming Timing;
     Timing.FirstBackoff = Duration(10);
     Timing.MaxBackoff = Duration(10);
+    Timing.IsRelaxed = [IsRelaxed] { return IsRelaxed; };
     TableFollower Follower(Io, Store, "t", Sink, Timing, 1);
     Store.OnScriptEnd = [&Follower] { Follower.stop(); };
     asio::co_spawn(Io, Follower.run(), asio::detached);
@@ -112,6 +116,13 @@
     CPPUNIT_ASSERT_EQUAL(2, Store.Lists);
   }
 
+  void followerWhenOthersWatchWaitsLonger() {
+    seen({Answer::Ok, Answer::Ok});
+    CPPUNIT_ASSERT(Store.LastWait == FollowerTiming().Wait);
+    seen({Answer::Ok, Answer::Ok}, true);
+    CPPUNIT_ASSERT(Store.LastWait == FollowerTiming().RelaxedWait);
+  }
+
   void followerWhenTheFirstCallsFailHasNothingToKeep() {
     CPPUNIT_ASSERT_EQUAL(std::string("lc"),
                          seen({Answer::Fail, Answer::Ok, Answer::Ok}));
