--- a/libs/gateway/include/ragwort/gateway/PeerExchange.h
+++ b/libs/gateway/include/ragwort/gateway/PeerExchange.h
@@ -11,6 +11,7 @@
 #include "ragwort/gateway/Gateway.h"
 #include "ragwort/gateway/PeerBeat.h"
 #include "ragwort/http/HttpServer.h"
+#include "ragwort/transport/DatagramSocket.h"
 
 namespace ragwort::gateway {
 
@@ -72,7 +73,7 @@
     bool IsLeaving = false;
   };
 
-  asio::awaitable<void> receiveLoop();
+  void onDatagram(std::string_view Datagram, const Address &From);
   asio::awaitable<void> beatLoop();
   asio::awaitable<void> fetchConfig(std::string Ip);
   asio::awaitable<void> fetchDirectory(std::string Ip);
@@ -86,7 +87,7 @@
   const PeerOptions Options;
   Gateway &Node;
   const std::function<void(ConfigDocument)> UseConfig;
-  asio::ip::udp::socket Socket;
+  DatagramSocket Socket;
   http::Server Documents;
   ConfigDocument Offered;
   // By IP number; this node is not among them.
--- a/libs/gateway/include/ragwort/gateway/StragglerNotifier.h
+++ b/libs/gateway/include/ragwort/gateway/StragglerNotifier.h
@@ -8,7 +8,7 @@
 #define RAGWORT_GATEWAY_STRAGGLERNOTIFIER_H
 
 #include "ragwort/rankgroup/EngineTypes.h"
-#include "ragwort/transport/Asio.h"
+#include "ragwort/transport/DatagramSocket.h"
 #include <set>
 #include <string>
 
@@ -52,7 +52,7 @@
 
   const std::string EngineAddress;
   const uint16_t EntryPort;
-  asio::ip::udp::socket Socket;
+  DatagramSocket Socket;
   std::set<std::string> EntryIps;
   StragglerWatch Watch;
 };
--- a/libs/gateway/src/PeerExchange.cpp
+++ b/libs/gateway/src/PeerExchange.cpp
@@ -29,23 +29,19 @@
                            Gateway &Node,
                            std::function<void(ConfigDocument)> UseConfig)
     : Io(Io), Options(std::move(Given)), Node(Node),
-      UseConfig(std::move(UseConfig)), Socket(Io),
+      UseConfig(std::move(UseConfig)),
+      Socket(Io.get_executor(), MaxBeatBytes,
+             [this](std::string_view Datagram, const Address &From) {
+               onDatagram(Datagram, From);
+             }),
       Documents(
           Io, [this](http::Exchange &X) { return answer(X); },
           documentLimits()) {}
 
 absl::Status PeerExchange::listen() {
-  auto Endpoint = endpointOf<asio::ip::udp>(Options.Listen);
-  error_code Error;
-  Socket.open(Endpoint.protocol(), Error);
-  if (!Error)
-    Socket.bind(Endpoint, Error);
-  if (!Error)
-    Socket.non_blocking(true, Error);
-  if (Error)
-    return absl::UnavailableError(
-        "cannot bind UDP " + toString(Options.Listen) + ": " + Error.message());
-  asio::co_spawn(Io, receiveLoop(), asio::detached);
+  absl::Status Listening = Socket.listen(Options.Listen);
+  if (!Listening.ok())
+    return Listening;
   asio::co_spawn(Io, beatLoop(), asio::detached);
   return Documents.listen(Options.Listen);
 }
@@ -81,16 +77,13 @@
     if (Beat.PeerIps.size() < MaxNamedPeers && P.HeardAt != TimePoint())
       Beat.PeerIps.push_back(Ip);
   std::string Bytes = encodeBeat(std::move(Beat));
-  for (const auto &[Ip, P] : Peers) {
-    error_code Error; // A lost heartbeat is made up for by the next.
-    Socket.send_to(asio::buffer(Bytes),
-                   endpointOf<asio::ip::udp>({Ip, Options.Listen.Port}), 0,
-                   Error);
-  }
+  // A lost heartbeat is made up for by the next.
+  for (const auto &[Ip, P] : Peers)
+    Socket.send(Bytes, {Ip, Options.Listen.Port});
 }
 
 asio::awaitable<void> PeerExchange::beatLoop() {
-  while (Socket.is_open()) {
+  while (true) {
     sendBeats();
     TimePoint At = now();
     forgetSilent(At);
@@ -99,29 +92,13 @@
   }
 }
 
-asio::awaitable<void> PeerExchange::receiveLoop() {
-  std::array<char, MaxBeatBytes + 1> Buffer;
-  while (Socket.is_open()) {
-    asio::ip::udp::endpoint From;
-    error_code Error;
-    size_t Count = co_await Socket.async_receive_from(
-        asio::buffer(Buffer), From,
-        asio::redirect_error(asio::use_awaitable, Error));
-    if (Error == asio::error::operation_aborted)
-      co_return;
-    // Errors of earlier sends (port unreachable) surface here; go on.
-    if (Error)
-      continue;
-    std::string_view Datagram(Buffer.data(), Count);
-    absl::StatusOr<PeerBeat> Beat = decodeBeat(Datagram);
-    if (Beat.ok()) {
-      onBeat(*Beat, From.address().to_string());
-      continue;
-    }
-    absl::StatusOr<StragglerNotice> Notice = decodeNotice(Datagram);
-    if (Notice.ok())
-      Node.dispatcher().board().onStragglerNotice(Notice->EngineAddress, now());
+void PeerExchange::onDatagram(std::string_view Datagram, const Address &From) {
+  if (absl::StatusOr<PeerBeat> Beat = decodeBeat(Datagram); Beat.ok()) {
+    onBeat(*Beat, From.Ip);
+    return;
   }
+  if (auto Notice = decodeNotice(Datagram); Notice.ok())
+    Node.dispatcher().board().onStragglerNotice(Notice->EngineAddress, now());
 }
 
 void PeerExchange::onBeat(const PeerBeat &Beat, const std::string &Ip) {
--- a/libs/gateway/src/StragglerNotifier.cpp
+++ b/libs/gateway/src/StragglerNotifier.cpp
@@ -18,14 +18,12 @@
                                      std::string EngineAddress,
                                      uint16_t EntryPort)
     : EngineAddress(std::move(EngineAddress)), EntryPort(EntryPort),
-      Socket(Io) {
-  error_code Error;
-  Socket.open(asio::ip::udp::v4(), Error);
-  if (!Error)
-    Socket.non_blocking(true, Error);
-  if (Error)
+      Socket(Io.get_executor(), MaxBeatBytes,
+             [](std::string_view, const Address &) {}) {
+  absl::Status Opened = Socket.openForSending();
+  if (!Opened.ok())
     logEvent(LogLevel::Error, "notice-socket-failed",
-             {{"reason", Error.message()}});
+             {{"reason", std::string(Opened.message())}});
 }
 
 void StragglerNotifier::onReport(const rankgroup::EngineReport &Report) {
@@ -45,11 +43,9 @@
 void StragglerNotifier::send(double Pace) {
   std::string Bytes = encodeNotice(
       {EngineAddress, static_cast<uint32_t>(std::lround(Pace * 100))});
-  for (const std::string &Ip : EntryIps) {
-    error_code Error; // A lost notice is made up for by the next.
-    Socket.send_to(asio::buffer(Bytes),
-                   endpointOf<asio::ip::udp>({Ip, EntryPort}), 0, Error);
-  }
+  // A lost notice is made up for by the next.
+  for (const std::string &Ip : EntryIps)
+    Socket.send(Bytes, {Ip, EntryPort});
 }
 
 } // namespace ragwort::gateway
--- a/libs/rankgroup/include/ragwort/rankgroup/GroupAgent.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/GroupAgent.h
@@ -13,9 +13,7 @@
 #include "ragwort/observe/Metrics.h"
 #include "ragwort/rankgroup/AgentMessage.h"
 #include "ragwort/rankgroup/OrderMessage.h"
-#include "ragwort/transport/Asio.h"
-#include <absl/status/status.h>
-#include <array>
+#include "ragwort/transport/DatagramSocket.h"
 #include <concepts>
 #include <functional>
 #include <map>
@@ -71,21 +69,16 @@
              MetricsRegistry &Metrics)
       : Io(Io), Options(std::move(Options)), Make(std::move(Make)),
         Metrics(Metrics), Own(this->Make(this->Options.OwnEngine)),
-        OwnOrders(this->Make(this->Options.OwnEngine)), Socket(Io) {}
+        OwnOrders(this->Make(this->Options.OwnEngine)),
+        Socket(Io.get_executor(), MaxAgentDatagram,
+               [this](std::string_view Datagram, const Address &From) {
+                 onDatagram(Datagram, From.Ip);
+               }) {}
 
   absl::Status listen() {
-    auto Endpoint = endpointOf<asio::ip::udp>(Options.Listen);
-    error_code Error;
-    Socket.open(Endpoint.protocol(), Error);
-    if (!Error)
-      Socket.bind(Endpoint, Error);
-    if (!Error)
-      Socket.non_blocking(true, Error);
-    if (Error)
-      return absl::UnavailableError("cannot bind UDP " +
-                                    toString(Options.Listen) + ": " +
-                                    Error.message());
-    asio::co_spawn(Io, receiveLoop(), asio::detached);
+    absl::Status Listening = Socket.listen(Options.Listen);
+    if (!Listening.ok())
+      return Listening;
     asio::co_spawn(Io, beatLoop(), asio::detached);
     asio::co_spawn(Io, controlLoop(), asio::detached);
     return absl::OkStatus();
@@ -284,24 +277,6 @@
     M.Client = At ? Make(*At) : nullptr;
   }
 
-  asio::awaitable<void> receiveLoop() {
-    std::array<char, MaxAgentDatagram + 1> Buffer;
-    while (Socket.is_open()) {
-      asio::ip::udp::endpoint From;
-      error_code Error;
-      size_t Count = co_await Socket.async_receive_from(
-          asio::buffer(Buffer), From,
-          asio::redirect_error(asio::use_awaitable, Error));
-      if (Error == asio::error::operation_aborted)
-        co_return;
-      // Errors of earlier sends (port unreachable) surface here; go on.
-      if (Error)
-        continue;
-      onDatagram(std::string_view(Buffer.data(), Count),
-                 From.address().to_string());
-    }
-  }
-
   void onDatagram(std::string_view Datagram, const std::string &Ip) {
     if (absl::StatusOr<AgentMessage> M = decodeMessage(Datagram); M.ok())
       onMessage(*M, Ip);
@@ -525,11 +500,9 @@
     sendBytes(encodeMessage(M), Ip);
   }
 
+  /// A lost datagram is made up for by the next.
   void sendBytes(const std::string &Bytes, const std::string &Ip) {
-    error_code Error; // A lost datagram is made up for by the next.
-    Socket.send_to(asio::buffer(Bytes),
-                   endpointOf<asio::ip::udp>({Ip, Options.Listen.Port}), 0,
-                   Error);
+    Socket.send(Bytes, {Ip, Options.Listen.Port});
   }
 
   asio::io_context &Io;
@@ -539,7 +512,7 @@
   std::unique_ptr<EngineClient> Own;
   // A connection of its own, so that an order never waits for a report.
   std::unique_ptr<EngineClient> OwnOrders;
-  asio::ip::udp::socket Socket;
+  DatagramSocket Socket;
   GroupShape Shape;
   std::set<std::string> Neighbours;
   std::function<void(const EngineReport &)> OnReport;
--- a/libs/transport/include/ragwort/transport/HeartbeatSocket.h
+++ b/libs/transport/include/ragwort/transport/HeartbeatSocket.h
@@ -6,10 +6,8 @@
 #ifndef RAGWORT_TRANSPORT_HEARTBEATSOCKET_H
 #define RAGWORT_TRANSPORT_HEARTBEATSOCKET_H
 
-#include "ragwort/transport/Asio.h"
+#include "ragwort/transport/DatagramSocket.h"
 #include "ragwort/wire/Codec.h"
-#include <absl/status/status.h>
-#include <array>
 #include <atomic>
 #include <functional>
 
@@ -37,13 +35,12 @@
   uint64_t receivedBytes() const { return ReceivedBytes.load(); }
 
 private:
-  asio::awaitable<void> receiveLoop();
+  void onDatagram(std::string_view Datagram, const Address &From);
 
   asio::strand<asio::io_context::executor_type> Strand;
-  asio::ip::udp::socket Socket;
+  DatagramSocket Socket;     // Used on the strand only.
   wire::DatagramCodec Codec; // Used on the strand only.
   const Handler OnHeartbeat;
-  std::array<char, wire::MaxDatagramBytes + 1> Buffer{};
   std::atomic<uint64_t> Dropped = 0;
   std::atomic<uint64_t> SentBytes = 0;
   std::atomic<uint64_t> ReceivedBytes = 0;
--- a/libs/transport/src/HeartbeatSocket.cpp
+++ b/libs/transport/src/HeartbeatSocket.cpp
@@ -5,22 +5,15 @@
 
 HeartbeatSocket::HeartbeatSocket(asio::io_context &Io,
                                  const wire::Keyring &Keys, Handler OnHeartbeat)
-    : Strand(asio::make_strand(Io)), Socket(Strand), Codec(Keys),
-      OnHeartbeat(std::move(OnHeartbeat)) {}
+    : Strand(asio::make_strand(Io)),
+      Socket(Strand, wire::MaxDatagramBytes,
+             [this](std::string_view Datagram, const Address &From) {
+               onDatagram(Datagram, From);
+             }),
+      Codec(Keys), OnHeartbeat(std::move(OnHeartbeat)) {}
 
 absl::Status HeartbeatSocket::listen(const Address &Local) {
-  auto Endpoint = endpointOf<asio::ip::udp>(Local);
-  error_code Error;
-  Socket.open(Endpoint.protocol(), Error);
-  if (!Error)
-    Socket.bind(Endpoint, Error);
-  if (!Error)
-    Socket.non_blocking(true, Error);
-  if (Error)
-    return absl::UnavailableError("cannot bind UDP " + toString(Local) + ": " +
-                                  Error.message());
-  asio::co_spawn(Strand, receiveLoop(), asio::detached);
-  return absl::OkStatus();
+  return Socket.listen(Local);
 }
 
 void HeartbeatSocket::send(wire::Heartbeat Beat, const Address &To) {
@@ -28,41 +21,23 @@
     absl::StatusOr<std::string> Bytes = Codec.encode(Beat);
     if (!Bytes.ok())
       return;
-    error_code Error;
-    Socket.send_to(asio::buffer(*Bytes), endpointOf<asio::ip::udp>(To), 0,
-                   Error);
-    if (!Error)
+    if (Socket.send(*Bytes, To))
       SentBytes += Bytes->size();
   });
 }
 
 void HeartbeatSocket::close() {
-  asio::post(Strand, [this] {
-    error_code Ignored;
-    Socket.close(Ignored);
-  });
+  asio::post(Strand, [this] { Socket.close(); });
 }
 
-asio::awaitable<void> HeartbeatSocket::receiveLoop() {
-  while (Socket.is_open()) {
-    asio::ip::udp::endpoint From;
-    error_code Error;
-    size_t Count = co_await Socket.async_receive_from(
-        asio::buffer(Buffer), From,
-        asio::redirect_error(asio::use_awaitable, Error));
-    if (Error == asio::error::operation_aborted)
-      co_return;
-    // Errors of earlier sends (port unreachable) surface here; go on.
-    if (Error)
-      continue;
-    ReceivedBytes += Count;
-    absl::StatusOr<wire::Heartbeat> Beat =
-        Codec.decode(std::string_view(Buffer.data(), Count));
-    if (Beat.ok())
-      OnHeartbeat(*Beat, addressOf(From));
-    else
-      ++Dropped;
-  }
+void HeartbeatSocket::onDatagram(std::string_view Datagram,
+                                 const Address &From) {
+  ReceivedBytes += Datagram.size();
+  absl::StatusOr<wire::Heartbeat> Beat = Codec.decode(Datagram);
+  if (Beat.ok())
+    OnHeartbeat(*Beat, From);
+  else
+    ++Dropped;
 }
 
 } // namespace ragwort
