Keep one copy of archive coding and of listening

Cause: reading the change once more: bytes of a cereal archive were made and read three times (PeerBeat, OrderMessage, AgentMessage), and Gateway::listen wrote listenOn again. Change: wire/Archived.h serves all three; Gateway calls listenOn. No behaviour changes, the tests are untouched.

--- a/libs/gateway/src/Gateway.cpp
+++ b/libs/gateway/src/Gateway.cpp
@@ -1,6 +1,7 @@
 //===- Gateway.cpp - Accepts callers and owns what their requests share ---===//
 #include "ragwort/gateway/Gateway.h"
 #include "ragwort/observe/Log.h"
+#include "ragwort/transport/Listen.h"
 #include <algorithm>
 #include <charconv>
 
@@ -54,19 +55,9 @@
 Gateway::~Gateway() = default;
 
 absl::Status Gateway::listen() {
-  auto Endpoint = endpointOf<asio::ip::tcp>(Options.Listen);
-  error_code Error;
-  Acceptor.open(Endpoint.protocol(), Error);
-  if (!Error)
-    Acceptor.set_option(asio::socket_base::reuse_address(true), Error);
-  if (!Error)
-    Acceptor.bind(Endpoint, Error);
-  if (!Error)
-    Acceptor.listen(asio::socket_base::max_listen_connections, Error);
-  if (Error)
-    return absl::UnavailableError("cannot listen on " +
-                                  toString(Options.Listen) + ": " +
-                                  Error.message());
+  absl::Status Listening = listenOn(Acceptor, Options.Listen);
+  if (!Listening.ok())
+    return Listening;
   acceptNext();
   tick();
   return absl::OkStatus();
--- a/libs/gateway/src/PeerBeat.cpp
+++ b/libs/gateway/src/PeerBeat.cpp
@@ -1,10 +1,9 @@
 //===- PeerBeat.cpp - Heartbeat between gateway nodes ---------------------===//
 #include "ragwort/gateway/PeerBeat.h"
+#include "ragwort/wire/Archived.h"
 #include "ragwort/wire/Bounded.h"
 #include <algorithm>
-#include <cereal/archives/portable_binary.hpp>
 #include <limits>
-#include <sstream>
 
 namespace ragwort::gateway {
 
@@ -59,35 +58,10 @@
   Ar(Notice.PacePercent);
 }
 
-namespace {
-
-template <class T> std::string encode(T Value) {
-  std::ostringstream Text;
-  cereal::PortableBinaryOutputArchive Archive(Text);
-  Archive(Value);
-  return Text.str();
-}
-
-template <class T> absl::StatusOr<T> decode(std::string_view Bytes) {
-  T Value;
-  try {
-    std::istringstream Text{std::string(Bytes)};
-    cereal::PortableBinaryInputArchive Archive(Text);
-    Archive(Value);
-    if (Text.peek() != std::istringstream::traits_type::eof())
-      return absl::InvalidArgumentError("bytes behind the message");
-  } catch (const std::exception &Error) {
-    return absl::InvalidArgumentError(Error.what());
-  }
-  return Value;
-}
-
-} // namespace
-
 std::string encodeBeat(PeerBeat Beat) {
   if (Beat.Stragglers.size() > MaxNamedStragglers)
     Beat.Stragglers.resize(MaxNamedStragglers);
-  std::string Bytes = encode(Beat);
+  std::string Bytes = wire::toArchive(Beat);
   if (Bytes.size() <= MaxBeatBytes)
     return Bytes;
   // Names of peers are repeated by others; loads are known here only, and the
@@ -97,10 +71,10 @@
             [](const InFlightReport &A, const InFlightReport &B) {
               return A.Count > B.Count;
             });
-  Bytes = encode(Beat);
+  Bytes = wire::toArchive(Beat);
   while (Bytes.size() > MaxBeatBytes && !Beat.InFlight.empty()) {
     Beat.InFlight.resize(Beat.InFlight.size() * 3 / 4);
-    Bytes = encode(Beat);
+    Bytes = wire::toArchive(Beat);
   }
   return Bytes;
 }
@@ -108,25 +82,25 @@
 absl::StatusOr<PeerBeat> decodeBeat(std::string_view Datagram) {
   if (Datagram.size() > MaxBeatBytes)
     return absl::InvalidArgumentError("heartbeat is too large");
-  return decode<PeerBeat>(Datagram);
+  return wire::fromArchive<PeerBeat>(Datagram);
 }
 
 std::string encodeNotice(const StragglerNotice &Notice) {
-  return encode(Notice);
+  return wire::toArchive(Notice);
 }
 
 absl::StatusOr<StragglerNotice> decodeNotice(std::string_view Datagram) {
   if (Datagram.size() > MaxBeatBytes)
     return absl::InvalidArgumentError("straggler notice is too large");
-  return decode<StragglerNotice>(Datagram);
+  return wire::fromArchive<StragglerNotice>(Datagram);
 }
 
 std::string encodeDirectory(const DirectorySnapshot &Snapshot) {
-  return encode(Snapshot);
+  return wire::toArchive(Snapshot);
 }
 
 absl::StatusOr<DirectorySnapshot> decodeDirectory(std::string_view Bytes) {
-  return decode<DirectorySnapshot>(Bytes);
+  return wire::fromArchive<DirectorySnapshot>(Bytes);
 }
 
 } // namespace ragwort::gateway
--- a/libs/rankgroup/src/AgentMessage.cpp
+++ b/libs/rankgroup/src/AgentMessage.cpp
@@ -1,8 +1,7 @@
 //===- AgentMessage.cpp - Datagrams between the agents of a group ---------===//
 #include "ragwort/rankgroup/AgentMessage.h"
+#include "ragwort/wire/Archived.h"
 #include "ragwort/wire/Bounded.h"
-#include <cereal/archives/portable_binary.hpp>
-#include <sstream>
 
 namespace ragwort::rankgroup {
 
@@ -60,27 +59,13 @@
 }
 
 std::string encodeMessage(const AgentMessage &Message) {
-  std::ostringstream Text;
-  cereal::PortableBinaryOutputArchive Archive(Text);
-  AgentMessage Copy = Message;
-  Archive(Copy);
-  return Text.str();
+  return wire::toArchive(Message);
 }
 
 absl::StatusOr<AgentMessage> decodeMessage(std::string_view Datagram) {
   if (Datagram.size() > MaxAgentDatagram)
     return absl::InvalidArgumentError("message is too large");
-  AgentMessage Result;
-  try {
-    std::istringstream Text{std::string(Datagram)};
-    cereal::PortableBinaryInputArchive Archive(Text);
-    Archive(Result);
-    if (Text.peek() != std::istringstream::traits_type::eof())
-      return absl::InvalidArgumentError("bytes behind the message");
-  } catch (const std::exception &Error) {
-    return absl::InvalidArgumentError(Error.what());
-  }
-  return Result;
+  return wire::fromArchive<AgentMessage>(Datagram);
 }
 
 } // namespace ragwort::rankgroup
--- a/libs/rankgroup/src/OrderMessage.cpp
+++ b/libs/rankgroup/src/OrderMessage.cpp
@@ -1,9 +1,8 @@
 //===- OrderMessage.cpp - Orders that agents carry out for a controller ---===//
 #include "ragwort/rankgroup/OrderMessage.h"
 #include "ragwort/rankgroup/AgentMessage.h"
+#include "ragwort/wire/Archived.h"
 #include "ragwort/wire/Bounded.h"
-#include <cereal/archives/portable_binary.hpp>
-#include <sstream>
 
 namespace ragwort::rankgroup {
 
@@ -93,33 +92,6 @@
   Ar(R.Rank, R.Epoch, R.Number);
 }
 
-namespace {
-
-template <class T> std::string encode(T Value) {
-  std::ostringstream Text;
-  cereal::PortableBinaryOutputArchive Archive(Text);
-  Archive(Value);
-  return Text.str();
-}
-
-template <class T> absl::StatusOr<T> decode(std::string_view Bytes) {
-  if (Bytes.size() > MaxAgentDatagram)
-    return absl::InvalidArgumentError("message is too large");
-  T Value;
-  try {
-    std::istringstream Text{std::string(Bytes)};
-    cereal::PortableBinaryInputArchive Archive(Text);
-    Archive(Value);
-    if (Text.peek() != std::istringstream::traits_type::eof())
-      return absl::InvalidArgumentError("bytes behind the message");
-  } catch (const std::exception &Error) {
-    return absl::InvalidArgumentError(Error.what());
-  }
-  return Value;
-}
-
-} // namespace
-
 std::vector<std::string> encodeOrder(const std::string &Group, uint64_t Number,
                                      const RankOrder &Order) {
   OrderPart Part;
@@ -142,19 +114,25 @@
         break;
       Part.Part.At.push_back(Sets[Next++]);
     }
-    Result.push_back(encode(Part));
+    Result.push_back(wire::toArchive(Part));
   } while (Next < Sets.size());
   return Result;
 }
 
-std::string encodeReply(const OrderReply &Reply) { return encode(Reply); }
+std::string encodeReply(const OrderReply &Reply) {
+  return wire::toArchive(Reply);
+}
 
 absl::StatusOr<OrderPart> decodeOrderPart(std::string_view Datagram) {
-  return decode<OrderPart>(Datagram);
+  if (Datagram.size() > MaxAgentDatagram)
+    return absl::InvalidArgumentError("message is too large");
+  return wire::fromArchive<OrderPart>(Datagram);
 }
 
 absl::StatusOr<OrderReply> decodeReply(std::string_view Datagram) {
-  return decode<OrderReply>(Datagram);
+  if (Datagram.size() > MaxAgentDatagram)
+    return absl::InvalidArgumentError("message is too large");
+  return wire::fromArchive<OrderReply>(Datagram);
 }
 
 std::optional<RankOrder> OrderAssembler::add(OrderPart Part) {
