Count answers to earlier copies of an order

Each round made the next one late: maps were ordered up to ten times, arming was repeated up to four times and took 200 to 270 ms instead of 15, so the held pass kept the group waiting. Three things made answers late: an order counted as sent at the time at which planning had begun; a map was encoded 31 times (70 us each, at a seventh of a core); each reply was tried as two other messages first, by exceptions.

Ruled out: ArmMillisPerRank (arming takes 10 to 25 ms at charged speed once it isn't repeated); agents slow to carry orders out (1 ms, traced line by line).

Change: an acceptance counts for whichever copy it answers; a refusal still only for the last one. Waits for an answer grow with the copies. Orders sent together have one number and are encoded once. Datagrams are told apart by their protocol number. Orders count as sent when they are. Found on the way: two controllers numbered their orders alike, so that a late answer through an agent could have been taken for another order's; numbers begin at the controller's salt now. map-change-completed has the time of each step.

--- a/libs/rankgroup/include/ragwort/rankgroup/GroupAgent.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/GroupAgent.h
@@ -14,6 +14,7 @@
 #include "ragwort/rankgroup/AgentMessage.h"
 #include "ragwort/rankgroup/OrderMessage.h"
 #include "ragwort/transport/DatagramSocket.h"
+#include "ragwort/wire/Archived.h"
 #include <concepts>
 #include <functional>
 #include <map>
@@ -112,6 +113,13 @@
     bool IsReading = false;
   };
 
+  struct EncodedOrder {
+    uint64_t Number = 0;
+    OrderKind Kind = OrderKind::Prepare;
+    uint64_t Version = 0;
+    bool operator==(const EncodedOrder &) const = default;
+  };
+
   TimePoint now() const { return SteadyClock().now(); }
 
   asio::awaitable<void> beatLoop() {
@@ -251,6 +259,7 @@
               {"epoch", Report.Epoch}});
     ControlledGroup = Report.Group;
     Members.clear();
+    Datagrams.clear();
     Controller = std::make_unique<GroupController>(Shape, Report.GroupSize,
                                                    Options.Incarnation);
   }
@@ -278,12 +287,20 @@
   }
 
   void onDatagram(std::string_view Datagram, const std::string &Ip) {
-    if (absl::StatusOr<AgentMessage> M = decodeMessage(Datagram); M.ok())
-      onMessage(*M, Ip);
-    else if (auto Part = decodeOrderPart(Datagram); Part.ok())
-      onOrderPart(std::move(*Part), Ip);
-    else if (auto Reply = decodeReply(Datagram); Reply.ok())
-      onReply(*Reply);
+    switch (wire::protocolOf(Datagram).value_or(0)) {
+    case AgentMessage::Protocol:
+      if (absl::StatusOr<AgentMessage> M = decodeMessage(Datagram); M.ok())
+        onMessage(*M, Ip);
+      return;
+    case OrderPart::Protocol:
+      if (auto Part = decodeOrderPart(Datagram); Part.ok())
+        onOrderPart(std::move(*Part), Ip);
+      return;
+    case OrderReply::Protocol:
+      if (auto Reply = decodeReply(Datagram); Reply.ok())
+        onReply(*Reply);
+      return;
+    }
   }
 
   void onOrderPart(OrderPart Part, const std::string &Ip) {
@@ -393,17 +410,28 @@
                   {"copies", Change->Copies},
                   {"pass_us", C.passTime().count()}});
       }
-    for (SendOrder &S : C.mapSwitch().takeOrders(At)) {
-      if (!relayOrder(S, At))
+    // Planning may have taken longer than an answer does.
+    TimePoint SentAt = now();
+    for (SendOrder &S : C.mapSwitch().takeOrders(SentAt))
+      if (!relayOrder(S, SentAt))
         asio::co_spawn(Io, giveOrder(std::move(S)), asio::detached);
-    }
     for (const ReportRequest &R : C.mapSwitch().awaitedReports())
       requestReport(R, At);
     noteEnds(Before, At);
   }
 
+  static int64_t millis(Duration D) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(D).count();
+  }
+
+  /// Time of one step of a change, zero if it was not reached.
+  static int64_t stepMillis(TimePoint Begin, TimePoint End) {
+    return Begin == TimePoint() || End == TimePoint() ? 0 : millis(End - Begin);
+  }
+
   void noteEnds(SwitchPhase Before, TimePoint At) {
     const MapSwitch &S = Controller->mapSwitch();
+    const SwitchTimes &T = S.times();
     if (S.completed() != Completed || S.abandoned() != Abandoned) {
       logEvent(LogLevel::Info,
                S.completed() != Completed ? "map-change-completed"
@@ -412,7 +440,12 @@
                 {"epoch", S.epoch()},
                 {"step", S.heldStep()},
                 {"phase", toString(Before)},
-                {"ms", (At - ChangeBegun).count() / 1000}});
+                {"ms", millis(At - ChangeBegun)},
+                {"prepare_ms", stepMillis(T.Begun, T.Prepared)},
+                {"hold_ms", stepMillis(T.Prepared, T.Holding)},
+                {"arm_ms", stepMillis(T.Holding, T.Armed)},
+                {"last_armed", T.LastArmed},
+                {"arming_repeats", T.ArmingRepeats}});
       Metrics.counter("ragwort_map_changes_total", "outcome=\"completed\"")
           .add(S.completed() > Completed);
       Metrics.counter("ragwort_map_changes_total", "outcome=\"abandoned\"")
@@ -470,12 +503,22 @@
     if (Found == Members.end() || Found->second.Ip == Options.Listen.Ip ||
         At - Found->second.HeardAt > AgentLife || S.Copy % 2 == 0)
       return false;
-    for (const std::string &Bytes :
-         encodeOrder(ControlledGroup, S.Number, S.Order))
+    for (const std::string &Bytes : datagramsOf(S))
       sendBytes(Bytes, Found->second.Ip);
     return true;
   }
 
+  /// A map takes long to encode, and orders of one number differ in their ranks
+  /// alone, which the datagrams do not name.
+  const std::vector<std::string> &datagramsOf(const SendOrder &S) {
+    EncodedOrder Key{S.Number, S.Order.Kind, S.Order.Version};
+    if (Datagrams.empty() || EncodedAs != Key) {
+      Datagrams = encodeOrder(ControlledGroup, S.Number, S.Order);
+      EncodedAs = Key;
+    }
+    return Datagrams;
+  }
+
   asio::awaitable<void> giveOrder(SendOrder S) {
     auto Found = Members.find(S.Rank);
     if (Found == Members.end() || !Found->second.Client ||
@@ -502,7 +545,8 @@
 
   /// A lost datagram is made up for by the next.
   void sendBytes(const std::string &Bytes, const std::string &Ip) {
-    Socket.send(Bytes, {Ip, Options.Listen.Port});
+    if (!Socket.send(Bytes, {Ip, Options.Listen.Port}))
+      Metrics.counter("ragwort_agent_datagrams_unsent_total").add();
   }
 
   asio::io_context &Io;
@@ -533,6 +577,9 @@
   std::unique_ptr<GroupController> Controller;
   std::string ControlledGroup;
   std::map<uint32_t, Member> Members;
+  // Of the order that was encoded last.
+  EncodedOrder EncodedAs;
+  std::vector<std::string> Datagrams;
   TimePoint LastCall{};
   TimePoint ChangeBegun{};
   uint64_t Completed = 0;
--- a/libs/rankgroup/include/ragwort/rankgroup/MapSwitch.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/MapSwitch.h
@@ -39,7 +39,8 @@
 namespace ragwort::rankgroup {
 
 /// An order to be sent to a rank. Its answer comes back through onAnswer() with
-/// the same number.
+/// the same number. Orders of one number are the same but for their ranks, if
+/// they are of one kind and version.
 struct SendOrder {
   uint32_t Rank = 0;
   uint64_t Number = 0;
@@ -70,6 +71,21 @@
 
 std::string_view toString(SwitchPhase Phase);
 
+/// When the steps of a change ended.
+struct SwitchTimes {
+  TimePoint Begun;
+  /// Every rank had prepared the map.
+  TimePoint Prepared;
+  /// Rank 0 held the pass.
+  TimePoint Holding;
+  /// Every rank was armed.
+  TimePoint Armed;
+  /// The rank that was armed last.
+  uint32_t LastArmed = 0;
+  /// Orders to arm that were sent again.
+  uint32_t ArmingRepeats = 0;
+};
+
 /// Pure state machine of one group's controller.
 ///
 /// \code
@@ -83,6 +99,9 @@
   /// An order that has no answer for this long is sent again. An engine answers
   /// within some milliseconds.
   static constexpr Duration ResendAfter = std::chrono::milliseconds(60);
+  /// The wait for an answer grows by ResendAfter with each copy up to so many
+  /// times that: copies must not add to what makes the answers late.
+  static constexpr uint32_t MaxResendFactor = 4;
   /// Preparing that takes longer is given up; the copies are bounded by the
   /// engines' links to little more than a second.
   static constexpr Duration PrepareTimeout = std::chrono::milliseconds(4000);
@@ -92,7 +111,9 @@
   /// Attempts to hold a pass before it has begun.
   static constexpr uint32_t MaxHolds = 12;
 
-  explicit MapSwitch(uint32_t Ranks);
+  /// Orders are numbered from \p FirstNumber, which must differ so much between
+  /// controllers that no two number orders alike.
+  explicit MapSwitch(uint32_t Ranks, uint64_t FirstNumber = 1);
 
   /// Takes a report of a rank. A new epoch ends any switch. \p Token is that of
   /// the request for the report (see awaitedReports()), or zero.
@@ -131,6 +152,8 @@
   uint64_t epoch() const { return Epoch; }
   uint64_t highestVersion() const { return HighestVersion; }
   uint64_t heldStep() const { return HeldStep; }
+  /// Of the latest change that was begun; a step not reached has no time.
+  const SwitchTimes &times() const { return Times; }
   /// Switches that were completed, and those that were given up or taken back.
   uint64_t completed() const { return Completed; }
   uint64_t abandoned() const { return Abandoned; }
@@ -145,10 +168,12 @@
     bool MayBeArmed = false;
     // An order that is on its way or is to be sent again.
     std::optional<RankOrder> Open;
+    // Copies of the order that were sent, and the numbers of the first and the
+    // last of them.
+    uint32_t Copies = 0;
+    uint64_t FirstNumber = 0;
     uint64_t Number = 0;
     TimePoint SentAt{};
-    // Copies of the order that were sent.
-    uint32_t Copies = 0;
     // Not zero: the rank's state is settled by a report with this token or a
     // later one.
     uint64_t AwaitedToken = 0;
@@ -158,6 +183,8 @@
   void giveOrder(uint32_t Index, OrderKind Kind, uint64_t OrderVersion,
                  uint64_t Step, const ExpertMap *Map = nullptr);
   void awaitReport(uint32_t Index, TimePoint Now);
+  static bool isDue(const Rank &R, TimePoint Now);
+  static bool isAnswered(const Rank &R, uint64_t Number, OrderAnswer Answer);
   void onAccepted(uint32_t Index, const RankOrder &Done);
   void onConflict(uint32_t Index, const RankOrder &Refused, TimePoint Now);
   void onAwaitedReport(uint32_t Index, TimePoint Now);
@@ -178,6 +205,7 @@
   ExpertMap InUse;
   ExpertMap Target;
   TimePoint BegunAt{};
+  SwitchTimes Times;
   // Version of the last switch that was completed in this epoch, or zero.
   uint64_t CommittedVersion = 0;
   uint64_t HeldStep = 0;
@@ -190,7 +218,7 @@
   // A survey ends with a second look at the rank that holds the pass.
   bool IsSecondLook = false;
   // Numbers of orders and tokens of report requests.
-  uint64_t NextNumber = 1;
+  uint64_t NextNumber;
   uint64_t LastStep = 0;
   uint64_t Completed = 0;
   uint64_t Abandoned = 0;
--- a/libs/rankgroup/src/GroupController.cpp
+++ b/libs/rankgroup/src/GroupController.cpp
@@ -10,6 +10,10 @@
 // Versions are dealt in blocks; the controller's salt picks one of a block.
 constexpr uint64_t VersionBlock = 1'000'000;
 
+// Numbers of orders and requests that a controller may use: ten a second last
+// for thirteen years.
+constexpr uint64_t OrdersPerController = uint64_t(1) << 32;
+
 // Factor of slowness beyond which a rank is not told apart: it already gets the
 // least that a rank can hold.
 constexpr double MaxPace = 20;
@@ -21,7 +25,8 @@
 
 GroupController::GroupController(GroupShape Shape, uint32_t Ranks,
                                  uint64_t Salt)
-    : Shape(Shape), Salt(Salt % VersionBlock), Switch(Ranks),
+    : Shape(Shape), Salt(Salt % VersionBlock),
+      Switch(Ranks, this->Salt * OrdersPerController + 1),
       Demand(Shape.Sets, Shape.Experts), Held(Ranks), Reports(Ranks) {}
 
 void GroupController::onReport(uint32_t Rank, const EngineReport &Report,
--- a/libs/rankgroup/src/GroupControllerTest.cpp
+++ b/libs/rankgroup/src/GroupControllerTest.cpp
@@ -14,6 +14,7 @@
   CPPUNIT_TEST(planWhenAMapIsUnknownWaits);
   CPPUNIT_TEST(changeWhenArmingTakesPassesHoldsOneFurtherAhead);
   CPPUNIT_TEST(versionsWhenTwoControllersPlanDiffer);
+  CPPUNIT_TEST(ordersWhenTwoControllersSendThemHaveOtherNumbers);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr uint32_t RankCount = 4;
@@ -135,6 +136,16 @@
     auto Second = seen(90, 20, 12).plan(after(90));
     CPPUNIT_ASSERT(First->Version != Second->Version);
   }
+
+  void ordersWhenTwoControllersSendThemHaveOtherNumbers() {
+    // The answer to an order of a former controller may come late.
+    GroupController First = seen(90, 20, 11);
+    GroupController Second = seen(90, 20, 12);
+    First.plan(after(90));
+    Second.plan(after(90));
+    CPPUNIT_ASSERT(First.mapSwitch().takeOrders(after(90)).at(0).Number !=
+                   Second.mapSwitch().takeOrders(after(90)).at(0).Number);
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(GroupControllerTest);
 
--- a/libs/rankgroup/src/MapSwitch.cpp
+++ b/libs/rankgroup/src/MapSwitch.cpp
@@ -24,7 +24,8 @@
   return "invalid";
 }
 
-MapSwitch::MapSwitch(uint32_t RankCount) : Ranks(RankCount) {}
+MapSwitch::MapSwitch(uint32_t RankCount, uint64_t FirstNumber)
+    : Ranks(RankCount), NextNumber(FirstNumber) {}
 
 void MapSwitch::forget() {
   Phase = SwitchPhase::Idle;
@@ -103,6 +104,8 @@
   Version = NewVersion;
   HighestVersion = std::max(HighestVersion, NewVersion);
   BegunAt = Now;
+  Times = SwitchTimes();
+  Times.Begun = Now;
   Holds = 0;
   for (uint32_t I = 0; I < Ranks.size(); ++I)
     giveOrder(I, OrderKind::Prepare, Version, 0, &Target);
@@ -128,7 +131,6 @@
   if (Map)
     Order.Map = *Map;
   R.Open = std::move(Order);
-  R.Number = NextNumber++;
   R.Copies = 0;
 }
 
@@ -137,33 +139,54 @@
   Ranks[Index].AwaitedSince = Now;
 }
 
+bool MapSwitch::isDue(const Rank &R, TimePoint Now) {
+  return R.Open &&
+         (R.Copies == 0 ||
+          Now - R.SentAt >= ResendAfter * std::min(R.Copies, MaxResendFactor));
+}
+
 std::vector<SendOrder> MapSwitch::takeOrders(TimePoint Now) {
   advance(Now);
   std::vector<SendOrder> Result;
   for (uint32_t I = 0; I < Ranks.size(); ++I) {
     Rank &R = Ranks[I];
-    if (!R.Open || (R.Copies > 0 && Now - R.SentAt < ResendAfter))
+    if (!isDue(R, Now))
       continue;
-    if (R.Copies > 0)
-      R.Number = NextNumber++;
+    R.Number = NextNumber;
+    if (R.Copies == 0)
+      R.FirstNumber = NextNumber;
+    else
+      Times.ArmingRepeats += R.Open->Kind == OrderKind::Arm;
     ++R.Copies;
     R.SentAt = Now;
     Result.push_back({I, R.Number, *R.Open, R.Copies});
   }
+  NextNumber += !Result.empty();
   return Result;
 }
 
 void MapSwitch::onNoAnswer(uint32_t Index, uint64_t Number, TimePoint) {
   Rank &R = Ranks[Index];
   // Sent again with the next takeOrders().
-  if (R.Open && R.Number == Number)
+  if (R.Open && R.Copies > 0 && R.Number == Number)
     R.SentAt = TimePoint();
 }
 
+// What was done once is done, whichever copy the answer belongs to. A refusal
+// counts only for the last copy, since an earlier one may have been carried out
+// in the meantime.
+bool MapSwitch::isAnswered(const Rank &R, uint64_t Number, OrderAnswer Answer) {
+  if (!R.Open || R.Copies == 0)
+    return false;
+  return Answer == OrderAnswer::Accepted
+             ? Number >= R.FirstNumber && Number <= R.Number
+             : Number == R.Number;
+}
+
 void MapSwitch::onAnswer(uint32_t Index, uint64_t Number, OrderAnswer Answer,
                          TimePoint Now) {
   Rank &R = Ranks[Index];
-  if (!R.Open || R.Number != Number)
+  if (!isAnswered(R, Number, Answer))
     return;
   RankOrder Order = std::move(*R.Open);
   R.Open.reset();
@@ -187,6 +210,7 @@
     break;
   case OrderKind::Arm:
     R.IsArmed = true;
+    Times.LastArmed = Index;
     break;
   case OrderKind::Disarm:
     R.IsArmed = false;
@@ -322,6 +346,7 @@
     break;
   case SwitchPhase::Preparing:
     if (All(&Rank::IsPrepared)) {
+      Times.Prepared = Now;
       for (Rank &R : Ranks)
         R.Open.reset();
       Phase = SwitchPhase::Holding;
@@ -333,6 +358,7 @@
   case SwitchPhase::Holding:
     if (IsHolding) {
       Phase = SwitchPhase::Arming;
+      Times.Holding = Now;
       for (uint32_t I = 0; I < Ranks.size(); ++I) {
         Ranks[I].MayBeArmed = true;
         giveOrder(I, OrderKind::Arm, Version, HeldStep);
@@ -340,8 +366,10 @@
     }
     break;
   case SwitchPhase::Arming:
-    if (isQuiet() && All(&Rank::IsArmed))
+    if (isQuiet() && All(&Rank::IsArmed)) {
+      Times.Armed = Now;
       release(true);
+    }
     break;
   case SwitchPhase::TakingBack: {
     for (uint32_t I = 0; I < Ranks.size(); ++I) {
--- a/libs/rankgroup/src/MapSwitchTest.cpp
+++ b/libs/rankgroup/src/MapSwitchTest.cpp
@@ -281,9 +281,41 @@
 class MapSwitchTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(MapSwitchTest);
   CPPUNIT_TEST(switchWhenNothingFailsTakesOnePass);
+  CPPUNIT_TEST(answersWhenTheOrderWasRepeatedStillCount);
+  CPPUNIT_TEST(answersWhenGivenToAFormerControllerAreIgnored);
+  CPPUNIT_TEST(ordersWhenSentTogetherHaveOneNumber);
+  CPPUNIT_TEST(ordersWhenUnansweredAreRepeatedEverMoreRarely);
   CPPUNIT_TEST(runsWhenOrdersAreLostAndLateUseOneMapAPass);
   CPPUNIT_TEST_SUITE_END();
 
+  /// A switch of two ranks that has begun a change.
+  static MapSwitch begun(uint64_t FirstNumber = 1) {
+    MapSwitch Switch(2, FirstNumber);
+    EngineReport Report;
+    Report.Epoch = 1;
+    Report.IsOpen = true;
+    Report.Step = 10;
+    for (uint32_t Rank : {0u, 1u})
+      Switch.onReport(Rank, Report, 0, timeOf(0));
+    Switch.begin(ExpertMap(), ExpertMap(), 1, timeOf(0));
+    return Switch;
+  }
+
+  /// The same with the map prepared on both ranks and the pass held.
+  static MapSwitch holding(uint64_t FirstNumber = 1) {
+    MapSwitch Switch = begun(FirstNumber);
+    EngineReport Report;
+    Report.Epoch = 1;
+    Report.IsOpen = true;
+    Report.Step = 10;
+    Report.Prepared = 1;
+    for (uint32_t Rank : {0u, 1u})
+      Switch.onReport(Rank, Report, 0, timeOf(1));
+    auto Hold = Switch.takeOrders(timeOf(1));
+    Switch.onAnswer(0, Hold.at(0).Number, OrderAnswer::Accepted, timeOf(1));
+    return Switch;
+  }
+
 public:
   void switchWhenNothingFailsTakesOnePass() {
     MapSwitch Switch(2);
@@ -315,6 +347,45 @@
     CPPUNIT_ASSERT_EQUAL(uint64_t(1), Switch.completed());
   }
 
+  void answersWhenTheOrderWasRepeatedStillCount() {
+    // Answers that take longer than ResendAfter must not be lost on a
+    // controller that has sent the orders again by then.
+    MapSwitch Switch = holding();
+    auto First = Switch.takeOrders(timeOf(1));
+    CPPUNIT_ASSERT_EQUAL(size_t(2), First.size());
+    CPPUNIT_ASSERT_EQUAL(size_t(2), Switch.takeOrders(timeOf(70)).size());
+    for (const SendOrder &S : First)
+      Switch.onAnswer(S.Rank, S.Number, OrderAnswer::Accepted, timeOf(71));
+    CPPUNIT_ASSERT(Switch.phase() == SwitchPhase::Releasing);
+  }
+
+  void answersWhenGivenToAFormerControllerAreIgnored() {
+    MapSwitch Former = holding(1);
+    MapSwitch Switch = holding(uint64_t(1) << 32);
+    Switch.takeOrders(timeOf(1));
+    for (const SendOrder &S : Former.takeOrders(timeOf(1)))
+      Switch.onAnswer(S.Rank, S.Number, OrderAnswer::Accepted, timeOf(2));
+    CPPUNIT_ASSERT(Switch.phase() == SwitchPhase::Arming);
+  }
+
+  void ordersWhenSentTogetherHaveOneNumber() {
+    MapSwitch Switch = begun();
+    auto Orders = Switch.takeOrders(timeOf(0));
+    CPPUNIT_ASSERT_EQUAL(Orders.at(0).Number, Orders.at(1).Number);
+    auto Repeated = Switch.takeOrders(timeOf(100));
+    CPPUNIT_ASSERT_EQUAL(Repeated.at(0).Number, Repeated.at(1).Number);
+    CPPUNIT_ASSERT(Repeated.at(0).Number > Orders.at(0).Number);
+  }
+
+  void ordersWhenUnansweredAreRepeatedEverMoreRarely() {
+    MapSwitch Switch = begun();
+    size_t Sent = 0;
+    for (uint64_t Millis = 0; Millis <= 600; Millis += 10)
+      Sent += Switch.takeOrders(timeOf(Millis)).size();
+    // After 60, 180, 360 and 600 ms.
+    CPPUNIT_ASSERT_EQUAL(size_t(2 * 5), Sent);
+  }
+
   void runsWhenOrdersAreLostAndLateUseOneMapAPass() {
     uint64_t Changes = 0;
     bool IsWholeSet = testing::runSeeds(400, [&](uint64_t Seed, bool IsTraced) {
--- a/libs/rankgroup/src/OrderMessageTest.cpp
+++ b/libs/rankgroup/src/OrderMessageTest.cpp
@@ -2,6 +2,7 @@
 #include "ragwort/rankgroup/OrderMessage.h"
 #include "ragwort/rankgroup/AgentMessage.h"
 #include "ragwort/rankgroup/SetPlanner.h"
+#include "ragwort/wire/Archived.h"
 #include <cppunit/extensions/HelperMacros.h>
 #include <random>
 
@@ -13,6 +14,7 @@
   CPPUNIT_TEST(orderWhenMapIsLargeComesBackFromItsParts);
   CPPUNIT_TEST(orderWhenPartsOfTwoMixIsNeverPutTogether);
   CPPUNIT_TEST(replyWhenEncodedComesBack);
+  CPPUNIT_TEST(protocolWhenMessagesAreEncodedTellsThemApart);
   CPPUNIT_TEST(partWhenTornOrChangedNeverThrows);
   CPPUNIT_TEST_SUITE_END();
 
@@ -84,6 +86,18 @@
     CPPUNIT_ASSERT(Back->Answer == OrderAnswer::Accepted);
   }
 
+  void protocolWhenMessagesAreEncodedTellsThemApart() {
+    RankOrder Arm;
+    Arm.Kind = OrderKind::Arm;
+    CPPUNIT_ASSERT(wire::protocolOf(encodeOrder("g", 5, Arm).at(0)) ==
+                   OrderPart::Protocol);
+    CPPUNIT_ASSERT(wire::protocolOf(encodeReply(OrderReply())) ==
+                   OrderReply::Protocol);
+    CPPUNIT_ASSERT(wire::protocolOf(encodeMessage(AgentMessage())) ==
+                   AgentMessage::Protocol);
+    CPPUNIT_ASSERT(!wire::protocolOf("ab"));
+  }
+
   void partWhenTornOrChangedNeverThrows() {
     std::string Bytes = encodeOrder("g", 5, prepare(4, 16, 4)).front();
     for (size_t Size = 0; Size < Bytes.size(); ++Size)
--- a/libs/wire/include/ragwort/wire/Archived.h
+++ b/libs/wire/include/ragwort/wire/Archived.h
@@ -9,6 +9,7 @@
 
 #include <absl/status/statusor.h>
 #include <cereal/archives/portable_binary.hpp>
+#include <optional>
 #include <sstream>
 #include <string>
 #include <string_view>
@@ -41,6 +42,18 @@
   return Value;
 }
 
+/// The protocol number that a datagram begins with, to tell which type to
+/// decode; nothing if it is too short.
+inline std::optional<uint16_t> protocolOf(std::string_view Bytes) {
+  constexpr size_t ByteOrderMark = 1;
+  if (Bytes.size() < ByteOrderMark + sizeof(uint16_t))
+    return std::nullopt;
+  auto Low = static_cast<uint8_t>(Bytes[ByteOrderMark]);
+  auto High = static_cast<uint8_t>(Bytes[ByteOrderMark + 1]);
+  return static_cast<uint16_t>(Bytes[0] != 0 ? Low | High << 8
+                                             : High | Low << 8);
+}
+
 } // namespace ragwort::wire
 
 #endif
