--- a/libs/gateway/include/ragwort/gateway/LoadBoard.h
+++ b/libs/gateway/include/ragwort/gateway/LoadBoard.h
@@ -8,8 +8,9 @@
 // servers of its service are none.
 // Servers that fail are left out for a while and
 // come back by trial; at most half of a service is left out at a time. Servers
-// that say that they cannot work are left alone even if all do; then one trial
-// at a time shows when they are back.
+// that say that they cannot work, or whose agents say so, are left alone even
+// if all do. The agents' word, or else one trial at a time, shows when they are
+// back.
 //
 //===----------------------------------------------------------------------===//
 #ifndef RAGWORT_GATEWAY_LOADBOARD_H
@@ -38,6 +39,26 @@
   Full,
 };
 
+/// What the agent beside an engine says of it.
+enum class EngineCondition : uint8_t {
+  /// It is so slow that its group waits for it in every pass.
+  Straggles,
+  /// Its group is broken or not formed yet: it declines what it is sent.
+  Closed,
+  /// Its group has just opened.
+  Opened,
+};
+
+std::string_view toString(EngineCondition Value);
+
+/// The same, as nodes pass it on to each other.
+struct EngineWord {
+  uint64_t InstanceKey = 0;
+  EngineCondition Condition = EngineCondition::Straggles;
+
+  friend bool operator==(const EngineWord &, const EngineWord &) = default;
+};
+
 /// What a peer sees of one server at which it has requests in flight.
 struct InFlightReport {
   uint64_t InstanceKey = 0;
@@ -62,8 +83,11 @@
   static constexpr Duration ReportLife = std::chrono::milliseconds(1500);
   /// Pauses between events seen longer ago than this no longer count.
   static constexpr Duration GapLife = std::chrono::milliseconds(1500);
-  /// A straggler's agent repeats its notice several times within this time.
-  static constexpr Duration StragglerLife = std::chrono::milliseconds(700);
+  /// An agent repeats its notice several times within this time.
+  static constexpr Duration NoticeLife = std::chrono::milliseconds(700);
+  /// That a group has opened is passed on for this long, which is longer than
+  /// nodes take from one heartbeat to the next.
+  static constexpr Duration OpenedLife = std::chrono::milliseconds(300);
   /// First time that a failing server is left out; doubles up to MaxEjection.
   static constexpr Duration FirstEjection = std::chrono::milliseconds(1000);
   static constexpr Duration MaxEjection = std::chrono::milliseconds(8000);
@@ -94,18 +118,19 @@
   /// Another instance answered at the server's address: it is gone, whatever
   /// the list of servers still says.
   void onReplaced(std::string_view Id);
-  /// The server at \p Address says that it holds its group back.
-  void onStragglerNotice(std::string_view Address, TimePoint Now);
-  /// Servers of which a peer has such notices.
-  void onPeerStragglers(std::span<const uint64_t> InstanceKeys, TimePoint Now);
+  /// What the agent beside the server at \p Address says.
+  void onEngineNotice(std::string_view Address, EngineCondition Condition,
+                      TimePoint Now);
+  /// What agents have told a peer.
+  void onPeerWords(std::span<const EngineWord> Words, TimePoint Now);
   /// A peer's whole report.
   void onPeerReport(std::string_view Peer, std::vector<InFlightReport> Report,
                     TimePoint Now);
 
   /// This node's report for its peers.
   std::vector<InFlightReport> ownReport(TimePoint Now) const;
-  /// Servers whose own notices this node has, for its peers.
-  std::vector<uint64_t> ownStragglers(TimePoint Now) const;
+  /// What agents have told this node, for its peers.
+  std::vector<EngineWord> ownWords(TimePoint Now) const;
   bool isStraggler(std::string_view Id, TimePoint Now) const;
   uint32_t inFlight(std::string_view Id) const;
   /// One line a server, for the state dump.
@@ -132,8 +157,10 @@
     bool IsUnavailable = false;
     TimePoint UnavailableSince{};
     TimePoint NextTrial{};
-    // Its own notice, or a peer's word of one, counts until then.
-    TimePoint NoticeUntil{};
+    // What its agent has told this node; passed on until then.
+    EngineCondition Told = EngineCondition::Straggles;
+    TimePoint ToldUntil{};
+    // Its agent's word to be a straggler, from whomever, counts until then.
     TimePoint StragglerUntil{};
     // Seen gone at its address.
     bool IsReplaced = false;
@@ -150,7 +177,11 @@
   };
 
   Server *find(std::string_view Id);
+  static void take(Server &S, EngineCondition Condition,
+                   std::string_view Source, TimePoint Now);
   static void markStraggler(Server &S, std::string_view Source, TimePoint Now);
+  static void markClosed(Server &S, std::string_view Source, TimePoint Now);
+  static void markOpened(Server &S, std::string_view Source);
   void markSuperseded();
   void eject(Server &S, TimePoint Now);
   /// What servers of a service that work well take, 0 while unknown.
--- a/libs/gateway/include/ragwort/gateway/PeerBeat.h
+++ b/libs/gateway/include/ragwort/gateway/PeerBeat.h
@@ -19,14 +19,12 @@
 
 /// Largest heartbeat that is sent or accepted, in bytes.
 inline constexpr size_t MaxBeatBytes = 1400;
-/// Stragglers named in one heartbeat.
-inline constexpr size_t MaxNamedStragglers = 32;
 /// Peers named in one heartbeat.
 inline constexpr size_t MaxNamedPeers = 32;
 
 struct PeerBeat {
   /// Beats of another protocol version are dropped.
-  static constexpr uint16_t Protocol = 2;
+  static constexpr uint16_t Protocol = 3;
 
   std::string Node;
   /// Tells two runs of one node apart.
@@ -35,8 +33,6 @@
   uint64_t ConfigVersion = 0;
   uint64_t DirectoryVersion = 0;
   std::vector<InFlightReport> InFlight;
-  /// Keys of the instances that told this node that they are stragglers.
-  std::vector<uint64_t> Stragglers;
   /// IP numbers of other nodes, so that a new one finds them all.
   std::vector<std::string> PeerIps;
 };
@@ -47,17 +43,26 @@
 /// Never throws; fails on torn, oversized and foreign datagrams.
 absl::StatusOr<PeerBeat> decodeBeat(std::string_view Datagram);
 
-/// An agent's word that the engine beside it is slow and holds its group back.
-struct StragglerNotice {
+/// An agent's word on the engine beside it.
+struct EngineNotice {
   /// Tells notices from heartbeats.
-  static constexpr uint16_t Protocol = 1001;
+  static constexpr uint16_t Protocol = 1002;
 
   std::string EngineAddress;
-  /// How much longer than usual the engine takes, in hundredths.
-  uint32_t PacePercent = 100;
+  EngineCondition Condition = EngineCondition::Straggles;
 };
-std::string encodeNotice(const StragglerNotice &Notice);
-absl::StatusOr<StragglerNotice> decodeNotice(std::string_view Datagram);
+std::string encodeNotice(const EngineNotice &Notice);
+absl::StatusOr<EngineNotice> decodeNotice(std::string_view Datagram);
+
+/// What agents have told a node, for its peers: agents know few nodes.
+struct NoticeDigest {
+  static constexpr uint16_t Protocol = 1003;
+
+  std::vector<EngineWord> Words;
+};
+/// As many datagrams as \p Words take; none for none.
+std::vector<std::string> encodeDigests(std::span<const EngineWord> Words);
+absl::StatusOr<NoticeDigest> decodeDigest(std::string_view Datagram);
 
 /// A list of backend servers with its version.
 struct DirectorySnapshot {
--- /dev/null
+++ b/libs/gateway/src/EngineNotifier.cpp
@@ -0,0 +1,62 @@
+//===- EngineNotifier.cpp - Tells entry nodes of an engine's condition ----===//
+#include "ragwort/gateway/EngineNotifier.h"
+#include "ragwort/gateway/PeerBeat.h"
+#include "ragwort/observe/Log.h"
+#include <cmath>
+
+namespace ragwort::gateway {
+
+std::optional<EngineCondition>
+EngineWatch::onReport(const rankgroup::EngineReport &Report) {
+  // An engine without a group holds nobody back; its load and its answers show
+  // how it does.
+  bool IsInGroup = !Report.Group.empty() && Report.GroupSize > 1;
+  IsStraggler =
+      IsInGroup && Report.Pace >= (IsStraggler ? RecoveredPace : SlowPace);
+  if (IsInGroup && !Report.IsOpen) {
+    OpenedLeft = OpenedRepeats;
+    return EngineCondition::Closed;
+  }
+  if (OpenedLeft > 0) {
+    --OpenedLeft;
+    return EngineCondition::Opened;
+  }
+  if (IsStraggler)
+    return EngineCondition::Straggles;
+  return std::nullopt;
+}
+
+EngineNotifier::EngineNotifier(asio::io_context &Io, std::string EngineAddress,
+                               uint16_t EntryPort)
+    : EngineAddress(std::move(EngineAddress)), EntryPort(EntryPort),
+      Socket(Io.get_executor(), MaxBeatBytes,
+             [](std::string_view, const Address &) {}) {
+  absl::Status Opened = Socket.openForSending();
+  if (!Opened.ok())
+    logEvent(LogLevel::Error, "notice-socket-failed",
+             {{"reason", std::string(Opened.message())}});
+}
+
+void EngineNotifier::onReport(const rankgroup::EngineReport &Report) {
+  std::optional<EngineCondition> Condition = Watch.onReport(Report);
+  if (Condition != Told)
+    logEvent(LogLevel::Warning, "engine-condition",
+             {{"condition", Condition ? toString(*Condition) : "usual"},
+              {"group", Report.Group},
+              {"rank", Report.Rank},
+              {"epoch", Report.Epoch},
+              {"pace_percent", std::lround(Report.Pace * 100)},
+              {"entry_nodes", EntryIps.size()}});
+  Told = Condition;
+  if (Condition)
+    send(*Condition);
+}
+
+void EngineNotifier::send(EngineCondition Condition) {
+  std::string Bytes = encodeNotice({EngineAddress, Condition});
+  // A lost notice is made up for by the next.
+  for (const std::string &Ip : EntryIps)
+    Socket.send(Bytes, {Ip, EntryPort});
+}
+
+} // namespace ragwort::gateway
--- a/libs/gateway/src/GatewayTest.cpp
+++ b/libs/gateway/src/GatewayTest.cpp
@@ -533,8 +533,8 @@
   /// Notices of the server that got the first request.
   void reportFirstAsStraggler() {
     ScriptedServer &First = *Servers[Servers[0]->Requests.empty() ? 1 : 0];
-    Node->dispatcher().board().onStragglerNotice(First.address(),
-                                                 SteadyClock().now());
+    Node->dispatcher().board().onEngineNotice(
+        First.address(), EngineCondition::Straggles, SteadyClock().now());
   }
 
   void streamWhenItsServerStragglesGoesOnElsewhere() {
--- a/libs/gateway/src/LoadBoard.cpp
+++ b/libs/gateway/src/LoadBoard.cpp
@@ -39,6 +39,18 @@
 
 } // namespace
 
+std::string_view toString(EngineCondition Value) {
+  switch (Value) {
+  case EngineCondition::Straggles:
+    return "straggles";
+  case EngineCondition::Closed:
+    return "closed";
+  case EngineCondition::Opened:
+    return "opened";
+  }
+  return "invalid";
+}
+
 void LoadBoard::sync(const BackendDirectory &Directory) {
   for (auto It = Servers.begin(); It != Servers.end();) {
     if (Directory.instances().count(It->first)) {
@@ -184,30 +196,72 @@
               {"source", Source},
               {"own", S.Own},
               {"peers", S.OfPeers}});
-  S.StragglerUntil = Now + StragglerLife;
+  S.StragglerUntil = Now + NoticeLife;
+}
+
+void LoadBoard::markClosed(Server &S, std::string_view Source, TimePoint Now) {
+  if (!S.IsUnavailable)
+    logEvent(LogLevel::Warning, "server-closed",
+             {{"instance", S.Entry.Id},
+              {"source", Source},
+              {"own", S.Own},
+              {"peers", S.OfPeers}});
+  S.IsUnavailable = true;
+  S.UnavailableSince = Now;
+  // No trial can tell more than the agent does.
+  S.NextTrial = Now + NoticeLife;
+}
+
+void LoadBoard::markOpened(Server &S, std::string_view Source) {
+  if (!S.IsUnavailable)
+    return;
+  logEvent(LogLevel::Info, "server-opened",
+           {{"instance", S.Entry.Id}, {"source", Source}});
+  S.IsUnavailable = false;
+  // What failed before the group was formed anew says nothing any more.
+  S.EjectedUntil = TimePoint();
+  S.NextEjection = FirstEjection;
+  S.FailureRate = 0;
+}
+
+void LoadBoard::take(Server &S, EngineCondition Condition,
+                     std::string_view Source, TimePoint Now) {
+  switch (Condition) {
+  case EngineCondition::Straggles:
+    markStraggler(S, Source, Now);
+    break;
+  case EngineCondition::Closed:
+    markClosed(S, Source, Now);
+    break;
+  case EngineCondition::Opened:
+    markOpened(S, Source);
+    break;
+  }
 }
 
-void LoadBoard::onStragglerNotice(std::string_view Address, TimePoint Now) {
+void LoadBoard::onEngineNotice(std::string_view Address,
+                               EngineCondition Condition, TimePoint Now) {
   for (auto &[Id, S] : Servers) {
     if (S.Entry.Address != Address || !S.isUsable())
       continue;
-    S.NoticeUntil = Now + StragglerLife;
-    markStraggler(S, "agent", Now);
+    S.Told = Condition;
+    S.ToldUntil =
+        Now + (Condition == EngineCondition::Opened ? OpenedLife : NoticeLife);
+    take(S, Condition, "agent", Now);
   }
 }
 
-void LoadBoard::onPeerStragglers(std::span<const uint64_t> InstanceKeys,
-                                 TimePoint Now) {
-  for (uint64_t Key : InstanceKeys)
-    if (auto Id = IdOfKey.find(Key); Id != IdOfKey.end())
-      markStraggler(Servers[Id->second], "peer", Now);
+void LoadBoard::onPeerWords(std::span<const EngineWord> Words, TimePoint Now) {
+  for (const EngineWord &Word : Words)
+    if (auto Id = IdOfKey.find(Word.InstanceKey); Id != IdOfKey.end())
+      take(Servers[Id->second], Word.Condition, "peer", Now);
 }
 
-std::vector<uint64_t> LoadBoard::ownStragglers(TimePoint Now) const {
-  std::vector<uint64_t> Result;
+std::vector<EngineWord> LoadBoard::ownWords(TimePoint Now) const {
+  std::vector<EngineWord> Result;
   for (const auto &[Id, S] : Servers)
-    if (Now < S.NoticeUntil)
-      Result.push_back(S.Key);
+    if (Now < S.ToldUntil)
+      Result.push_back({S.Key, S.Told});
   return Result;
 }
 
--- a/libs/gateway/src/LoadBoardTest.cpp
+++ b/libs/gateway/src/LoadBoardTest.cpp
@@ -19,9 +19,12 @@
   CPPUNIT_TEST(choiceWhenHalfOfTheServersAnswerSlowlyPrefersTheOthers);
   CPPUNIT_TEST(choiceWhenStreamsOfPeersAreSlowPrefersTheOthers);
   CPPUNIT_TEST(choiceWhenTheFastServersAreFullTakesASlowOne);
+  CPPUNIT_TEST(choiceWhenAllAgentsSayClosedWaitsForTheirWord);
+  CPPUNIT_TEST(choiceWhenAgentsFallSilentIsOneTrialAtATime);
+  CPPUNIT_TEST(choiceWhenAGroupOpensForgetsItsFaults);
   CPPUNIT_TEST(choiceWhenAServerStragglesLeavesItOutUntilNoticesEnd);
   CPPUNIT_TEST(choiceWhenMostServersStraggleStillHasOne);
-  CPPUNIT_TEST(stragglersWhenToldByPeersAreNotRelayed);
+  CPPUNIT_TEST(wordsWhenToldByPeersAreNotPassedOn);
   CPPUNIT_TEST(choiceWhenOnePauseWasLongDoesNotChange);
   CPPUNIT_TEST(reportWhenEventsCameLongAgoHasNoGap);
   CPPUNIT_TEST(choicesWhenManyNodesSeeOldLoadsStayWithinTheSlots);
@@ -192,8 +195,43 @@
     CPPUNIT_ASSERT(chosen(at(0)) <= "b");
   }
 
+  void tellAll(EngineCondition Condition, TimePoint Now) {
+    for (const char *Address : {"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"})
+      Board->onEngineNotice(Address, Condition, Now);
+  }
+
+  void choiceWhenAllAgentsSayClosedWaitsForTheirWord() {
+    // Nothing was ever declined: requests must not be spent on finding out.
+    for (int Millis = 0; Millis <= 1500; Millis += 150) {
+      tellAll(EngineCondition::Closed, at(Millis));
+      CPPUNIT_ASSERT(Board->isRecovering("s"));
+      CPPUNIT_ASSERT_EQUAL(std::string(), chosen(at(Millis + 149)));
+    }
+    tellAll(EngineCondition::Opened, at(1650));
+    CPPUNIT_ASSERT(!Board->isRecovering("s"));
+    CPPUNIT_ASSERT(!chosen(at(1650)).empty());
+  }
+
+  void choiceWhenAgentsFallSilentIsOneTrialAtATime() {
+    tellAll(EngineCondition::Closed, at(0));
+    std::string Trial = chosen(at(800));
+    CPPUNIT_ASSERT(!Trial.empty());
+    Board->onStarted(Trial, at(800));
+    CPPUNIT_ASSERT_EQUAL(std::string(), chosen(at(850)));
+  }
+
+  void choiceWhenAGroupOpensForgetsItsFaults() {
+    Board->onFault("a", ServerFault::Unreachable, at(0));
+    tellAll(EngineCondition::Closed, at(100));
+    tellAll(EngineCondition::Opened, at(200));
+    bool IsChosen = false;
+    for (int I = 0; I < 20; ++I)
+      IsChosen |= chosen(at(200)) == "a";
+    CPPUNIT_ASSERT(IsChosen);
+  }
+
   void choiceWhenAServerStragglesLeavesItOutUntilNoticesEnd() {
-    Board->onStragglerNotice("10.0.0.1:1", at(0));
+    Board->onEngineNotice("10.0.0.1:1", EngineCondition::Straggles, at(0));
     CPPUNIT_ASSERT(Board->isStraggler("a", at(500)));
     for (int I = 0; I < 20; ++I) {
       CPPUNIT_ASSERT(chosen(at(500)) != "a");
@@ -204,19 +242,23 @@
   }
 
   void choiceWhenMostServersStraggleStillHasOne() {
-    Board->onStragglerNotice("10.0.0.1:1", at(0));
-    Board->onStragglerNotice("10.0.0.2:1", at(0));
-    Board->onStragglerNotice("10.0.0.3:1", at(0));
+    Board->onEngineNotice("10.0.0.1:1", EngineCondition::Straggles, at(0));
+    Board->onEngineNotice("10.0.0.2:1", EngineCondition::Straggles, at(0));
+    Board->onEngineNotice("10.0.0.3:1", EngineCondition::Straggles, at(0));
     CPPUNIT_ASSERT(!chosen(at(100)).empty());
   }
 
-  void stragglersWhenToldByPeersAreNotRelayed() {
-    Board->onStragglerNotice("10.0.0.1:1", at(0));
-    std::vector<uint64_t> ToldByPeer = {hash64("b")};
-    Board->onPeerStragglers(ToldByPeer, at(0));
+  void wordsWhenToldByPeersAreNotPassedOn() {
+    Board->onEngineNotice("10.0.0.1:1", EngineCondition::Straggles, at(0));
+    std::vector<EngineWord> Words = {{hash64("b"), EngineCondition::Straggles},
+                                     {hash64("c"), EngineCondition::Closed}};
+    Board->onPeerWords(Words, at(0));
     CPPUNIT_ASSERT(Board->isStraggler("b", at(0)));
-    CPPUNIT_ASSERT(Board->ownStragglers(at(0)) ==
-                   std::vector<uint64_t>{hash64("a")});
+    for (int I = 0; I < 20; ++I)
+      CPPUNIT_ASSERT(chosen(at(100)) != "c");
+    std::vector<EngineWord> Own = {{hash64("a"), EngineCondition::Straggles}};
+    CPPUNIT_ASSERT(Board->ownWords(at(0)) == Own);
+    CPPUNIT_ASSERT(Board->ownWords(at(1000)).empty());
   }
 
   void choiceWhenOnePauseWasLongDoesNotChange() {
--- a/libs/gateway/src/PeerBeat.cpp
+++ b/libs/gateway/src/PeerBeat.cpp
@@ -7,6 +7,13 @@
 
 namespace ragwort::gateway {
 
+namespace {
+
+// Left in a datagram for everything but its list.
+constexpr size_t HeaderBytes = 32;
+
+} // namespace
+
 template <class Archive> void serialize(Archive &Ar, InFlightReport &Report) {
   constexpr uint32_t Most = std::numeric_limits<uint16_t>::max();
   auto Count = static_cast<uint16_t>(std::min(Report.Count, Most));
@@ -41,26 +48,46 @@
   Ar(Beat.Incarnation, Beat.ConfigVersion, Beat.DirectoryVersion);
   wire::transferFlag(Ar, Beat.IsLeaving);
   wire::transferList(Ar, Beat.InFlight, MaxBeatBytes);
-  wire::transferList(Ar, Beat.Stragglers, MaxNamedStragglers);
   size_t Peers = wire::transferLength(Ar, Beat.PeerIps.size(), MaxNamedPeers);
   Beat.PeerIps.resize(Peers);
   for (std::string &Ip : Beat.PeerIps)
     wire::transferText(Ar, Ip, wire::MaxNameBytes);
 }
 
-template <class Archive> void serialize(Archive &Ar, StragglerNotice &Notice) {
-  uint16_t Protocol = StragglerNotice::Protocol;
+template <class Archive>
+void transferCondition(Archive &Ar, EngineCondition &Condition) {
+  auto Byte = static_cast<uint8_t>(Condition);
+  Ar(Byte);
+  if (Byte > static_cast<uint8_t>(EngineCondition::Opened))
+    throw cereal::Exception("engine in an unknown condition");
+  Condition = static_cast<EngineCondition>(Byte);
+}
+
+template <class Archive> void serialize(Archive &Ar, EngineNotice &Notice) {
+  uint16_t Protocol = EngineNotice::Protocol;
   Ar(Protocol);
-  if (Protocol != StragglerNotice::Protocol)
-    throw cereal::Exception("straggler notice of protocol version " +
+  if (Protocol != EngineNotice::Protocol)
+    throw cereal::Exception("engine notice of protocol version " +
                             std::to_string(Protocol));
   wire::transferText(Ar, Notice.EngineAddress, wire::MaxNameBytes);
-  Ar(Notice.PacePercent);
+  transferCondition(Ar, Notice.Condition);
+}
+
+template <class Archive> void serialize(Archive &Ar, EngineWord &Word) {
+  Ar(Word.InstanceKey);
+  transferCondition(Ar, Word.Condition);
+}
+
+template <class Archive> void serialize(Archive &Ar, NoticeDigest &Digest) {
+  uint16_t Protocol = NoticeDigest::Protocol;
+  Ar(Protocol);
+  if (Protocol != NoticeDigest::Protocol)
+    throw cereal::Exception("notice digest of protocol version " +
+                            std::to_string(Protocol));
+  wire::transferList(Ar, Digest.Words, MaxBeatBytes);
 }
 
 std::string encodeBeat(PeerBeat Beat) {
-  if (Beat.Stragglers.size() > MaxNamedStragglers)
-    Beat.Stragglers.resize(MaxNamedStragglers);
   std::string Bytes = wire::toArchive(Beat);
   if (Bytes.size() <= MaxBeatBytes)
     return Bytes;
@@ -85,14 +112,33 @@
   return wire::fromArchive<PeerBeat>(Datagram);
 }
 
-std::string encodeNotice(const StragglerNotice &Notice) {
+std::string encodeNotice(const EngineNotice &Notice) {
   return wire::toArchive(Notice);
 }
 
-absl::StatusOr<StragglerNotice> decodeNotice(std::string_view Datagram) {
+absl::StatusOr<EngineNotice> decodeNotice(std::string_view Datagram) {
+  if (Datagram.size() > MaxBeatBytes)
+    return absl::InvalidArgumentError("engine notice is too large");
+  return wire::fromArchive<EngineNotice>(Datagram);
+}
+
+std::vector<std::string> encodeDigests(std::span<const EngineWord> Words) {
+  // A word takes its key and one byte.
+  constexpr size_t WordsPerDatagram =
+      (MaxBeatBytes - HeaderBytes) / (sizeof(uint64_t) + 1);
+  std::vector<std::string> Result;
+  while (!Words.empty()) {
+    auto Part = Words.first(std::min(Words.size(), WordsPerDatagram));
+    Result.push_back(wire::toArchive(NoticeDigest{{Part.begin(), Part.end()}}));
+    Words = Words.subspan(Part.size());
+  }
+  return Result;
+}
+
+absl::StatusOr<NoticeDigest> decodeDigest(std::string_view Datagram) {
   if (Datagram.size() > MaxBeatBytes)
-    return absl::InvalidArgumentError("straggler notice is too large");
-  return wire::fromArchive<StragglerNotice>(Datagram);
+    return absl::InvalidArgumentError("notice digest is too large");
+  return wire::fromArchive<NoticeDigest>(Datagram);
 }
 
 std::string encodeDirectory(const DirectorySnapshot &Snapshot) {
--- a/libs/gateway/src/PeerExchange.cpp
+++ b/libs/gateway/src/PeerExchange.cpp
@@ -3,6 +3,7 @@
 #include "ragwort/base/Hash.h"
 #include "ragwort/http/HttpClient.h"
 #include "ragwort/observe/Log.h"
+#include "ragwort/wire/Archived.h"
 #include <algorithm>
 
 namespace ragwort::gateway {
@@ -72,14 +73,16 @@
   Beat.ConfigVersion = Offered.Version;
   Beat.DirectoryVersion = Node.directory().version();
   Beat.InFlight = Node.dispatcher().board().ownReport(now());
-  Beat.Stragglers = Node.dispatcher().board().ownStragglers(now());
   for (const auto &[Ip, P] : Peers)
     if (Beat.PeerIps.size() < MaxNamedPeers && P.HeardAt != TimePoint())
       Beat.PeerIps.push_back(Ip);
-  std::string Bytes = encodeBeat(std::move(Beat));
-  // A lost heartbeat is made up for by the next.
+  std::vector<std::string> Datagrams =
+      encodeDigests(Node.dispatcher().board().ownWords(now()));
+  Datagrams.push_back(encodeBeat(std::move(Beat)));
+  // A lost datagram is made up for by the next.
   for (const auto &[Ip, P] : Peers)
-    Socket.send(Bytes, {Ip, Options.Listen.Port});
+    for (const std::string &Bytes : Datagrams)
+      Socket.send(Bytes, {Ip, Options.Listen.Port});
 }
 
 asio::awaitable<void> PeerExchange::beatLoop() {
@@ -93,12 +96,21 @@
 }
 
 void PeerExchange::onDatagram(std::string_view Datagram, const Address &From) {
-  if (absl::StatusOr<PeerBeat> Beat = decodeBeat(Datagram); Beat.ok()) {
-    onBeat(*Beat, From.Ip);
+  switch (wire::protocolOf(Datagram).value_or(0)) {
+  case PeerBeat::Protocol:
+    if (absl::StatusOr<PeerBeat> Beat = decodeBeat(Datagram); Beat.ok())
+      onBeat(*Beat, From.Ip);
+    return;
+  case EngineNotice::Protocol:
+    if (auto Notice = decodeNotice(Datagram); Notice.ok())
+      Node.dispatcher().board().onEngineNotice(Notice->EngineAddress,
+                                               Notice->Condition, now());
+    return;
+  case NoticeDigest::Protocol:
+    if (auto Digest = decodeDigest(Datagram); Digest.ok())
+      Node.dispatcher().board().onPeerWords(Digest->Words, now());
     return;
   }
-  if (auto Notice = decodeNotice(Datagram); Notice.ok())
-    Node.dispatcher().board().onStragglerNotice(Notice->EngineAddress, now());
 }
 
 void PeerExchange::onBeat(const PeerBeat &Beat, const std::string &Ip) {
@@ -119,7 +131,6 @@
   for (const std::string &Known : Beat.PeerIps)
     if (parseAddress(Known + ":1"))
       addPeer(Known);
-  Node.dispatcher().board().onPeerStragglers(Beat.Stragglers, At);
   Node.onPeerReport(Beat.Node, Beat.InFlight);
 }
 
--- a/libs/rankgroup/include/ragwort/rankgroup/GroupAgent.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/GroupAgent.h
@@ -12,6 +12,7 @@
 #include "ragwort/observe/Log.h"
 #include "ragwort/observe/Metrics.h"
 #include "ragwort/rankgroup/AgentMessage.h"
+#include "ragwort/rankgroup/BeatPace.h"
 #include "ragwort/rankgroup/OrderMessage.h"
 #include "ragwort/transport/DatagramSocket.h"
 #include "ragwort/wire/Archived.h"
@@ -51,7 +52,6 @@
 public:
   using MakeEngine = std::function<std::unique_ptr<EngineClient>(Address)>;
 
-  static constexpr Duration BeatInterval = std::chrono::milliseconds(150);
   static constexpr Duration CallInterval = std::chrono::milliseconds(600);
   /// The same while some rank has not reported in this epoch: without it the
   /// group keeps the map that it was formed with.
@@ -126,7 +126,7 @@
     while (true) {
       TimePoint Begun = now();
       co_await beat(0);
-      Duration Rest = BeatInterval - (now() - Begun);
+      Duration Rest = Pace.interval(now()) - (now() - Begun);
       if (Rest.count() > 0)
         co_await sleepFor(Rest);
     }
@@ -143,13 +143,17 @@
     absl::StatusOr<EngineReport> Report = co_await Own->report();
     if (Report.ok()) {
       noteReport(*Report);
+      bool IsDue = Pace.onReport(*Report, now()) || Token != 0;
       if (LastExperts.MapVersion != Report->MapVersion ||
           LastExperts.Sets.empty())
         co_await readExperts();
       std::vector<std::vector<uint64_t>> Chosen;
-      if (Shape.isKnown() && Token == 0 && Report->Step != LastCountedStep)
+      // The first reading is what the next one is compared with.
+      if (Shape.isKnown() && Token == 0 && IsDue &&
+          (LastCounts.empty() || Report->Step != LastCountedStep))
         Chosen = co_await readCounts(*Report);
-      sendBeat(*Report, Token, Chosen);
+      if (IsDue)
+        sendBeat(*Report, Token, Chosen);
     } else if (IsEngineReached) {
       IsEngineReached = false;
       logEvent(LogLevel::Warning, "engine-lost",
@@ -168,10 +172,8 @@
                 {"rank", Report.Rank},
                 {"epoch", Report.Epoch},
                 {"open", int(Report.IsOpen)}});
-    if (Report.Epoch != OwnReport.Epoch || Report.Group != OwnReport.Group) {
+    if (Report.Epoch != OwnReport.Epoch || Report.Group != OwnReport.Group)
       LastExperts = RankExperts();
-      LastCounts.clear();
-    }
     IsEngineReached = true;
     OwnReport = Report;
     if (OnReport)
@@ -197,9 +199,9 @@
       Chosen = Counts->Counts;
       for (size_t Set = 0; Set < Chosen.size(); ++Set)
         for (size_t E = 0; E < Chosen[Set].size(); ++E) {
-          uint64_t Before = LastCounts[Set][E];
           // Counts that fell are those of a restarted engine.
-          Chosen[Set][E] -= std::min(Before, Chosen[Set][E]);
+          if (uint64_t Before = LastCounts[Set][E]; Before <= Chosen[Set][E])
+            Chosen[Set][E] -= Before;
         }
     }
     LastCounts = std::move(Counts->Counts);
@@ -323,6 +325,8 @@
     IsOrdering = false;
     if (!Answer.ok())
       co_return;
+    if (Order.Kind == OrderKind::Prepare && *Answer == OrderAnswer::Accepted)
+      Pace.onPrepareAccepted(Order.Version, now());
     OrderReply Reply;
     Reply.Group = OwnReport.Group;
     Reply.Rank = OwnReport.Rank;
@@ -530,6 +534,9 @@
     absl::StatusOr<OrderAnswer> Answer = co_await Client->order(S.Order);
     if (auto Again = Members.find(S.Rank); Again != Members.end())
       Again->second.IsCalling = false;
+    if (S.Rank == OwnReport.Rank && S.Order.Kind == OrderKind::Prepare &&
+        Answer.ok() && *Answer == OrderAnswer::Accepted)
+      Pace.onPrepareAccepted(S.Order.Version, now());
     if (!Controller || Controller->mapSwitch().epoch() != Epoch)
       co_return;
     if (Answer.ok())
@@ -566,6 +573,7 @@
   std::vector<std::vector<uint64_t>> LastCounts;
   uint64_t LastCountedStep = 0;
   std::string ControllerIp;
+  BeatPace Pace;
   OrderAssembler Orders;
   bool IsOrdering = false;
   bool IsEngineReached = false;
--- a/libs/rankgroup/include/ragwort/rankgroup/GroupController.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/GroupController.h
@@ -86,7 +86,7 @@
 private:
   std::optional<ExpertMap> mapInUse() const;
   void notePass(const EngineReport &Report, TimePoint Now);
-  bool isFastEnough(double Skew) const;
+  bool isFastEnough(double Skew, uint32_t Running) const;
   std::vector<double> paceOfRanks() const;
   double skewInUse(const ExpertMap &InUse, std::span<const double> Pace) const;
   uint64_t armingPasses() const;
--- a/libs/rankgroup/include/ragwort/rankgroup/MapSwitch.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/MapSwitch.h
@@ -108,6 +108,9 @@
   /// Least passes ahead of the last one known that are held. One may begin
   /// while the order is on its way.
   static constexpr uint64_t MinPassesAhead = 2;
+  /// A report of a held pass that comes so soon after its release may have been
+  /// read before it.
+  static constexpr Duration StaleReportTime = std::chrono::milliseconds(250);
   /// Attempts to hold a pass before it has begun.
   static constexpr uint32_t MaxHolds = 12;
 
@@ -185,7 +188,7 @@
   void awaitReport(uint32_t Index, TimePoint Now);
   static bool isDue(const Rank &R, TimePoint Now);
   static bool isAnswered(const Rank &R, uint64_t Number, OrderAnswer Answer);
-  void onAccepted(uint32_t Index, const RankOrder &Done);
+  void onAccepted(uint32_t Index, const RankOrder &Done, TimePoint Now);
   void onConflict(uint32_t Index, const RankOrder &Refused, TimePoint Now);
   void onAwaitedReport(uint32_t Index, TimePoint Now);
   void advance(TimePoint Now);
@@ -209,6 +212,9 @@
   // Version of the last switch that was completed in this epoch, or zero.
   uint64_t CommittedVersion = 0;
   uint64_t HeldStep = 0;
+  // The pass that was released last, and when that was known.
+  uint64_t ReleasedStep = 0;
+  TimePoint ReleasedAt{};
   uint32_t Holds = 0;
   uint64_t PassesAhead = MinPassesAhead;
   // Whether rank 0 is known to hold HeldStep.
--- a/libs/rankgroup/src/GroupController.cpp
+++ b/libs/rankgroup/src/GroupController.cpp
@@ -56,7 +56,11 @@
   }
 }
 
-bool GroupController::isFastEnough(double Skew) const {
+bool GroupController::isFastEnough(double Skew, uint32_t Running) const {
+  // Right after a group has opened its passes are unknown; with so many
+  // requests they will be slow.
+  if (PassMillis == 0)
+    return Skew < LargeSkew || Running < Held.size();
   double TargetMillis =
       std::chrono::duration<double, std::milli>(Shape.TargetGap).count();
   double Part = Skew >= LargeSkew ? FastEnoughWhenSkewed : FastEnough;
@@ -144,7 +148,7 @@
   std::vector<double> Pace = paceOfRanks();
   double Skew = skewInUse(*InUse, Pace);
   // Even loads on all ranks are the best that can be planned.
-  if (isFastEnough(Skew) || Skew * (1 - MinGain) < 1)
+  if (isFastEnough(Skew, Running) || Skew * (1 - MinGain) < 1)
     return std::nullopt;
   SetLimits Limits{Shape.Places, Shape.Spare,
                    MinGainOfGroupPerCopy / static_cast<double>(Held.size())};
--- a/libs/rankgroup/src/GroupControllerTest.cpp
+++ b/libs/rankgroup/src/GroupControllerTest.cpp
@@ -9,6 +9,7 @@
   CPPUNIT_TEST(planWhenPassesAreSlowAndDemandIsSkewedBegins);
   CPPUNIT_TEST(planWhenPassesAreFastLeavesTheMap);
   CPPUNIT_TEST(planWhenSkewIsLargeBeginsAtFasterPasses);
+  CPPUNIT_TEST(planWhenAGroupHasOpenedUnderLoadBeginsAtOnce);
   CPPUNIT_TEST(planWhenDemandIsEvenLeavesTheMap);
   CPPUNIT_TEST(planWhenTheGainIsSmallLeavesTheMap);
   CPPUNIT_TEST(planWhenAMapIsUnknownWaits);
@@ -82,6 +83,33 @@
     CPPUNIT_ASSERT(seen(90, 4).plan(after(90)));
   }
 
+  /// A controller that has one report of each rank, with \p Running requests.
+  static GroupController opened(uint32_t Running, uint64_t Hot) {
+    GroupController C(Shape, RankCount, 1);
+    SetMap InTurn = mapInTurn(Experts, RankCount);
+    for (uint32_t Rank = 0; Rank < RankCount; ++Rank) {
+      C.onExperts(Rank, {0, {InTurn[Rank]}});
+      EngineReport R;
+      R.Epoch = 2;
+      R.Rank = Rank;
+      R.IsOpen = true;
+      R.Step = 100;
+      R.Running = Running;
+      C.onReport(Rank, R, 0, at(0));
+    }
+    std::vector<std::vector<uint64_t>> Chosen(
+        1, std::vector<uint64_t>(Experts, 100));
+    Chosen[0][0] = 100 * Hot;
+    C.onCounts(Chosen, at(0));
+    return C;
+  }
+
+  void planWhenAGroupHasOpenedUnderLoadBeginsAtOnce() {
+    CPPUNIT_ASSERT(opened(5, 20).plan(at(1)));
+    CPPUNIT_ASSERT(!opened(5, 2).plan(at(1)));
+    CPPUNIT_ASSERT(!opened(0, 20).plan(at(1)));
+  }
+
   void planWhenDemandIsEvenLeavesTheMap() {
     CPPUNIT_ASSERT(!seen(110, 1).plan(after(110)));
   }
--- a/libs/rankgroup/src/MapSwitch.cpp
+++ b/libs/rankgroup/src/MapSwitch.cpp
@@ -62,6 +62,8 @@
     return;
   R.IsKnown = true;
   R.Report = Report;
+  if (Report.Held == ReleasedStep && Now - ReleasedAt < StaleReportTime)
+    R.Report.Held.reset();
   LastStep = std::max(LastStep, Report.Step);
   HighestVersion =
       std::max({HighestVersion, Report.MapVersion, Report.Prepared.value_or(0),
@@ -191,13 +193,14 @@
   RankOrder Order = std::move(*R.Open);
   R.Open.reset();
   if (Answer == OrderAnswer::Accepted)
-    onAccepted(Index, Order);
+    onAccepted(Index, Order, Now);
   else
     onConflict(Index, Order, Now);
   advance(Now);
 }
 
-void MapSwitch::onAccepted(uint32_t Index, const RankOrder &Done) {
+void MapSwitch::onAccepted(uint32_t Index, const RankOrder &Done,
+                           TimePoint Now) {
   Rank &R = Ranks[Index];
   switch (Done.Kind) {
   case OrderKind::Prepare:
@@ -219,6 +222,8 @@
     if (IsCommitted)
       CommittedVersion = Version;
     R.Report.Held.reset();
+    ReleasedStep = Done.Step;
+    ReleasedAt = Now;
     finish(IsCommitted);
     break;
   }
--- a/libs/rankgroup/src/MapSwitchTest.cpp
+++ b/libs/rankgroup/src/MapSwitchTest.cpp
@@ -285,6 +285,7 @@
   CPPUNIT_TEST(answersWhenGivenToAFormerControllerAreIgnored);
   CPPUNIT_TEST(ordersWhenSentTogetherHaveOneNumber);
   CPPUNIT_TEST(ordersWhenUnansweredAreRepeatedEverMoreRarely);
+  CPPUNIT_TEST(reportsWhenReadBeforeTheReleaseRecoverNothing);
   CPPUNIT_TEST(runsWhenOrdersAreLostAndLateUseOneMapAPass);
   CPPUNIT_TEST_SUITE_END();
 
@@ -386,6 +387,24 @@
     CPPUNIT_ASSERT_EQUAL(size_t(2 * 5), Sent);
   }
 
+  void reportsWhenReadBeforeTheReleaseRecoverNothing() {
+    MapSwitch Switch = holding();
+    for (int Kind = 0; Kind < 2; ++Kind) // Arms both ranks, then releases.
+      for (const SendOrder &S : Switch.takeOrders(timeOf(2)))
+        Switch.onAnswer(S.Rank, S.Number, OrderAnswer::Accepted, timeOf(3));
+    CPPUNIT_ASSERT_EQUAL(uint64_t(1), Switch.completed());
+    EngineReport Report;
+    Report.Epoch = 1;
+    Report.IsOpen = true;
+    Report.Step = 10;
+    Report.Held = Switch.heldStep();
+    Switch.onReport(0, Report, 0, timeOf(10));
+    CPPUNIT_ASSERT(!Switch.needsRecovery());
+    // Still held much later: an order of somebody else must have come late.
+    Switch.onReport(0, Report, 0, timeOf(900));
+    CPPUNIT_ASSERT(Switch.needsRecovery());
+  }
+
   void runsWhenOrdersAreLostAndLateUseOneMapAPass() {
     uint64_t Changes = 0;
     bool IsWholeSet = testing::runSeeds(400, [&](uint64_t Seed, bool IsTraced) {
--- a/libs/rankgroup/src/SetPlanner.cpp
+++ b/libs/rankgroup/src/SetPlanner.cpp
@@ -25,6 +25,20 @@
   bool IsExchange = false;
 };
 
+/// How a step would leave the loads.
+struct Outcome {
+  double Cost = 0;
+  double Max = 0;
+};
+
+/// A high power of a load. The sum over the ranks is near their maximum, but it
+/// also rewards lowering the second slowest one.
+double costOf(double Load) {
+  double Square = Load * Load;
+  Square *= Square;
+  return Square * Square;
+}
+
 /// A placement under improvement. Loads are times, in units of what the mean
 /// load takes a rank of usual speed.
 class Workbench {
@@ -33,7 +47,7 @@
       : InForce(InForce), Current(InForce), Holders(Demand.Popularity.size()),
         Weight(Demand.Popularity.begin(), Demand.Popularity.end()),
         Pace(Demand.Pace.begin(), Demand.Pace.end()), Loads(InForce.size(), 0),
-        Fresh(InForce.size(), 0) {
+        Change(InForce.size(), 0), Fresh(InForce.size(), 0) {
     Pace.resize(InForce.size(), 1);
     double Sum = std::accumulate(Weight.begin(), Weight.end(), 0.0);
     double Scale = Sum > 0 ? static_cast<double>(InForce.size()) / Sum : 0;
@@ -44,6 +58,9 @@
         Holders[E].push_back(Rank);
     for (size_t E = 0; E < Holders.size(); ++E)
       spread(static_cast<ExpertId>(E), 1);
+    BySlowness.resize(Loads.size());
+    std::iota(BySlowness.begin(), BySlowness.end(), 0);
+    sum();
   }
 
   const SetMap &map() const { return Current; }
@@ -60,16 +77,34 @@
   }
   uint32_t fresh(uint32_t Rank) const { return Fresh[Rank]; }
 
-  /// A high power of the loads: near the maximum, but it also rewards lowering
-  /// the second slowest rank.
-  double cost() const {
-    double Sum = 0;
-    for (double Load : Loads) {
-      double Square = Load * Load;
-      Square *= Square;
-      Sum += Square * Square;
+  /// The state as it is.
+  const Outcome &now() const { return Sums; }
+  /// All ranks, the slowest first.
+  std::span<const uint32_t> bySlowness() const { return BySlowness; }
+
+  /// What a step would lead to. A plan weighs thousands of steps and takes few,
+  /// so only the ranks that a step touches are looked at.
+  Outcome outcome(const Step &S) {
+    shift(S.Expert, S.Giver, S.Taker);
+    if (S.Dropped)
+      shift(*S.Dropped, S.Taker, S.IsExchange ? S.Giver : std::nullopt);
+    Outcome Result = Sums;
+    Result.Max = 0;
+    for (uint32_t Rank : Touched) {
+      double After = Loads[Rank] + Change[Rank];
+      Result.Cost += costOf(After) - costOf(Loads[Rank]);
+      Result.Max = std::max(Result.Max, After);
     }
-    return Sum;
+    auto IsUntouched = [this](uint32_t Rank) {
+      return std::find(Touched.begin(), Touched.end(), Rank) == Touched.end();
+    };
+    auto Next = std::find_if(BySlowness.begin(), BySlowness.end(), IsUntouched);
+    if (Next != BySlowness.end())
+      Result.Max = std::max(Result.Max, Loads[*Next]);
+    for (uint32_t Rank : Touched)
+      Change[Rank] = 0;
+    Touched.clear();
+    return Result;
   }
 
   void apply(const Step &S) {
@@ -81,19 +116,39 @@
       add(*S.Taker, S.Expert);
     if (S.IsExchange)
       add(*S.Giver, *S.Dropped);
-  }
-  void undo(const Step &S) {
-    if (S.IsExchange)
-      remove(*S.Giver, *S.Dropped);
-    if (S.Taker)
-      remove(*S.Taker, S.Expert);
-    if (S.Giver)
-      add(*S.Giver, S.Expert);
-    if (S.Taker && S.Dropped)
-      add(*S.Taker, *S.Dropped);
+    sum();
   }
 
 private:
+  void sum() {
+    std::sort(BySlowness.begin(), BySlowness.end(),
+              [this](uint32_t A, uint32_t B) { return Loads[A] > Loads[B]; });
+    Sums.Max = Loads[BySlowness.front()];
+    Sums.Cost = 0;
+    for (double Load : Loads)
+      Sums.Cost += costOf(Load);
+  }
+
+  void touch(uint32_t Rank, double Share) {
+    if (std::find(Touched.begin(), Touched.end(), Rank) == Touched.end())
+      Touched.push_back(Rank);
+    Change[Rank] += Share * Pace[Rank];
+  }
+
+  /// Notes what it changes that \p Leaver gives an expert up and \p Joiner
+  /// takes it in.
+  void shift(ExpertId E, std::optional<uint32_t> Leaver,
+             std::optional<uint32_t> Joiner) {
+    const std::vector<uint32_t> &Before = Holders[E];
+    size_t After = Before.size() - Leaver.has_value() + Joiner.has_value();
+    double OldShare = Weight[E] / static_cast<double>(Before.size());
+    double NewShare = After > 0 ? Weight[E] / static_cast<double>(After) : 0;
+    for (uint32_t Rank : Before)
+      touch(Rank, Rank == Leaver ? -OldShare : NewShare - OldShare);
+    if (Joiner)
+      touch(*Joiner, NewShare);
+  }
+
   void spread(ExpertId E, int Sign) {
     if (Holders[E].empty())
       return;
@@ -123,6 +178,14 @@
   std::vector<double> Weight;
   std::vector<double> Pace;
   std::vector<double> Loads;
+  // Invariant: of Loads.
+  Outcome Sums;
+  // Invariant: the ranks by their loads, the slowest first.
+  std::vector<uint32_t> BySlowness;
+  // Of the step that is weighed: the ranks it touches, and by rank what it adds
+  // to the load. Empty and zero in between.
+  std::vector<uint32_t> Touched;
+  std::vector<double> Change;
   // Experts of each rank in Current that are not in InForce.
   std::vector<uint32_t> Fresh;
 };
@@ -143,11 +206,8 @@
 
 private:
   std::optional<Step> bestStep() {
-    const auto &Loads = State.loads();
-    auto Slowest = static_cast<uint32_t>(
-        std::max_element(Loads.begin(), Loads.end()) - Loads.begin());
-    double Before = Loads[Slowest];
-    BestCost = State.cost();
+    uint32_t Slowest = State.bySlowness().front();
+    BestCost = State.now().Cost;
     Best.reset();
     std::vector<ExpertId> Hot = State.map()[Slowest];
     std::sort(Hot.begin(), Hot.end(),
@@ -157,13 +217,29 @@
       Hot.resize(HotExperts);
     for (ExpertId E : Hot) {
       considerRetiring(E, Slowest);
-      for (uint32_t Rank = 0; Rank < Loads.size(); ++Rank)
-        if (Loads[Rank] < Before && !State.holds(Rank, E))
-          consider(E, Slowest, Rank);
+      considerTakers(E, Slowest);
     }
     return Best;
   }
 
+  /// The least loaded ranks gain most from an expert; weighing the others takes
+  /// most of the time and hardly ever finds anything better.
+  void considerTakers(ExpertId E, uint32_t Slowest) {
+    size_t Considered = 0;
+    auto Ranks = State.bySlowness();
+    for (auto It = Ranks.rbegin(); It != Ranks.rend(); ++It) {
+      if (Considered == MaxTakers ||
+          State.loads()[*It] >= State.loads()[Slowest])
+        return;
+      bool CanTake =
+          State.wasHeld(*It, E) || State.fresh(*It) < Limits.MaxNewPerRank;
+      if (!CanTake || State.holds(*It, E))
+        continue;
+      consider(E, Slowest, *It);
+      ++Considered;
+    }
+  }
+
   double share(ExpertId E) const {
     return State.weight(E) / static_cast<double>(State.copies(E));
   }
@@ -175,9 +251,6 @@
   }
 
   void consider(ExpertId E, uint32_t Slowest, uint32_t Rank) {
-    bool IsNew = !State.wasHeld(Rank, E);
-    if (IsNew && State.fresh(Rank) >= Limits.MaxNewPerRank)
-      return;
     bool CanMove = State.map()[Slowest].size() > 1;
     if (State.map()[Rank].size() < Limits.Places) {
       tryStep({E, Rank});
@@ -185,8 +258,7 @@
         tryStep({E, Rank, std::nullopt, Slowest});
       return;
     }
-    const std::vector<ExpertId> Present = State.map()[Rank];
-    for (ExpertId Other : Present) {
+    for (ExpertId Other : State.map()[Rank]) {
       if (State.copies(Other) > 1) {
         tryStep({E, Rank, Other});
         if (CanMove)
@@ -201,26 +273,20 @@
   }
 
   void tryStep(const Step &S) {
-    double MaxBefore = maxLoad();
-    State.apply(S);
-    double Cost = State.cost();
-    double Gain = MaxBefore - maxLoad();
-    State.undo(S);
+    Outcome After = State.outcome(S);
+    double Gain = State.now().Max - After.Max;
     // Where several ranks are equally slow no single step lowers the maximum;
     // the cost then tells progress.
     bool IsWorth = Gain > Limits.MinGainPerCopy ||
-                   Cost < BestCost * (1 - 4 * Limits.MinGainPerCopy);
-    if (IsWorth && Cost < BestCost) {
-      BestCost = Cost;
+                   After.Cost < BestCost * (1 - 4 * Limits.MinGainPerCopy);
+    if (IsWorth && After.Cost < BestCost) {
+      BestCost = After.Cost;
       Best = S;
     }
   }
 
-  double maxLoad() const {
-    return *std::max_element(State.loads().begin(), State.loads().end());
-  }
-
   static constexpr size_t HotExperts = 8;
+  static constexpr size_t MaxTakers = 8;
 
   Workbench &State;
   const SetLimits Limits;
@@ -231,10 +297,21 @@
 } // namespace
 
 double skewOf(const SetMap &Map, const SetDemand &Demand) {
-  Workbench State(Map, Demand);
-  const auto &Loads = State.loads();
-  double Max = *std::max_element(Loads.begin(), Loads.end());
-  return Max > 0 ? Max : 1;
+  std::vector<uint32_t> Copies(Demand.Popularity.size(), 0);
+  for (const auto &Rank : Map)
+    for (ExpertId E : Rank)
+      ++Copies[E];
+  double Sum =
+      std::accumulate(Demand.Popularity.begin(), Demand.Popularity.end(), 0.0);
+  double Max = 0;
+  for (size_t Rank = 0; Rank < Map.size(); ++Rank) {
+    double Load = 0;
+    for (ExpertId E : Map[Rank])
+      Load += Demand.Popularity[E] / Copies[E];
+    Max = std::max(Max,
+                   Load * (Rank < Demand.Pace.size() ? Demand.Pace[Rank] : 1));
+  }
+  return Max > 0 && Sum > 0 ? Max * static_cast<double>(Map.size()) / Sum : 1;
 }
 
 SetPlan planSet(const SetMap &InForce, const SetDemand &Demand,
