Send a group's reports in two fifths of the bytes

Cause: 32 ranks' reports filled their controller's link of 8 Mbit/s: counts of 12 sets of 128 experts took four datagrams of 1.1 KB, each with the rank's experts, every 150 ms, 0.93 MB/s of 1 MB/s. Orders and answers waited behind them; half of the orders to prepare were unanswered after 60 ms and were sent again, with the whole map each (traced line by line: orders left the controller's machine 2.9 ms apart).

Change: a count takes one byte, in a unit that the largest count sets; experts are told once in a beat; lengths and ids of experts take one byte where they fit, in orders too. After an opening reports come every 75 ms instead of 40, which fits the link.

--- a/libs/rankgroup/include/ragwort/rankgroup/AgentMessage.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/AgentMessage.h
@@ -16,10 +16,9 @@
 
 /// Largest datagram that is sent or accepted, in bytes.
 inline constexpr size_t MaxAgentDatagram = 1400;
-/// Counts in one datagram; longer lists are sent in parts.
-inline constexpr size_t MaxCountsPerDatagram = 450;
-/// Counts travel in this unit, so that they fit into two bytes.
-inline constexpr uint64_t CountUnit = 8;
+/// Counts in one datagram; longer lists are sent in parts. The rest is left for
+/// the report and the names.
+inline constexpr size_t MaxCountsPerDatagram = 1024;
 
 enum class AgentMessageKind : uint8_t {
   /// From a controller to everyone: members of the group report to the sender.
@@ -32,7 +31,7 @@
 
 struct AgentMessage {
   /// Messages of another protocol version are dropped.
-  static constexpr uint16_t Protocol = 102;
+  static constexpr uint16_t Protocol = 103;
 
   AgentMessageKind Kind = AgentMessageKind::Call;
   std::string Group;
@@ -41,14 +40,27 @@
   /// `ip:port` of the member's engine, for Beat.
   std::string Engine;
   EngineReport Report;
+  /// Without sets if the message does not tell them.
   RankExperts Experts;
   uint32_t FirstSet = 0;
   uint32_t ExpertsPerSet = 0;
-  /// Choices since the last beat, in CountUnit, set by set.
-  std::vector<uint16_t> Counts;
+  /// Choices since the last beat, in units of CountUnit, set by set.
+  std::vector<uint8_t> Counts;
+  uint32_t CountUnit = 1;
 };
 
 std::string encodeMessage(const AgentMessage &Message);
+/// The datagrams of a beat: \p Message with \p Experts and with \p Chosen, the
+/// choices by set and expert, which may be empty. All reports of a group meet
+/// on its controller's link, so the experts are sent once and a count takes one
+/// byte, of which the largest count uses all.
+std::vector<std::string>
+encodeBeats(AgentMessage Message, const RankExperts &Experts,
+            const std::vector<std::vector<uint64_t>> &Chosen);
+/// The choices that \p Message tells, by set and expert; sets it does not tell
+/// have zeros. Empty if it tells none or has other shapes.
+std::vector<std::vector<uint64_t>> choicesOf(const AgentMessage &Message,
+                                             uint32_t Sets, uint32_t Experts);
 /// Never throws; fails on torn, oversized and foreign datagrams.
 absl::StatusOr<AgentMessage> decodeMessage(std::string_view Datagram);
 
--- a/libs/rankgroup/include/ragwort/rankgroup/BeatPace.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/BeatPace.h
@@ -22,9 +22,12 @@
 public:
   /// A controller should see a change of load within two passes.
   static constexpr Duration UsualInterval = std::chrono::milliseconds(150);
-  /// The same while the group has just opened or a map is being copied: each
-  /// moment of either makes passes longer.
-  static constexpr Duration ShortInterval = std::chrono::milliseconds(40);
+  /// The same while the group has just opened, when each moment without a
+  /// better map makes passes longer. The reports of 32 ranks then take about
+  /// two thirds of a link of 8 Mbit/s.
+  static constexpr Duration OpeningInterval = std::chrono::milliseconds(75);
+  /// How often the engine is read while it copies experts for a map.
+  static constexpr Duration CopyInterval = std::chrono::milliseconds(40);
   /// Time after the opening of a group in which its controller needs all that
   /// there is to know: two reports of each rank and the first plan.
   static constexpr Duration OpeningTime = std::chrono::milliseconds(800);
--- a/libs/rankgroup/include/ragwort/rankgroup/GroupAgent.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/GroupAgent.h
@@ -231,22 +231,8 @@
     M.Token = Token;
     M.Engine = toString(Options.OwnEngine);
     M.Report = Report;
-    M.Experts = LastExperts;
-    M.ExpertsPerSet = Shape.Experts;
-    size_t SetsPerPart =
-        Shape.Experts > 0
-            ? std::max<size_t>(1, MaxCountsPerDatagram / Shape.Experts)
-            : 1;
-    size_t Set = 0;
-    do {
-      M.FirstSet = static_cast<uint32_t>(Set);
-      M.Counts.clear();
-      for (size_t I = 0; I < SetsPerPart && Set < Chosen.size(); ++I, ++Set)
-        for (uint64_t Count : Chosen[Set])
-          M.Counts.push_back(static_cast<uint16_t>(
-              std::min<uint64_t>((Count + CountUnit / 2) / CountUnit, 65535)));
-      send(M, ControllerIp);
-    } while (Set < Chosen.size());
+    for (const std::string &Bytes : encodeBeats(M, LastExperts, Chosen))
+      sendBytes(Bytes, ControllerIp);
   }
 
   void becomeController(const EngineReport &Report) {
@@ -366,17 +352,10 @@
 
   void onBeat(const AgentMessage &M, const std::string &Ip) {
     noteMember(M.Report.Rank, Ip, M.Engine);
-    Controller->onExperts(M.Report.Rank, M.Experts);
-    if (!M.Counts.empty() && M.ExpertsPerSet == Shape.Experts) {
-      std::vector<std::vector<uint64_t>> Chosen(
-          Shape.Sets, std::vector<uint64_t>(Shape.Experts, 0));
-      for (size_t I = 0; I < M.Counts.size(); ++I) {
-        size_t Set = M.FirstSet + I / Shape.Experts;
-        if (Set < Shape.Sets)
-          Chosen[Set][I % Shape.Experts] = M.Counts[I] * CountUnit;
-      }
+    if (!M.Experts.Sets.empty())
+      Controller->onExperts(M.Report.Rank, M.Experts);
+    if (auto Chosen = choicesOf(M, Shape.Sets, Shape.Experts); !Chosen.empty())
       Controller->onCounts(Chosen, now());
-    }
     Controller->onReport(M.Report.Rank, M.Report, M.Token, now());
   }
 
--- a/libs/rankgroup/include/ragwort/rankgroup/OrderMessage.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/OrderMessage.h
@@ -20,7 +20,7 @@
 /// One of the datagrams of an order.
 struct OrderPart {
   /// Datagrams of another protocol version are dropped.
-  static constexpr uint16_t Protocol = 201;
+  static constexpr uint16_t Protocol = 203;
 
   std::string Group;
   /// The controller's number of the order; its answer has the same.
--- a/libs/rankgroup/src/AgentMessage.cpp
+++ b/libs/rankgroup/src/AgentMessage.cpp
@@ -1,7 +1,10 @@
 //===- AgentMessage.cpp - Datagrams between the agents of a group ---------===//
 #include "ragwort/rankgroup/AgentMessage.h"
+#include "ExpertLists.h"
 #include "ragwort/wire/Archived.h"
 #include "ragwort/wire/Bounded.h"
+#include <algorithm>
+#include <limits>
 
 namespace ragwort::rankgroup {
 
@@ -9,11 +12,30 @@
 
 constexpr size_t MaxSets = 256;
 
-template <class Archive, class T>
-void transferNumbers(Archive &Ar, std::vector<T> &List, size_t Max) {
-  List.resize(wire::transferLength(Ar, List.size(), Max));
-  for (T &Number : List)
-    Ar(Number);
+// Experts that are sent with counts; longer lists get their own datagram.
+constexpr size_t MaxExpertsWithCounts = 128;
+
+size_t expertsIn(const RankExperts &Experts) {
+  size_t Count = 0;
+  for (const auto &Set : Experts.Sets)
+    Count += Set.size();
+  return Count;
+}
+
+uint32_t unitFor(const std::vector<std::vector<uint64_t>> &Chosen) {
+  uint64_t Largest = 0;
+  for (const auto &Set : Chosen)
+    for (uint64_t Count : Set)
+      Largest = std::max(Largest, Count);
+  constexpr uint64_t Most = std::numeric_limits<uint8_t>::max();
+  return static_cast<uint32_t>(
+      std::max<uint64_t>(1, (Largest + Most - 1) / Most));
+}
+
+uint8_t inUnits(uint64_t Count, uint32_t Unit) {
+  uint64_t Units = (Count + Unit / 2) / Unit;
+  return static_cast<uint8_t>(
+      std::min<uint64_t>(Units, std::numeric_limits<uint8_t>::max()));
 }
 
 } // namespace
@@ -35,8 +57,10 @@
 template <class Archive> void serialize(Archive &Ar, RankExperts &E) {
   Ar(E.MapVersion);
   E.Sets.resize(wire::transferLength(Ar, E.Sets.size(), MaxSets));
+  bool IsSmall = isOneByte(E.Sets);
+  wire::transferFlag(Ar, IsSmall);
   for (std::vector<ExpertId> &Set : E.Sets)
-    transferNumbers(Ar, Set, MaxAgentDatagram);
+    transferExperts(Ar, Set, IsSmall);
 }
 
 template <class Archive> void serialize(Archive &Ar, AgentMessage &M) {
@@ -55,13 +79,62 @@
     return;
   wire::transferText(Ar, M.Engine, wire::MaxNameBytes);
   Ar(M.Report, M.Experts, M.FirstSet, M.ExpertsPerSet);
-  transferNumbers(Ar, M.Counts, MaxAgentDatagram);
+  Ar(M.CountUnit);
+  M.Counts.resize(wire::transferLength(Ar, M.Counts.size(), MaxAgentDatagram));
+  Ar(cereal::binary_data(M.Counts.data(), M.Counts.size()));
 }
 
 std::string encodeMessage(const AgentMessage &Message) {
   return wire::toArchive(Message);
 }
 
+std::vector<std::string>
+encodeBeats(AgentMessage Message, const RankExperts &Experts,
+            const std::vector<std::vector<uint64_t>> &Chosen) {
+  std::vector<std::string> Result;
+  Message.Kind = AgentMessageKind::Beat;
+  Message.Experts = Experts;
+  Message.Counts.clear();
+  size_t ExpertsPerSet = Chosen.empty() ? 0 : Chosen[0].size();
+  size_t SetsPerPart =
+      ExpertsPerSet > 0 ? MaxCountsPerDatagram / ExpertsPerSet : 0;
+  bool HasCounts = SetsPerPart > 0;
+  if (!HasCounts || expertsIn(Experts) > MaxExpertsWithCounts) {
+    Result.push_back(encodeMessage(Message));
+    Message.Experts = RankExperts();
+  }
+  if (!HasCounts)
+    return Result;
+  Message.ExpertsPerSet = static_cast<uint32_t>(ExpertsPerSet);
+  Message.CountUnit = unitFor(Chosen);
+  for (size_t Set = 0; Set < Chosen.size();) {
+    Message.FirstSet = static_cast<uint32_t>(Set);
+    Message.Counts.clear();
+    for (size_t I = 0; I < SetsPerPart && Set < Chosen.size(); ++I, ++Set)
+      for (uint64_t Count : Chosen[Set])
+        Message.Counts.push_back(inUnits(Count, Message.CountUnit));
+    Result.push_back(encodeMessage(Message));
+    Message.Experts = RankExperts();
+  }
+  return Result;
+}
+
+std::vector<std::vector<uint64_t>> choicesOf(const AgentMessage &Message,
+                                             uint32_t Sets, uint32_t Experts) {
+  std::vector<std::vector<uint64_t>> Result;
+  if (Message.Counts.empty() || Experts == 0 ||
+      Message.ExpertsPerSet != Experts)
+    return Result;
+  Result.assign(Sets, std::vector<uint64_t>(Experts, 0));
+  for (size_t I = 0; I < Message.Counts.size(); ++I) {
+    size_t Set = Message.FirstSet + I / Experts;
+    if (Set < Sets)
+      Result[Set][I % Experts] =
+          uint64_t{Message.Counts[I]} * Message.CountUnit;
+  }
+  return Result;
+}
+
 absl::StatusOr<AgentMessage> decodeMessage(std::string_view Datagram) {
   if (Datagram.size() > MaxAgentDatagram)
     return absl::InvalidArgumentError("message is too large");
--- a/libs/rankgroup/src/AgentMessageTest.cpp
+++ b/libs/rankgroup/src/AgentMessageTest.cpp
@@ -8,6 +8,9 @@
 class AgentMessageTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(AgentMessageTest);
   CPPUNIT_TEST(beatWhenEncodedComesBack);
+  CPPUNIT_TEST(beatsWhenInPartsTellAllOnce);
+  CPPUNIT_TEST(beatsWhenCountsAreLargeKeepTheirProportions);
+  CPPUNIT_TEST(beatsOfALargeGroupFitTheControllersLink);
   CPPUNIT_TEST(messageWhenTornOrChangedNeverThrows);
   CPPUNIT_TEST_SUITE_END();
 
@@ -38,6 +41,69 @@
     CPPUNIT_ASSERT(Back->Counts == beat().Counts);
   }
 
+  static RankExperts held(uint32_t Sets, uint32_t PerSet, ExpertId First) {
+    RankExperts Result;
+    Result.MapVersion = 4;
+    for (uint32_t Set = 0; Set < Sets; ++Set) {
+      Result.Sets.emplace_back();
+      for (uint32_t I = 0; I < PerSet; ++I)
+        Result.Sets.back().push_back(static_cast<ExpertId>(First + I));
+    }
+    return Result;
+  }
+
+  void beatsWhenInPartsTellAllOnce() {
+    for (uint32_t PerSet : {5u, 40u}) {
+      for (ExpertId First : {ExpertId(1), ExpertId(900)}) {
+        RankExperts Experts = held(12, PerSet, First);
+        std::vector<std::vector<uint64_t>> Chosen(
+            12, std::vector<uint64_t>(128, 0));
+        for (uint32_t Set = 0; Set < 12; ++Set)
+          Chosen[Set][Set * 3] = Set + 1;
+        std::vector<std::vector<uint64_t>> Sum(12,
+                                               std::vector<uint64_t>(128, 0));
+        size_t Tellings = 0;
+        for (const std::string &Bytes : encodeBeats(beat(), Experts, Chosen)) {
+          CPPUNIT_ASSERT(Bytes.size() <= MaxAgentDatagram);
+          auto Part = decodeMessage(Bytes);
+          CPPUNIT_ASSERT(Part.ok());
+          Tellings += Part->Experts.Sets == Experts.Sets;
+          auto Told = choicesOf(*Part, 12, 128);
+          for (size_t Set = 0; Set < Told.size(); ++Set)
+            for (size_t E = 0; E < 128; ++E)
+              Sum[Set][E] += Told[Set][E];
+        }
+        CPPUNIT_ASSERT_EQUAL(size_t(1), Tellings);
+        CPPUNIT_ASSERT(Sum == Chosen);
+      }
+    }
+  }
+
+  void beatsWhenCountsAreLargeKeepTheirProportions() {
+    std::vector<std::vector<uint64_t>> Chosen = {{100'000, 50'000, 400, 0}};
+    auto Parts = encodeBeats(beat(), RankExperts(), Chosen);
+    CPPUNIT_ASSERT_EQUAL(size_t(1), Parts.size());
+    auto Told = choicesOf(*decodeMessage(Parts[0]), 1, 4);
+    for (size_t E = 0; E < 4; ++E) {
+      auto Error = static_cast<int64_t>(Told[0][E] - Chosen[0][E]);
+      CPPUNIT_ASSERT(std::abs(Error) <= 100'000 / 255 + 1);
+    }
+    CPPUNIT_ASSERT(choicesOf(*decodeMessage(Parts[0]), 1, 5).empty());
+  }
+
+  void beatsOfALargeGroupFitTheControllersLink() {
+    // 32 ranks of 12 sets with 128 experts, at a link of 8 Mbit/s: half of it
+    // must be left for orders and for everything else.
+    constexpr size_t LinkBytesPerSecond = 1'000'000;
+    std::vector<std::vector<uint64_t>> Chosen(12,
+                                              std::vector<uint64_t>(128, 30));
+    size_t Bytes = 0;
+    for (const std::string &Part : encodeBeats(beat(), held(12, 5, 1), Chosen))
+      Bytes += Part.size();
+    size_t BeatsPerSecond = 31 * 1000 / 150;
+    CPPUNIT_ASSERT(Bytes * BeatsPerSecond <= LinkBytesPerSecond / 2);
+  }
+
   void messageWhenTornOrChangedNeverThrows() {
     std::string Bytes = encodeMessage(beat());
     for (size_t Size = 0; Size < Bytes.size(); ++Size)
--- a/libs/rankgroup/src/BeatPace.cpp
+++ b/libs/rankgroup/src/BeatPace.cpp
@@ -21,8 +21,8 @@
   bool IsCopied = Preparing != 0 && Report.Prepared == Preparing;
   if (IsCopied || Now >= PreparingUntil)
     Preparing = 0;
-  bool IsDue =
-      IsCopied || isOpening(Now) || Now - SentAt + TimerSlack >= UsualInterval;
+  Duration Usual = isOpening(Now) ? OpeningInterval : UsualInterval;
+  bool IsDue = IsCopied || Now - SentAt + TimerSlack >= Usual;
   if (IsDue)
     SentAt = Now;
   return IsDue;
@@ -34,7 +34,9 @@
 }
 
 Duration BeatPace::interval(TimePoint Now) const {
-  return isOpening(Now) || Preparing != 0 ? ShortInterval : UsualInterval;
+  if (Preparing != 0)
+    return CopyInterval;
+  return isOpening(Now) ? OpeningInterval : UsualInterval;
 }
 
 } // namespace ragwort::rankgroup
--- a/libs/rankgroup/src/OrderMessage.cpp
+++ b/libs/rankgroup/src/OrderMessage.cpp
@@ -1,8 +1,10 @@
 //===- OrderMessage.cpp - Orders that agents carry out for a controller ---===//
 #include "ragwort/rankgroup/OrderMessage.h"
+#include "ExpertLists.h"
 #include "ragwort/rankgroup/AgentMessage.h"
 #include "ragwort/wire/Archived.h"
 #include "ragwort/wire/Bounded.h"
+#include <algorithm>
 
 namespace ragwort::rankgroup {
 
@@ -13,38 +15,15 @@
 // Left in a datagram for everything but the map.
 constexpr size_t HeaderBytes = wire::MaxNameBytes + 100;
 
-/// A list of experts has its length and each id in one byte where they fit.
-template <class Archive>
-void transferExperts(Archive &Ar, std::vector<ExpertId> &List, bool IsSmall) {
-  auto Length = static_cast<uint16_t>(List.size());
-  Ar(Length);
-  if (Length > MaxAgentDatagram)
-    throw cereal::Exception("too many experts in a datagram");
-  List.resize(Length);
-  for (ExpertId &Id : List) {
-    auto Byte = static_cast<uint8_t>(Id);
-    if (IsSmall)
-      Ar(Byte);
-    else
-      Ar(Id);
-    if (IsSmall)
-      Id = Byte;
-  }
-}
-
-bool isSmall(const ExpertMap &Map) {
-  for (const auto &Set : Map.At)
-    for (const auto &Rank : Set)
-      for (ExpertId Id : Rank)
-        if (Id > 255)
-          return false;
-  return true;
+bool isOneByte(const ExpertMap &Map) {
+  return std::all_of(Map.At.begin(), Map.At.end(),
+                     [](const auto &Set) { return rankgroup::isOneByte(Set); });
 }
 
-size_t bytesOf(const std::vector<std::vector<ExpertId>> &Set, bool IsSmall) {
+size_t bytesOf(const std::vector<std::vector<ExpertId>> &Set, bool IsOneByte) {
   size_t Bytes = sizeof(uint64_t);
   for (const auto &Rank : Set)
-    Bytes += sizeof(uint16_t) + Rank.size() * (IsSmall ? 1 : 2);
+    Bytes += (1 + Rank.size()) * (IsOneByte ? 1 : sizeof(ExpertId));
   return Bytes;
 }
 
@@ -74,7 +53,7 @@
      P.FirstSet);
   if (P.Sets > MaxSets || P.FirstSet > P.Sets)
     throw cereal::Exception("sets out of range");
-  bool IsSmall = isSmall(P.Part);
+  bool IsSmall = isOneByte(P.Part);
   wire::transferFlag(Ar, IsSmall);
   size_t Count = wire::transferLength(Ar, P.Part.At.size(), MaxSets);
   P.Part.At.resize(Count);
@@ -101,7 +80,7 @@
   Part.Order.Map = ExpertMap();
   const auto &Sets = Order.Map.At;
   Part.Sets = static_cast<uint32_t>(Sets.size());
-  bool IsSmall = isSmall(Order.Map);
+  bool IsSmall = isOneByte(Order.Map);
   std::vector<std::string> Result;
   size_t Next = 0;
   do {
