Tell a map by what differs from the one in use

Cause: orders to prepare left the controller over its link of 8 Mbit/s one after the other: 31 maps of 2.1 KB in two datagrams each; the last agent had its order after 150 to 195 ms, two to eight agents none within the 60 ms after which it was sent again, to the engine, with 6 KB (traced line by line). The copying itself takes 13 ms an expert, at most ten experts a rank.

Change: KnownMaps. An agent keeps the maps that its engine accepted; an order to prepare has what differs from the map in use, one datagram of 0.8 KB, and a digest of the whole. Who doesn't know that map stays silent and gets the whole one with the second copy, the engine itself gets the third. The engine is read right when copying begins and every 40 ms from then on.

--- a/libs/rankgroup/include/ragwort/rankgroup/GroupAgent.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/GroupAgent.h
@@ -70,7 +70,7 @@
              MetricsRegistry &Metrics)
       : Io(Io), Options(std::move(Options)), Make(std::move(Make)),
         Metrics(Metrics), Own(this->Make(this->Options.OwnEngine)),
-        OwnOrders(this->Make(this->Options.OwnEngine)),
+        OwnOrders(this->Make(this->Options.OwnEngine)), BeatTimer(Io),
         Socket(Io.get_executor(), MaxAgentDatagram,
                [this](std::string_view Datagram, const Address &From) {
                  onDatagram(Datagram, From.Ip);
@@ -86,7 +86,10 @@
   }
 
   /// How the experts of the engine's service are arranged.
-  void setShape(GroupShape NewShape) { Shape = NewShape; }
+  void setShape(GroupShape NewShape) {
+    Shape = NewShape;
+    Maps.setFirst(Shape.Sets, Shape.Experts, OwnReport.GroupSize);
+  }
   /// IP numbers of the instances that may run agents of the service.
   void setNeighbours(std::set<std::string> Ips) { Neighbours = std::move(Ips); }
 
@@ -117,6 +120,7 @@
     uint64_t Number = 0;
     OrderKind Kind = OrderKind::Prepare;
     uint64_t Version = 0;
+    bool IsDifference = false;
     bool operator==(const EncodedOrder &) const = default;
   };
 
@@ -126,12 +130,19 @@
     while (true) {
       TimePoint Begun = now();
       co_await beat(0);
-      Duration Rest = Pace.interval(now()) - (now() - Begun);
-      if (Rest.count() > 0)
-        co_await sleepFor(Rest);
+      error_code Woken; // Copying has begun: the pace has changed.
+      BeatTimer.expires_at(
+          std::chrono::steady_clock::time_point(Begun + Pace.interval(now())));
+      co_await BeatTimer.async_wait(
+          asio::redirect_error(asio::use_awaitable, Woken));
     }
   }
 
+  void noteCopying(uint64_t Version) {
+    Pace.onPrepareAccepted(Version, now());
+    BeatTimer.cancel();
+  }
+
   /// Reads the own engine and reports to the controller.
   asio::awaitable<void> beat(uint64_t Token) {
     if (IsBeating) {
@@ -172,8 +183,10 @@
                 {"rank", Report.Rank},
                 {"epoch", Report.Epoch},
                 {"open", int(Report.IsOpen)}});
-    if (Report.Epoch != OwnReport.Epoch || Report.Group != OwnReport.Group)
+    if (Report.Epoch != OwnReport.Epoch || Report.Group != OwnReport.Group) {
       LastExperts = RankExperts();
+      Maps.setFirst(Shape.Sets, Shape.Experts, Report.GroupSize);
+    }
     IsEngineReached = true;
     OwnReport = Report;
     if (OnReport)
@@ -296,10 +309,23 @@
     if (Ip != ControllerIp || Part.Group != OwnReport.Group)
       return;
     uint64_t Number = Part.Number;
-    std::optional<RankOrder> Whole = Orders.add(std::move(Part));
-    if (Whole && !IsOrdering)
-      asio::co_spawn(Io, carryOut(std::move(*Whole), Number, Ip),
-                     asio::detached);
+    std::optional<WholeOrder> Whole = Orders.add(std::move(Part));
+    if (!Whole || IsOrdering)
+      return;
+    if (Whole->From) {
+      std::optional<ExpertMap> Map =
+          Maps.resolve(*Whole->From, Whole->Order.Map);
+      if (!Map) {
+        // The controller sends the whole map next.
+        logEvent(
+            LogLevel::Info, "map-base-unknown",
+            {{"base", Whole->From->Base}, {"version", Whole->Order.Version}});
+        return;
+      }
+      Whole->Order.Map = std::move(*Map);
+    }
+    asio::co_spawn(Io, carryOut(std::move(Whole->Order), Number, Ip),
+                   asio::detached);
   }
 
   /// Gives the own engine an order. Without an answer the controller repeats
@@ -311,8 +337,10 @@
     IsOrdering = false;
     if (!Answer.ok())
       co_return;
-    if (Order.Kind == OrderKind::Prepare && *Answer == OrderAnswer::Accepted)
-      Pace.onPrepareAccepted(Order.Version, now());
+    if (Order.Kind == OrderKind::Prepare && *Answer == OrderAnswer::Accepted) {
+      Maps.note(Order.Version, Order.Map);
+      noteCopying(Order.Version);
+    }
     OrderReply Reply;
     Reply.Group = OwnReport.Group;
     Reply.Rank = OwnReport.Rank;
@@ -479,12 +507,19 @@
       Controller->onReport(Report->Rank, *Report, Token, now());
   }
 
-  /// Sends an order to the agent beside its engine. Every second copy goes to
-  /// the engine itself, since either way may be cut. \returns whether it did.
+  /// Some copies go to the engine itself, since the way by its agent may be
+  /// cut: every second one, and of a map, which takes long to send, every
+  /// third: its first copy may lack what the agent needs, its second does not.
+  static bool goesToEngine(const SendOrder &S) {
+    return S.Order.Kind == OrderKind::Prepare ? S.Copy % 3 == 0
+                                              : S.Copy % 2 == 0;
+  }
+
+  /// Sends an order to the agent beside its engine. \returns whether it did.
   bool relayOrder(const SendOrder &S, TimePoint At) {
     auto Found = Members.find(S.Rank);
     if (Found == Members.end() || Found->second.Ip == Options.Listen.Ip ||
-        At - Found->second.HeardAt > AgentLife || S.Copy % 2 == 0)
+        At - Found->second.HeardAt > AgentLife || goesToEngine(S))
       return false;
     for (const std::string &Bytes : datagramsOf(S))
       sendBytes(Bytes, Found->second.Ip);
@@ -494,14 +529,26 @@
   /// A map takes long to encode, and orders of one number differ in their ranks
   /// alone, which the datagrams do not name.
   const std::vector<std::string> &datagramsOf(const SendOrder &S) {
-    EncodedOrder Key{S.Number, S.Order.Kind, S.Order.Version};
-    if (Datagrams.empty() || EncodedAs != Key) {
-      Datagrams = encodeOrder(ControlledGroup, S.Number, S.Order);
-      EncodedAs = Key;
-    }
+    bool IsDifference = S.Copy == 1 && S.Order.Kind == OrderKind::Prepare &&
+                        Controller->mapSwitch().versionInUse();
+    EncodedOrder Key{S.Number, S.Order.Kind, S.Order.Version, IsDifference};
+    if (!Datagrams.empty() && EncodedAs == Key)
+      return Datagrams;
+    EncodedAs = Key;
+    Datagrams = IsDifference ? encodeDifference(S)
+                             : encodeOrder(ControlledGroup, S.Number, S.Order);
     return Datagrams;
   }
 
+  std::vector<std::string> encodeDifference(const SendOrder &S) {
+    const MapSwitch &Switch = Controller->mapSwitch();
+    RankOrder Order = S.Order;
+    Order.Map = differenceOf(Switch.mapInUse(), S.Order.Map);
+    return encodeOrder(
+        ControlledGroup, S.Number, Order,
+        MapReference{*Switch.versionInUse(), digestOf(S.Order.Map)});
+  }
+
   asio::awaitable<void> giveOrder(SendOrder S) {
     auto Found = Members.find(S.Rank);
     if (Found == Members.end() || !Found->second.Client ||
@@ -515,7 +562,7 @@
       Again->second.IsCalling = false;
     if (S.Rank == OwnReport.Rank && S.Order.Kind == OrderKind::Prepare &&
         Answer.ok() && *Answer == OrderAnswer::Accepted)
-      Pace.onPrepareAccepted(S.Order.Version, now());
+      noteCopying(S.Order.Version);
     if (!Controller || Controller->mapSwitch().epoch() != Epoch)
       co_return;
     if (Answer.ok())
@@ -542,6 +589,7 @@
   std::unique_ptr<EngineClient> Own;
   // A connection of its own, so that an order never waits for a report.
   std::unique_ptr<EngineClient> OwnOrders;
+  asio::steady_timer BeatTimer;
   DatagramSocket Socket;
   GroupShape Shape;
   std::set<std::string> Neighbours;
@@ -553,6 +601,7 @@
   uint64_t LastCountedStep = 0;
   std::string ControllerIp;
   BeatPace Pace;
+  KnownMaps Maps;
   OrderAssembler Orders;
   bool IsOrdering = false;
   bool IsEngineReached = false;
--- a/libs/rankgroup/include/ragwort/rankgroup/MapSwitch.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/MapSwitch.h
@@ -157,6 +157,10 @@
   uint64_t heldStep() const { return HeldStep; }
   /// Of the latest change that was begun; a step not reached has no time.
   const SwitchTimes &times() const { return Times; }
+  /// The map that the change replaces, and its version; a predecessor's change
+  /// has no version.
+  const ExpertMap &mapInUse() const { return InUse; }
+  std::optional<uint64_t> versionInUse() const { return VersionInUse; }
   /// Switches that were completed, and those that were given up or taken back.
   uint64_t completed() const { return Completed; }
   uint64_t abandoned() const { return Abandoned; }
@@ -185,6 +189,7 @@
 
   void giveOrder(uint32_t Index, OrderKind Kind, uint64_t OrderVersion,
                  uint64_t Step, const ExpertMap *Map = nullptr);
+  uint64_t currentVersion() const;
   void awaitReport(uint32_t Index, TimePoint Now);
   static bool isDue(const Rank &R, TimePoint Now);
   static bool isAnswered(const Rank &R, uint64_t Number, OrderAnswer Answer);
@@ -206,6 +211,7 @@
   uint64_t HighestVersion = 0;
   uint64_t Version = 0;
   ExpertMap InUse;
+  std::optional<uint64_t> VersionInUse;
   ExpertMap Target;
   TimePoint BegunAt{};
   SwitchTimes Times;
--- a/libs/rankgroup/include/ragwort/rankgroup/OrderMessage.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/OrderMessage.h
@@ -8,7 +8,7 @@
 #ifndef RAGWORT_RANKGROUP_ORDERMESSAGE_H
 #define RAGWORT_RANKGROUP_ORDERMESSAGE_H
 
-#include "ragwort/rankgroup/EngineTypes.h"
+#include "ragwort/rankgroup/KnownMaps.h"
 #include <absl/status/statusor.h>
 #include <map>
 #include <string>
@@ -20,7 +20,7 @@
 /// One of the datagrams of an order.
 struct OrderPart {
   /// Datagrams of another protocol version are dropped.
-  static constexpr uint16_t Protocol = 203;
+  static constexpr uint16_t Protocol = 204;
 
   std::string Group;
   /// The controller's number of the order; its answer has the same.
@@ -32,6 +32,8 @@
   uint32_t FirstSet = 0;
   /// The sets of the map from FirstSet on that this part has.
   ExpertMap Part;
+  /// Set where the parts are the difference from a map; see KnownMaps.h.
+  std::optional<MapReference> From;
 };
 
 /// An agent's word on an order that it gave to its engine.
@@ -45,20 +47,28 @@
   OrderAnswer Answer = OrderAnswer::Conflict;
 };
 
-/// The datagrams of \p Order.
-std::vector<std::string> encodeOrder(const std::string &Group, uint64_t Number,
-                                     const RankOrder &Order);
+/// The datagrams of \p Order. With \p From its map is a difference.
+std::vector<std::string>
+encodeOrder(const std::string &Group, uint64_t Number, const RankOrder &Order,
+            std::optional<MapReference> From = std::nullopt);
 std::string encodeReply(const OrderReply &Reply);
 /// Never throw; fail on torn, oversized and foreign datagrams.
 absl::StatusOr<OrderPart> decodeOrderPart(std::string_view Datagram);
 absl::StatusOr<OrderReply> decodeReply(std::string_view Datagram);
 
+/// An order whose parts have all come.
+struct WholeOrder {
+  RankOrder Order;
+  /// Set where the order's map is a difference.
+  std::optional<MapReference> From;
+};
+
 /// Puts the parts of one order at a time together.
 class OrderAssembler {
 public:
   /// \returns the whole order with the part that completes it. A part of
   /// another order drops what has come of the one before.
-  std::optional<RankOrder> add(OrderPart Part);
+  std::optional<WholeOrder> add(OrderPart Part);
 
 private:
   uint64_t Number = 0;
--- /dev/null
+++ b/libs/rankgroup/src/KnownMapsTest.cpp
@@ -0,0 +1,79 @@
+//===- KnownMapsTest.cpp - Tests of KnownMaps.h ---------------------------===//
+#include "ragwort/rankgroup/KnownMaps.h"
+#include "ragwort/rankgroup/SetPlanner.h"
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace ragwort::rankgroup {
+
+class KnownMapsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(KnownMapsTest);
+  CPPUNIT_TEST(differenceWhenAppliedGivesTheOtherMap);
+  CPPUNIT_TEST(digestWhenOrdersDifferIsTheSame);
+  CPPUNIT_TEST(mapWhenToldByDifferenceIsFound);
+  CPPUNIT_TEST(mapWhenBaseIsUnknownOrAnotherIsNotGuessed);
+  CPPUNIT_TEST_SUITE_END();
+
+  static ExpertMap inTurn() {
+    ExpertMap Map;
+    Map.At.assign(3, mapInTurn(16, 4));
+    return Map;
+  }
+
+  /// A few experts elsewhere.
+  static ExpertMap moved() {
+    ExpertMap Map = inTurn();
+    Map.At[0][1].push_back(0);
+    std::swap(Map.At[2][0], Map.At[2][3]);
+    Map.At[1][2].pop_back();
+    for (auto &Set : Map.At)
+      for (auto &Rank : Set)
+        std::sort(Rank.begin(), Rank.end());
+    return Map;
+  }
+
+public:
+  void differenceWhenAppliedGivesTheOtherMap() {
+    ExpertMap Difference = differenceOf(inTurn(), moved());
+    CPPUNIT_ASSERT(differenceOf(inTurn(), Difference) == moved());
+    CPPUNIT_ASSERT(differenceOf(moved(), Difference) == inTurn());
+    CPPUNIT_ASSERT(Difference.At[1][0].empty());
+  }
+
+  void digestWhenOrdersDifferIsTheSame() {
+    ExpertMap Other = moved();
+    std::reverse(Other.At[0][1].begin(), Other.At[0][1].end());
+    CPPUNIT_ASSERT_EQUAL(digestOf(moved()), digestOf(Other));
+    CPPUNIT_ASSERT(digestOf(moved()) != digestOf(inTurn()));
+    // The same experts on another rank are another map.
+    std::swap(Other.At[0][1], Other.At[0][2]);
+    CPPUNIT_ASSERT(digestOf(moved()) != digestOf(Other));
+  }
+
+  void mapWhenToldByDifferenceIsFound() {
+    KnownMaps Maps;
+    Maps.setFirst(3, 16, 4);
+    ExpertMap Difference = differenceOf(inTurn(), moved());
+    auto Found = Maps.resolve({0, digestOf(moved())}, Difference);
+    CPPUNIT_ASSERT(Found && *Found == moved());
+    Maps.note(7, moved());
+    Found = Maps.resolve({7, digestOf(inTurn())}, Difference);
+    CPPUNIT_ASSERT(Found && *Found == inTurn());
+  }
+
+  void mapWhenBaseIsUnknownOrAnotherIsNotGuessed() {
+    KnownMaps Maps;
+    ExpertMap Difference = differenceOf(inTurn(), moved());
+    MapReference From{7, digestOf(moved())};
+    CPPUNIT_ASSERT(!Maps.resolve(From, Difference));
+    Maps.note(7, moved());
+    CPPUNIT_ASSERT(!Maps.resolve(From, Difference));
+    Maps.note(7, inTurn());
+    CPPUNIT_ASSERT(Maps.resolve(From, Difference));
+    for (uint64_t Version = 8; Version < 12; ++Version)
+      Maps.note(Version, inTurn());
+    CPPUNIT_ASSERT(!Maps.resolve(From, Difference));
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(KnownMapsTest);
+
+} // namespace ragwort::rankgroup
--- a/libs/rankgroup/src/MapSwitch.cpp
+++ b/libs/rankgroup/src/MapSwitch.cpp
@@ -82,11 +82,14 @@
                      [](const Rank &R) { return R.IsKnown; });
 }
 
+uint64_t MapSwitch::currentVersion() const {
+  return CommittedVersion ? CommittedVersion : Ranks[0].Report.MapVersion;
+}
+
 bool MapSwitch::canBegin() const {
   if (Phase != SwitchPhase::Idle || Epoch == 0)
     return false;
-  uint64_t Current =
-      CommittedVersion ? CommittedVersion : Ranks[0].Report.MapVersion;
+  uint64_t Current = currentVersion();
   return std::all_of(Ranks.begin(), Ranks.end(), [Current](const Rank &R) {
     return R.IsKnown && R.Report.IsOpen && !R.Report.Armed && !R.Report.Held &&
            R.Report.MapVersion == Current;
@@ -102,6 +105,7 @@
                       uint64_t NewVersion, TimePoint Now) {
   Phase = SwitchPhase::Preparing;
   InUse = std::move(MapInUse);
+  VersionInUse = currentVersion();
   Target = std::move(NewTarget);
   Version = NewVersion;
   HighestVersion = std::max(HighestVersion, NewVersion);
@@ -116,6 +120,7 @@
 void MapSwitch::beginRecovery(ExpertMap MapInUse, TimePoint Now) {
   Phase = SwitchPhase::Surveying;
   InUse = std::move(MapInUse);
+  VersionInUse.reset();
   BegunAt = Now;
   IsSecondLook = false;
   for (uint32_t I = 0; I < Ranks.size(); ++I)
--- a/libs/rankgroup/src/OrderMessage.cpp
+++ b/libs/rankgroup/src/OrderMessage.cpp
@@ -45,6 +45,10 @@
 
 } // namespace
 
+template <class Archive> void serialize(Archive &Ar, MapReference &R) {
+  Ar(R.Base, R.Digest);
+}
+
 template <class Archive> void serialize(Archive &Ar, OrderPart &P) {
   checkProtocol(Ar, OrderPart::Protocol);
   wire::transferText(Ar, P.Group, wire::MaxNameBytes);
@@ -53,6 +57,7 @@
      P.FirstSet);
   if (P.Sets > MaxSets || P.FirstSet > P.Sets)
     throw cereal::Exception("sets out of range");
+  wire::transferOptional(Ar, P.From);
   bool IsSmall = isOneByte(P.Part);
   wire::transferFlag(Ar, IsSmall);
   size_t Count = wire::transferLength(Ar, P.Part.At.size(), MaxSets);
@@ -72,8 +77,10 @@
 }
 
 std::vector<std::string> encodeOrder(const std::string &Group, uint64_t Number,
-                                     const RankOrder &Order) {
+                                     const RankOrder &Order,
+                                     std::optional<MapReference> From) {
   OrderPart Part;
+  Part.From = From;
   Part.Group = Group;
   Part.Number = Number;
   Part.Order = Order;
@@ -114,7 +121,7 @@
   return wire::fromArchive<OrderReply>(Datagram);
 }
 
-std::optional<RankOrder> OrderAssembler::add(OrderPart Part) {
+std::optional<WholeOrder> OrderAssembler::add(OrderPart Part) {
   if (Part.Number != Number) {
     Number = Part.Number;
     Sets.clear();
@@ -124,9 +131,9 @@
                           std::move(Part.Part.At[I]));
   if (Sets.size() != Part.Sets)
     return std::nullopt;
-  RankOrder Whole = std::move(Part.Order);
+  WholeOrder Whole{std::move(Part.Order), Part.From};
   for (auto &[Index, Set] : Sets)
-    Whole.Map.At.push_back(std::move(Set));
+    Whole.Order.Map.At.push_back(std::move(Set));
   Sets.clear();
   Number = 0;
   return Whole;
--- a/libs/rankgroup/src/OrderMessageTest.cpp
+++ b/libs/rankgroup/src/OrderMessageTest.cpp
@@ -12,6 +12,7 @@
   CPPUNIT_TEST_SUITE(OrderMessageTest);
   CPPUNIT_TEST(orderWhenWithoutMapIsOneDatagram);
   CPPUNIT_TEST(orderWhenMapIsLargeComesBackFromItsParts);
+  CPPUNIT_TEST(orderWhenToldByDifferenceIsOneDatagram);
   CPPUNIT_TEST(orderWhenPartsOfTwoMixIsNeverPutTogether);
   CPPUNIT_TEST(replyWhenEncodedComesBack);
   CPPUNIT_TEST(protocolWhenMessagesAreEncodedTellsThemApart);
@@ -28,10 +29,10 @@
     return Order;
   }
 
-  static std::optional<RankOrder>
+  static std::optional<WholeOrder>
   assembled(const std::vector<std::string> &Datagrams) {
     OrderAssembler Assembler;
-    std::optional<RankOrder> Whole;
+    std::optional<WholeOrder> Whole;
     for (const std::string &Bytes : Datagrams) {
       CPPUNIT_ASSERT(!Whole);
       CPPUNIT_ASSERT(Bytes.size() <= MaxAgentDatagram);
@@ -52,10 +53,10 @@
     auto Datagrams = encodeOrder("g", 5, Arm);
     CPPUNIT_ASSERT_EQUAL(size_t(1), Datagrams.size());
     auto Whole = assembled(Datagrams);
-    CPPUNIT_ASSERT(Whole && Whole->Kind == OrderKind::Arm);
-    CPPUNIT_ASSERT_EQUAL(uint64_t(140), Whole->Step);
-    CPPUNIT_ASSERT_EQUAL(uint64_t(9), Whole->Version);
-    CPPUNIT_ASSERT_EQUAL(uint64_t(3), Whole->Epoch);
+    CPPUNIT_ASSERT(Whole && Whole->Order.Kind == OrderKind::Arm);
+    CPPUNIT_ASSERT_EQUAL(uint64_t(140), Whole->Order.Step);
+    CPPUNIT_ASSERT_EQUAL(uint64_t(9), Whole->Order.Version);
+    CPPUNIT_ASSERT_EQUAL(uint64_t(3), Whole->Order.Epoch);
   }
 
   void orderWhenMapIsLargeComesBackFromItsParts() {
@@ -64,10 +65,33 @@
       auto Datagrams = encodeOrder("group-of-some-name", 5, Order);
       CPPUNIT_ASSERT(Datagrams.size() > 1);
       auto Whole = assembled(Datagrams);
-      CPPUNIT_ASSERT(Whole && Whole->Map == Order.Map);
+      CPPUNIT_ASSERT(Whole && Whole->Order.Map == Order.Map && !Whole->From);
     }
   }
 
+  void orderWhenToldByDifferenceIsOneDatagram() {
+    // 150 experts copied and as many given up, on 32 ranks of 12 sets.
+    RankOrder Before = prepare(12, 128, 32);
+    RankOrder After = Before;
+    for (size_t I = 0; I < 150; ++I) {
+      auto &Rank = After.Map.At[I % 12][I % 31];
+      Rank[I % 4] = static_cast<ExpertId>((Rank[I % 4] + 1) % 128);
+    }
+    ExpertMap Difference = differenceOf(Before.Map, After.Map);
+    MapReference From{7, digestOf(After.Map)};
+    RankOrder Order = After;
+    Order.Map = Difference;
+    auto Datagrams = encodeOrder("group-of-some-name", 5, Order, From);
+    CPPUNIT_ASSERT_EQUAL(size_t(1), Datagrams.size());
+    CPPUNIT_ASSERT(Datagrams[0].size() < 1000);
+    auto Whole = assembled(Datagrams);
+    CPPUNIT_ASSERT(Whole && Whole->From);
+    KnownMaps Maps;
+    Maps.note(7, Before.Map);
+    auto Found = Maps.resolve(*Whole->From, Whole->Order.Map);
+    CPPUNIT_ASSERT(Found && digestOf(*Found) == digestOf(After.Map));
+  }
+
   void orderWhenPartsOfTwoMixIsNeverPutTogether() {
     auto First = encodeOrder("g", 5, prepare(12, 128, 32));
     auto Second = encodeOrder("g", 6, prepare(12, 128, 32));
