Keep the controller's own maps, guard counts against a new shape

Read as a newcomer: the controller's own rank didn't note the maps that its engine had accepted, so as a member of a later group it would have asked for a whole one; counts of a former shape could be compared with those of a new one.

--- a/libs/rankgroup/include/ragwort/rankgroup/AgentMessage.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/AgentMessage.h
@@ -53,7 +53,8 @@
 /// The datagrams of a beat: \p Message with \p Experts and with \p Chosen, the
 /// choices by set and expert, which may be empty. All reports of a group meet
 /// on its controller's link, so the experts are sent once and a count takes one
-/// byte, of which the largest count uses all.
+/// byte, of which the largest count uses all. Sets of more than
+/// MaxCountsPerDatagram experts are not told.
 std::vector<std::string>
 encodeBeats(AgentMessage Message, const RankExperts &Experts,
             const std::vector<std::vector<uint64_t>> &Chosen);
--- a/libs/rankgroup/include/ragwort/rankgroup/GroupAgent.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/GroupAgent.h
@@ -88,6 +88,7 @@
   /// How the experts of the engine's service are arranged.
   void setShape(GroupShape NewShape) {
     Shape = NewShape;
+    LastCounts.clear();
     Maps.setFirst(Shape.Sets, Shape.Experts, OwnReport.GroupSize);
   }
   /// IP numbers of the instances that may run agents of the service.
@@ -138,8 +139,10 @@
     }
   }
 
-  void noteCopying(uint64_t Version) {
-    Pace.onPrepareAccepted(Version, now());
+  /// The own engine has begun to copy the experts of a map.
+  void noteCopying(const RankOrder &Order) {
+    Maps.note(Order.Version, Order.Map);
+    Pace.onPrepareAccepted(Order.Version, now());
     BeatTimer.cancel();
   }
 
@@ -337,10 +340,8 @@
     IsOrdering = false;
     if (!Answer.ok())
       co_return;
-    if (Order.Kind == OrderKind::Prepare && *Answer == OrderAnswer::Accepted) {
-      Maps.note(Order.Version, Order.Map);
-      noteCopying(Order.Version);
-    }
+    if (Order.Kind == OrderKind::Prepare && *Answer == OrderAnswer::Accepted)
+      noteCopying(Order);
     OrderReply Reply;
     Reply.Group = OwnReport.Group;
     Reply.Rank = OwnReport.Rank;
@@ -411,7 +412,6 @@
           {{"group", ControlledGroup}, {"held", C.mapSwitch().heldStep()}});
     if (!IsStopping)
       if (std::optional<PlannedChange> Change = C.plan(At)) {
-        ChangeBegun = At;
         logEvent(LogLevel::Info, "map-change-begun",
                  {{"group", ControlledGroup},
                   {"epoch", C.mapSwitch().epoch()},
@@ -431,13 +431,13 @@
     noteEnds(Before, At);
   }
 
-  static int64_t millis(Duration D) {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(D).count();
-  }
-
   /// Time of one step of a change, zero if it was not reached.
   static int64_t stepMillis(TimePoint Begin, TimePoint End) {
-    return Begin == TimePoint() || End == TimePoint() ? 0 : millis(End - Begin);
+    bool IsKnown = Begin != TimePoint() && End != TimePoint();
+    return IsKnown ? std::chrono::duration_cast<std::chrono::milliseconds>(
+                         End - Begin)
+                         .count()
+                   : 0;
   }
 
   void noteEnds(SwitchPhase Before, TimePoint At) {
@@ -451,7 +451,7 @@
                 {"epoch", S.epoch()},
                 {"step", S.heldStep()},
                 {"phase", toString(Before)},
-                {"ms", millis(At - ChangeBegun)},
+                {"ms", stepMillis(T.Begun, At)},
                 {"prepare_ms", stepMillis(T.Begun, T.Prepared)},
                 {"hold_ms", stepMillis(T.Prepared, T.Holding)},
                 {"arm_ms", stepMillis(T.Holding, T.Armed)},
@@ -562,7 +562,7 @@
       Again->second.IsCalling = false;
     if (S.Rank == OwnReport.Rank && S.Order.Kind == OrderKind::Prepare &&
         Answer.ok() && *Answer == OrderAnswer::Accepted)
-      noteCopying(S.Order.Version);
+      noteCopying(S.Order);
     if (!Controller || Controller->mapSwitch().epoch() != Epoch)
       co_return;
     if (Answer.ok())
@@ -617,7 +617,6 @@
   EncodedOrder EncodedAs;
   std::vector<std::string> Datagrams;
   TimePoint LastCall{};
-  TimePoint ChangeBegun{};
   uint64_t Completed = 0;
   uint64_t Abandoned = 0;
 };
