--- a/libs/rankgroup/src/MapSwitchTest.cpp
+++ b/libs/rankgroup/src/MapSwitchTest.cpp
@@ -286,6 +286,7 @@
   CPPUNIT_TEST(ordersWhenSentTogetherHaveOneNumber);
   CPPUNIT_TEST(ordersWhenUnansweredAreRepeatedEverMoreRarely);
   CPPUNIT_TEST(reportsWhenReadBeforeTheReleaseRecoverNothing);
+  CPPUNIT_TEST(changeWhenARankRefusesIsReleasedOnlyWithAllFenced);
   CPPUNIT_TEST(runsWhenOrdersAreLostAndLateUseOneMapAPass);
   CPPUNIT_TEST_SUITE_END();
 
@@ -387,6 +388,47 @@
     CPPUNIT_ASSERT_EQUAL(size_t(2 * 5), Sent);
   }
 
+  /// Accepts the one order that \p Rank has among the next ones.
+  static OrderKind acceptNext(MapSwitch &Switch, uint32_t Rank,
+                              uint64_t Millis) {
+    for (const SendOrder &S : Switch.takeOrders(timeOf(Millis)))
+      if (S.Rank == Rank) {
+        Switch.onAnswer(Rank, S.Number, OrderAnswer::Accepted, timeOf(Millis));
+        return S.Order.Kind;
+      }
+    throw CppUnit::Exception(
+        CppUnit::Message("no order to rank " + std::to_string(Rank)));
+  }
+
+  void changeWhenARankRefusesIsReleasedOnlyWithAllFenced() {
+    // Rank 0 is armed; rank 1 refuses, and an arming order to it may still be
+    // on its way.
+    MapSwitch Switch = holding();
+    for (const SendOrder &S : Switch.takeOrders(timeOf(2)))
+      Switch.onAnswer(S.Rank, S.Number,
+                      S.Rank == 0 ? OrderAnswer::Accepted
+                                  : OrderAnswer::Conflict,
+                      timeOf(3));
+    auto Awaited = Switch.awaitedReports();
+    CPPUNIT_ASSERT_EQUAL(size_t(1), Awaited.size());
+    EngineReport Report;
+    Report.Epoch = 1;
+    Report.IsOpen = true;
+    Report.Step = 10;
+    Switch.onReport(1, Report, Awaited[0].Token, timeOf(4));
+    CPPUNIT_ASSERT(Switch.phase() == SwitchPhase::TakingBack);
+    // Both are fenced by a newer version, rank 0 once it is disarmed.
+    CPPUNIT_ASSERT(acceptNext(Switch, 0, 5) == OrderKind::Disarm);
+    CPPUNIT_ASSERT(Switch.phase() == SwitchPhase::TakingBack);
+    CPPUNIT_ASSERT(acceptNext(Switch, 0, 6) == OrderKind::Prepare);
+    CPPUNIT_ASSERT(Switch.phase() == SwitchPhase::TakingBack);
+    CPPUNIT_ASSERT(acceptNext(Switch, 1, 100) == OrderKind::Prepare);
+    CPPUNIT_ASSERT(Switch.phase() == SwitchPhase::Releasing);
+    CPPUNIT_ASSERT(acceptNext(Switch, 0, 101) == OrderKind::Release);
+    CPPUNIT_ASSERT_EQUAL(uint64_t(0), Switch.completed());
+    CPPUNIT_ASSERT_EQUAL(uint64_t(1), Switch.abandoned());
+  }
+
   void reportsWhenReadBeforeTheReleaseRecoverNothing() {
     MapSwitch Switch = holding();
     for (int Kind = 0; Kind < 2; ++Kind) // Arms both ranks, then releases.
