--- a/libs/rankgroup/src/AgentMessageTest.cpp
+++ b/libs/rankgroup/src/AgentMessageTest.cpp
@@ -59,7 +59,7 @@
         std::vector<std::vector<uint64_t>> Chosen(
             12, std::vector<uint64_t>(128, 0));
         for (uint32_t Set = 0; Set < 12; ++Set)
-          Chosen[Set][Set * 3] = Set + 1;
+          Chosen[Set][size_t(Set) * 3] = Set + 1;
         std::vector<std::vector<uint64_t>> Sum(12,
                                                std::vector<uint64_t>(128, 0));
         size_t Tellings = 0;
