--- a/libs/gateway/src/PeerBeat.cpp
+++ b/libs/gateway/src/PeerBeat.cpp
@@ -39,11 +39,7 @@
 }
 
 template <class Archive> void serialize(Archive &Ar, PeerBeat &Beat) {
-  uint16_t Protocol = PeerBeat::Protocol;
-  Ar(Protocol);
-  if (Protocol != PeerBeat::Protocol)
-    throw cereal::Exception("heartbeat of protocol version " +
-                            std::to_string(Protocol));
+  wire::transferProtocol(Ar, PeerBeat::Protocol);
   wire::transferText(Ar, Beat.Node, wire::MaxNameBytes);
   Ar(Beat.Incarnation, Beat.ConfigVersion, Beat.DirectoryVersion);
   wire::transferFlag(Ar, Beat.IsLeaving);
@@ -64,11 +60,7 @@
 }
 
 template <class Archive> void serialize(Archive &Ar, EngineNotice &Notice) {
-  uint16_t Protocol = EngineNotice::Protocol;
-  Ar(Protocol);
-  if (Protocol != EngineNotice::Protocol)
-    throw cereal::Exception("engine notice of protocol version " +
-                            std::to_string(Protocol));
+  wire::transferProtocol(Ar, EngineNotice::Protocol);
   wire::transferText(Ar, Notice.EngineAddress, wire::MaxNameBytes);
   transferCondition(Ar, Notice.Condition);
 }
@@ -79,11 +71,7 @@
 }
 
 template <class Archive> void serialize(Archive &Ar, NoticeDigest &Digest) {
-  uint16_t Protocol = NoticeDigest::Protocol;
-  Ar(Protocol);
-  if (Protocol != NoticeDigest::Protocol)
-    throw cereal::Exception("notice digest of protocol version " +
-                            std::to_string(Protocol));
+  wire::transferProtocol(Ar, NoticeDigest::Protocol);
   wire::transferList(Ar, Digest.Words, MaxBeatBytes);
 }
 
--- a/libs/rankgroup/src/AgentMessage.cpp
+++ b/libs/rankgroup/src/AgentMessage.cpp
@@ -64,10 +64,7 @@
 }
 
 template <class Archive> void serialize(Archive &Ar, AgentMessage &M) {
-  uint16_t Protocol = AgentMessage::Protocol;
-  Ar(Protocol);
-  if (Protocol != AgentMessage::Protocol)
-    throw cereal::Exception("message of another protocol");
+  wire::transferProtocol(Ar, AgentMessage::Protocol);
   auto Kind = static_cast<uint8_t>(M.Kind);
   Ar(Kind);
   if (Kind > static_cast<uint8_t>(AgentMessageKind::Beat))
--- a/libs/rankgroup/src/MapSwitchTest.cpp
+++ b/libs/rankgroup/src/MapSwitchTest.cpp
@@ -290,15 +290,20 @@
   CPPUNIT_TEST(runsWhenOrdersAreLostAndLateUseOneMapAPass);
   CPPUNIT_TEST_SUITE_END();
 
-  /// A switch of two ranks that has begun a change.
-  static MapSwitch begun(uint64_t FirstNumber = 1) {
-    MapSwitch Switch(2, FirstNumber);
+  static EngineReport openReport() {
     EngineReport Report;
     Report.Epoch = 1;
     Report.IsOpen = true;
     Report.Step = 10;
+    return Report;
+  }
+
+  /// A switch of two ranks that has begun a change.
+  static MapSwitch begun(uint64_t FirstNumber = 1) {
+    MapSwitch Switch(2, FirstNumber);
     for (uint32_t Rank : {0u, 1u})
-      Switch.onReport(Rank, Report, 0, timeOf(0));
+      Switch.onReport(Rank, openReport(), 0, timeOf(0));
+    CPPUNIT_ASSERT(Switch.canBegin());
     Switch.begin(ExpertMap(), ExpertMap(), 1, timeOf(0));
     return Switch;
   }
@@ -306,10 +311,7 @@
   /// The same with the map prepared on both ranks and the pass held.
   static MapSwitch holding(uint64_t FirstNumber = 1) {
     MapSwitch Switch = begun(FirstNumber);
-    EngineReport Report;
-    Report.Epoch = 1;
-    Report.IsOpen = true;
-    Report.Step = 10;
+    EngineReport Report = openReport();
     Report.Prepared = 1;
     for (uint32_t Rank : {0u, 1u})
       Switch.onReport(Rank, Report, 0, timeOf(1));
@@ -320,15 +322,7 @@
 
 public:
   void switchWhenNothingFailsTakesOnePass() {
-    MapSwitch Switch(2);
-    EngineReport Report;
-    Report.Epoch = 1;
-    Report.IsOpen = true;
-    Report.Step = 10;
-    for (uint32_t Rank : {0u, 1u})
-      Switch.onReport(Rank, Report, 0, timeOf(0));
-    CPPUNIT_ASSERT(Switch.canBegin());
-    Switch.begin(ExpertMap(), ExpertMap(), 1, timeOf(0));
+    MapSwitch Switch = begun();
     auto AnswerAll = [&](OrderKind Kind, size_t Count) {
       auto Orders = Switch.takeOrders(timeOf(0));
       CPPUNIT_ASSERT_EQUAL(Count, Orders.size());
@@ -338,6 +332,7 @@
       }
     };
     AnswerAll(OrderKind::Prepare, 2);
+    EngineReport Report = openReport();
     Report.Prepared = 1;
     for (uint32_t Rank : {0u, 1u})
       Switch.onReport(Rank, Report, 0, timeOf(1));
@@ -411,10 +406,7 @@
                       timeOf(3));
     auto Awaited = Switch.awaitedReports();
     CPPUNIT_ASSERT_EQUAL(size_t(1), Awaited.size());
-    EngineReport Report;
-    Report.Epoch = 1;
-    Report.IsOpen = true;
-    Report.Step = 10;
+    EngineReport Report = openReport();
     Switch.onReport(1, Report, Awaited[0].Token, timeOf(4));
     CPPUNIT_ASSERT(Switch.phase() == SwitchPhase::TakingBack);
     // Both are fenced by a newer version, rank 0 once it is disarmed.
@@ -435,10 +427,7 @@
       for (const SendOrder &S : Switch.takeOrders(timeOf(2)))
         Switch.onAnswer(S.Rank, S.Number, OrderAnswer::Accepted, timeOf(3));
     CPPUNIT_ASSERT_EQUAL(uint64_t(1), Switch.completed());
-    EngineReport Report;
-    Report.Epoch = 1;
-    Report.IsOpen = true;
-    Report.Step = 10;
+    EngineReport Report = openReport();
     Report.Held = Switch.heldStep();
     Switch.onReport(0, Report, 0, timeOf(10));
     CPPUNIT_ASSERT(!Switch.needsRecovery());
--- a/libs/rankgroup/src/OrderMessage.cpp
+++ b/libs/rankgroup/src/OrderMessage.cpp
@@ -27,13 +27,6 @@
   return Bytes;
 }
 
-template <class Archive> void checkProtocol(Archive &Ar, uint16_t Expected) {
-  uint16_t Protocol = Expected;
-  Ar(Protocol);
-  if (Protocol != Expected)
-    throw cereal::Exception("message of another protocol");
-}
-
 template <class E, class Archive>
 void transferEnum(Archive &Ar, E &Value, E Last) {
   auto Byte = static_cast<uint8_t>(Value);
@@ -50,7 +43,7 @@
 }
 
 template <class Archive> void serialize(Archive &Ar, OrderPart &P) {
-  checkProtocol(Ar, OrderPart::Protocol);
+  wire::transferProtocol(Ar, OrderPart::Protocol);
   wire::transferText(Ar, P.Group, wire::MaxNameBytes);
   transferEnum(Ar, P.Order.Kind, OrderKind::Release);
   Ar(P.Number, P.Order.Epoch, P.Order.Version, P.Order.Step, P.Sets,
@@ -70,7 +63,7 @@
 }
 
 template <class Archive> void serialize(Archive &Ar, OrderReply &R) {
-  checkProtocol(Ar, OrderReply::Protocol);
+  wire::transferProtocol(Ar, OrderReply::Protocol);
   wire::transferText(Ar, R.Group, wire::MaxNameBytes);
   transferEnum(Ar, R.Answer, OrderAnswer::Conflict);
   Ar(R.Rank, R.Epoch, R.Number);
--- a/libs/wire/include/ragwort/wire/Bounded.h
+++ b/libs/wire/include/ragwort/wire/Bounded.h
@@ -37,6 +37,16 @@
   return static_cast<size_t>(Length);
 }
 
+/// Transfers the number of a protocol, with which a datagram begins.
+/// \throws cereal::Exception when it is another one.
+template <class Archive> void transferProtocol(Archive &Ar, uint16_t Expected) {
+  uint16_t Protocol = Expected;
+  Ar(Protocol);
+  if (Protocol != Expected)
+    throw cereal::Exception("protocol version " + std::to_string(Protocol) +
+                            " instead of " + std::to_string(Expected));
+}
+
 /// Transfers a flag. A byte that is neither 0 nor 1 is refused, since loading
 /// it into a bool is undefined.
 /// \throws cereal::Exception when the byte is no flag.
