Leave out experts that a rank tells from outside its group's shape

Read as a newcomer: expert ids from a rank's datagram index the planner's tables unchecked; an agent with another configuration could make its controller read outside them. They are left out now, with a log line (experts-rejected). The test told expert 16 of 16, which was taken before.

--- a/libs/rankgroup/include/ragwort/rankgroup/GroupAgent.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/GroupAgent.h
@@ -381,8 +381,12 @@
 
   void onBeat(const AgentMessage &M, const std::string &Ip) {
     noteMember(M.Report.Rank, Ip, M.Engine);
-    if (!M.Experts.Sets.empty())
-      Controller->onExperts(M.Report.Rank, M.Experts);
+    if (!M.Experts.Sets.empty() &&
+        !Controller->onExperts(M.Report.Rank, M.Experts))
+      logEvent(LogLevel::Warning, "experts-rejected",
+               {{"group", ControlledGroup},
+                {"rank", M.Report.Rank},
+                {"version", M.Experts.MapVersion}});
     if (auto Chosen = choicesOf(M, Shape.Sets, Shape.Experts); !Chosen.empty())
       Controller->onCounts(Chosen, now());
     Controller->onReport(M.Report.Rank, M.Report, M.Token, now());
--- a/libs/rankgroup/include/ragwort/rankgroup/GroupController.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/GroupController.h
@@ -65,7 +65,8 @@
 
   void onReport(uint32_t Rank, const EngineReport &Report, uint64_t Token,
                 TimePoint Now);
-  void onExperts(uint32_t Rank, RankExperts Experts);
+  /// \returns whether \p Experts fit the group; others are left out.
+  bool onExperts(uint32_t Rank, RankExperts Experts);
   void onCounts(const std::vector<std::vector<uint64_t>> &Chosen,
                 TimePoint Now);
 
--- a/libs/rankgroup/src/GroupController.cpp
+++ b/libs/rankgroup/src/GroupController.cpp
@@ -76,9 +76,16 @@
   return static_cast<uint64_t>(std::ceil(Millis / PassMillis));
 }
 
-void GroupController::onExperts(uint32_t Rank, RankExperts Experts) {
-  if (Rank < Held.size())
-    Held[Rank] = std::move(Experts);
+bool GroupController::onExperts(uint32_t Rank, RankExperts Experts) {
+  auto IsKnown = [this](ExpertId E) { return E < Shape.Experts; };
+  bool AreKnown = std::all_of(
+      Experts.Sets.begin(), Experts.Sets.end(), [&](const auto &Set) {
+        return std::all_of(Set.begin(), Set.end(), IsKnown);
+      });
+  if (Rank >= Held.size() || !AreKnown)
+    return false;
+  Held[Rank] = std::move(Experts);
+  return true;
 }
 
 void GroupController::onCounts(const std::vector<std::vector<uint64_t>> &Chosen,
--- a/libs/rankgroup/src/GroupControllerTest.cpp
+++ b/libs/rankgroup/src/GroupControllerTest.cpp
@@ -13,6 +13,7 @@
   CPPUNIT_TEST(planWhenDemandIsEvenLeavesTheMap);
   CPPUNIT_TEST(planWhenTheGainIsSmallLeavesTheMap);
   CPPUNIT_TEST(planWhenAMapIsUnknownWaits);
+  CPPUNIT_TEST(expertsWhenOutsideTheShapeAreLeftOut);
   CPPUNIT_TEST(changeWhenArmingTakesPassesHoldsOneFurtherAhead);
   CPPUNIT_TEST(versionsWhenTwoControllersPlanDiffer);
   CPPUNIT_TEST(ordersWhenTwoControllersSendThemHaveOtherNumbers);
@@ -127,6 +128,14 @@
     CPPUNIT_ASSERT(!C.plan(after(90)));
   }
 
+  void expertsWhenOutsideTheShapeAreLeftOut() {
+    // As an agent with another configuration might tell them.
+    GroupController C = seen(90, 20);
+    CPPUNIT_ASSERT(!C.onExperts(2, {0, {{1, Experts}}}));
+    CPPUNIT_ASSERT(!C.onExperts(RankCount, {0, {{1}}}));
+    CPPUNIT_ASSERT(C.plan(after(90)));
+  }
+
   void changeWhenArmingTakesPassesHoldsOneFurtherAhead() {
     // 32 ranks at 2 ms each take 64 ms; an order whose answer was lost is sent
     // again after 60. That is a little less than two passes of 70 ms. Whoever
