Keep one copy of what the messages and the agent wrote twice

Found and mended, without a change of behaviour or of what is on the wire: - six decoders checked the size of a datagram by hand, three wrote an enumerator in one byte with its bound: wire::fromDatagram and wire::transferEnum now. The texts of these errors, which nothing reads, are the general ones. - MapSwitch kept the begin of a change twice (BegunAt is Times.Begun), and a recovery set it for nobody. - GroupController summed the skew of the map in use twice for each plan. - LoadBoard asked in three places whether its own pauses are fresh. - The agent asked in two places whether its engine had begun to copy. - MaxSets stood in two files; a namespace was closed and opened again.

No test was changed.

--- a/libs/experts/src/MapController.cpp
+++ b/libs/experts/src/MapController.cpp
@@ -16,10 +16,6 @@
   return std::pair(A.Index, A.By) > std::pair(B.Index, B.By);
 }
 
-} // namespace
-
-namespace {
-
 // Bits of an epoch below its round, and of those the ones for the rank.
 constexpr uint32_t RoundShift = 40;
 constexpr uint32_t RankBits = 12;
--- a/libs/gateway/include/ragwort/gateway/LoadBoard.h
+++ b/libs/gateway/include/ragwort/gateway/LoadBoard.h
@@ -5,12 +5,11 @@
 // nodes' from their heartbeats. Streams show how fast a server works: pauses
 // between events are shared by the nodes, since each sees only a few of them. A
 // straggler, a slow rank that holds a whole group back, is left out while most
-// servers of its service are none.
-// Servers that fail are left out for a while and
-// come back by trial; at most half of a service is left out at a time. Servers
-// that say that they cannot work, or whose agents say so, are left alone even
-// if all do. The agents' word, or else one trial at a time, shows when they are
-// back.
+// servers of its service are none. Servers that fail are left out for a while
+// and come back by trial; at most half of a service is left out at a time.
+// Servers that say that they cannot work, or whose agents say so, are left
+// alone even if all do. The agents' word, or else one trial at a time, shows
+// when they are back.
 //
 //===----------------------------------------------------------------------===//
 #ifndef RAGWORT_GATEWAY_LOADBOARD_H
@@ -192,6 +191,7 @@
 
   void recountPeers(TimePoint Now);
   UsualTimes usualTimes(std::string_view Service, TimePoint Now) const;
+  static double ownGapMillis(const Server &S, TimePoint Now);
   static double gapMillis(const Server &S, TimePoint Now);
   static double slowness(const Server &S, const UsualTimes &Usual,
                          TimePoint Now);
--- a/libs/gateway/src/LoadBoard.cpp
+++ b/libs/gateway/src/LoadBoard.cpp
@@ -145,12 +145,11 @@
   if (!S)
     return;
   double Millis = static_cast<double>(Gap.count()) / 1000.0;
-  bool IsFresh = S->OwnGapMillis > 0 && Now - S->GapSeenAt <= GapLife;
-  if (IsFresh) {
+  if (double Before = ownGapMillis(*S, Now); Before > 0) {
     // One long pause, such as that of a group that waited for a slow rank, is
     // no reason to load the other servers; several are.
-    Millis = std::min(Millis, MaxGapRise * S->OwnGapMillis);
-    Millis = (1 - AverageWeight) * S->OwnGapMillis + AverageWeight * Millis;
+    Millis = std::min(Millis, MaxGapRise * Before);
+    Millis = (1 - AverageWeight) * Before + AverageWeight * Millis;
   }
   S->OwnGapMillis = Millis;
   S->GapSeenAt = Now;
@@ -302,9 +301,12 @@
     }
 }
 
+double LoadBoard::ownGapMillis(const Server &S, TimePoint Now) {
+  return Now - S.GapSeenAt <= GapLife ? S.OwnGapMillis : 0;
+}
+
 double LoadBoard::gapMillis(const Server &S, TimePoint Now) {
-  bool IsOwnFresh = S.OwnGapMillis > 0 && Now - S.GapSeenAt <= GapLife;
-  return std::max(IsOwnFresh ? S.OwnGapMillis : 0, S.PeerGapMillis);
+  return std::max(ownGapMillis(S, Now), S.PeerGapMillis);
 }
 
 double LoadBoard::slowness(const Server &S, const UsualTimes &Usual,
@@ -451,8 +453,7 @@
   for (const auto &[Id, S] : Servers) {
     if (S.Own == 0)
       continue;
-    bool IsFresh = Now - S.GapSeenAt <= GapLife;
-    double Gap = IsFresh ? S.OwnGapMillis : 0;
+    double Gap = ownGapMillis(S, Now);
     Result.push_back({S.Key, S.Own, static_cast<uint32_t>(std::lround(Gap))});
   }
   return Result;
--- a/libs/gateway/src/PeerBeat.cpp
+++ b/libs/gateway/src/PeerBeat.cpp
@@ -50,24 +50,15 @@
     wire::transferText(Ar, Ip, wire::MaxNameBytes);
 }
 
-template <class Archive>
-void transferCondition(Archive &Ar, EngineCondition &Condition) {
-  auto Byte = static_cast<uint8_t>(Condition);
-  Ar(Byte);
-  if (Byte > static_cast<uint8_t>(EngineCondition::Opened))
-    throw cereal::Exception("engine in an unknown condition");
-  Condition = static_cast<EngineCondition>(Byte);
-}
-
 template <class Archive> void serialize(Archive &Ar, EngineNotice &Notice) {
   wire::transferProtocol(Ar, EngineNotice::Protocol);
   wire::transferText(Ar, Notice.EngineAddress, wire::MaxNameBytes);
-  transferCondition(Ar, Notice.Condition);
+  wire::transferEnum(Ar, Notice.Condition, EngineCondition::Opened);
 }
 
 template <class Archive> void serialize(Archive &Ar, EngineWord &Word) {
   Ar(Word.InstanceKey);
-  transferCondition(Ar, Word.Condition);
+  wire::transferEnum(Ar, Word.Condition, EngineCondition::Opened);
 }
 
 template <class Archive> void serialize(Archive &Ar, NoticeDigest &Digest) {
@@ -95,9 +86,7 @@
 }
 
 absl::StatusOr<PeerBeat> decodeBeat(std::string_view Datagram) {
-  if (Datagram.size() > MaxBeatBytes)
-    return absl::InvalidArgumentError("heartbeat is too large");
-  return wire::fromArchive<PeerBeat>(Datagram);
+  return wire::fromDatagram<PeerBeat>(Datagram, MaxBeatBytes);
 }
 
 std::string encodeNotice(const EngineNotice &Notice) {
@@ -105,9 +94,7 @@
 }
 
 absl::StatusOr<EngineNotice> decodeNotice(std::string_view Datagram) {
-  if (Datagram.size() > MaxBeatBytes)
-    return absl::InvalidArgumentError("engine notice is too large");
-  return wire::fromArchive<EngineNotice>(Datagram);
+  return wire::fromDatagram<EngineNotice>(Datagram, MaxBeatBytes);
 }
 
 std::vector<std::string> encodeDigests(std::span<const EngineWord> Words) {
@@ -124,9 +111,7 @@
 }
 
 absl::StatusOr<NoticeDigest> decodeDigest(std::string_view Datagram) {
-  if (Datagram.size() > MaxBeatBytes)
-    return absl::InvalidArgumentError("notice digest is too large");
-  return wire::fromArchive<NoticeDigest>(Datagram);
+  return wire::fromDatagram<NoticeDigest>(Datagram, MaxBeatBytes);
 }
 
 std::string encodeDirectory(const DirectorySnapshot &Snapshot) {
--- a/libs/rankgroup/include/ragwort/rankgroup/GroupAgent.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/GroupAgent.h
@@ -139,8 +139,12 @@
     }
   }
 
-  /// The own engine has begun to copy the experts of a map.
-  void noteCopying(const RankOrder &Order) {
+  /// An accepted order to prepare makes the own engine copy experts.
+  void noteOwnAnswer(const RankOrder &Order,
+                     const absl::StatusOr<OrderAnswer> &Answer) {
+    if (Order.Kind != OrderKind::Prepare || !Answer.ok() ||
+        *Answer != OrderAnswer::Accepted)
+      return;
     Maps.note(Order.Version, Order.Map);
     Pace.onPrepareAccepted(Order.Version, now());
     BeatTimer.cancel();
@@ -338,10 +342,9 @@
     IsOrdering = true;
     absl::StatusOr<OrderAnswer> Answer = co_await OwnOrders->order(Order);
     IsOrdering = false;
+    noteOwnAnswer(Order, Answer);
     if (!Answer.ok())
       co_return;
-    if (Order.Kind == OrderKind::Prepare && *Answer == OrderAnswer::Accepted)
-      noteCopying(Order);
     OrderReply Reply;
     Reply.Group = OwnReport.Group;
     Reply.Rank = OwnReport.Rank;
@@ -564,9 +567,8 @@
     absl::StatusOr<OrderAnswer> Answer = co_await Client->order(S.Order);
     if (auto Again = Members.find(S.Rank); Again != Members.end())
       Again->second.IsCalling = false;
-    if (S.Rank == OwnReport.Rank && S.Order.Kind == OrderKind::Prepare &&
-        Answer.ok() && *Answer == OrderAnswer::Accepted)
-      noteCopying(S.Order);
+    if (S.Rank == OwnReport.Rank)
+      noteOwnAnswer(S.Order, Answer);
     if (!Controller || Controller->mapSwitch().epoch() != Epoch)
       co_return;
     if (Answer.ok())
--- a/libs/rankgroup/include/ragwort/rankgroup/MapSwitch.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/MapSwitch.h
@@ -213,7 +213,6 @@
   ExpertMap InUse;
   std::optional<uint64_t> VersionInUse;
   ExpertMap Target;
-  TimePoint BegunAt{};
   SwitchTimes Times;
   // Version of the last switch that was completed in this epoch, or zero.
   uint64_t CommittedVersion = 0;
--- a/libs/rankgroup/src/AgentMessage.cpp
+++ b/libs/rankgroup/src/AgentMessage.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-constexpr size_t MaxSets = 256;
-
 // Experts that are sent with counts; longer lists get their own datagram.
 constexpr size_t MaxExpertsWithCounts = 128;
 
@@ -65,18 +63,13 @@
 
 template <class Archive> void serialize(Archive &Ar, AgentMessage &M) {
   wire::transferProtocol(Ar, AgentMessage::Protocol);
-  auto Kind = static_cast<uint8_t>(M.Kind);
-  Ar(Kind);
-  if (Kind > static_cast<uint8_t>(AgentMessageKind::Beat))
-    throw cereal::Exception("message of an unknown kind");
-  M.Kind = static_cast<AgentMessageKind>(Kind);
+  wire::transferEnum(Ar, M.Kind, AgentMessageKind::Beat);
   wire::transferText(Ar, M.Group, wire::MaxNameBytes);
   Ar(M.Epoch, M.Token);
   if (M.Kind != AgentMessageKind::Beat)
     return;
   wire::transferText(Ar, M.Engine, wire::MaxNameBytes);
-  Ar(M.Report, M.Experts, M.FirstSet, M.ExpertsPerSet);
-  Ar(M.CountUnit);
+  Ar(M.Report, M.Experts, M.FirstSet, M.ExpertsPerSet, M.CountUnit);
   M.Counts.resize(wire::transferLength(Ar, M.Counts.size(), MaxAgentDatagram));
   Ar(cereal::binary_data(M.Counts.data(), M.Counts.size()));
 }
@@ -133,9 +126,7 @@
 }
 
 absl::StatusOr<AgentMessage> decodeMessage(std::string_view Datagram) {
-  if (Datagram.size() > MaxAgentDatagram)
-    return absl::InvalidArgumentError("message is too large");
-  return wire::fromArchive<AgentMessage>(Datagram);
+  return wire::fromDatagram<AgentMessage>(Datagram, MaxAgentDatagram);
 }
 
 } // namespace ragwort::rankgroup
--- a/libs/rankgroup/src/ExpertLists.h
+++ b/libs/rankgroup/src/ExpertLists.h
@@ -14,6 +14,8 @@
 
 namespace ragwort::rankgroup {
 
+/// Sets of layers in one message.
+inline constexpr size_t MaxSets = 256;
 inline constexpr size_t MostInOneByte = 255;
 
 /// Whether lengths and ids of the lists of one set fit into one byte.
--- a/libs/rankgroup/src/GroupController.cpp
+++ b/libs/rankgroup/src/GroupController.cpp
@@ -149,11 +149,11 @@
   if (Running < MinRunning || Demand.evidence() <= 0 || !InUse)
     return std::nullopt;
   PlannedChange Change;
-  Change.SkewBefore = 0;
   Change.SkewAfter = 0;
   ExpertMap Target;
   std::vector<double> Pace = paceOfRanks();
   double Skew = skewInUse(*InUse, Pace);
+  Change.SkewBefore = Skew;
   // Even loads on all ranks are the best that can be planned.
   if (isFastEnough(Skew, Running) || Skew * (1 - MinGain) < 1)
     return std::nullopt;
@@ -161,7 +161,6 @@
                    MinGainOfGroupPerCopy / static_cast<double>(Held.size())};
   for (uint32_t Set = 0; Set < Shape.Sets; ++Set) {
     SetPlan P = planSet(InUse->At[Set], {Demand.ofSet(Set), Pace}, Limits);
-    Change.SkewBefore += P.SkewBefore / Shape.Sets;
     Change.SkewAfter += P.SkewAfter / Shape.Sets;
     Change.Copies += P.Copies;
     Target.At.push_back(std::move(P.Target));
--- a/libs/rankgroup/src/MapSwitch.cpp
+++ b/libs/rankgroup/src/MapSwitch.cpp
@@ -109,7 +109,6 @@
   Target = std::move(NewTarget);
   Version = NewVersion;
   HighestVersion = std::max(HighestVersion, NewVersion);
-  BegunAt = Now;
   Times = SwitchTimes();
   Times.Begun = Now;
   Holds = 0;
@@ -121,7 +120,6 @@
   Phase = SwitchPhase::Surveying;
   InUse = std::move(MapInUse);
   VersionInUse.reset();
-  BegunAt = Now;
   IsSecondLook = false;
   for (uint32_t I = 0; I < Ranks.size(); ++I)
     awaitReport(I, Now);
@@ -361,7 +359,7 @@
         R.Open.reset();
       Phase = SwitchPhase::Holding;
       hold(LastStep + PassesAhead);
-    } else if (Now - BegunAt > PrepareTimeout) {
+    } else if (Now - Times.Begun > PrepareTimeout) {
       finish(false);
     }
     break;
--- a/libs/rankgroup/src/OrderMessage.cpp
+++ b/libs/rankgroup/src/OrderMessage.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr size_t MaxSets = 256;
 constexpr size_t MaxRanks = 1024;
 // Left in a datagram for everything but the map.
 constexpr size_t HeaderBytes = wire::MaxNameBytes + 100;
@@ -27,15 +26,6 @@
   return Bytes;
 }
 
-template <class E, class Archive>
-void transferEnum(Archive &Ar, E &Value, E Last) {
-  auto Byte = static_cast<uint8_t>(Value);
-  Ar(Byte);
-  if (Byte > static_cast<uint8_t>(Last))
-    throw cereal::Exception("value out of range");
-  Value = static_cast<E>(Byte);
-}
-
 } // namespace
 
 template <class Archive> void serialize(Archive &Ar, MapReference &R) {
@@ -45,7 +35,7 @@
 template <class Archive> void serialize(Archive &Ar, OrderPart &P) {
   wire::transferProtocol(Ar, OrderPart::Protocol);
   wire::transferText(Ar, P.Group, wire::MaxNameBytes);
-  transferEnum(Ar, P.Order.Kind, OrderKind::Release);
+  wire::transferEnum(Ar, P.Order.Kind, OrderKind::Release);
   Ar(P.Number, P.Order.Epoch, P.Order.Version, P.Order.Step, P.Sets,
      P.FirstSet);
   if (P.Sets > MaxSets || P.FirstSet > P.Sets)
@@ -65,7 +55,7 @@
 template <class Archive> void serialize(Archive &Ar, OrderReply &R) {
   wire::transferProtocol(Ar, OrderReply::Protocol);
   wire::transferText(Ar, R.Group, wire::MaxNameBytes);
-  transferEnum(Ar, R.Answer, OrderAnswer::Conflict);
+  wire::transferEnum(Ar, R.Answer, OrderAnswer::Conflict);
   Ar(R.Rank, R.Epoch, R.Number);
 }
 
@@ -103,15 +93,11 @@
 }
 
 absl::StatusOr<OrderPart> decodeOrderPart(std::string_view Datagram) {
-  if (Datagram.size() > MaxAgentDatagram)
-    return absl::InvalidArgumentError("message is too large");
-  return wire::fromArchive<OrderPart>(Datagram);
+  return wire::fromDatagram<OrderPart>(Datagram, MaxAgentDatagram);
 }
 
 absl::StatusOr<OrderReply> decodeReply(std::string_view Datagram) {
-  if (Datagram.size() > MaxAgentDatagram)
-    return absl::InvalidArgumentError("message is too large");
-  return wire::fromArchive<OrderReply>(Datagram);
+  return wire::fromDatagram<OrderReply>(Datagram, MaxAgentDatagram);
 }
 
 std::optional<WholeOrder> OrderAssembler::add(OrderPart Part) {
--- a/libs/wire/include/ragwort/wire/Archived.h
+++ b/libs/wire/include/ragwort/wire/Archived.h
@@ -42,6 +42,15 @@
   return Value;
 }
 
+/// The same for a datagram, which also fails beyond \p MaxBytes.
+template <class T>
+absl::StatusOr<T> fromDatagram(std::string_view Datagram, size_t MaxBytes) {
+  if (Datagram.size() > MaxBytes)
+    return absl::InvalidArgumentError("datagram is larger than " +
+                                      std::to_string(MaxBytes) + " bytes");
+  return fromArchive<T>(Datagram);
+}
+
 /// The protocol number that a datagram begins with, to tell which type to
 /// decode; nothing if it is too short.
 inline std::optional<uint16_t> protocolOf(std::string_view Bytes) {
--- a/libs/wire/include/ragwort/wire/Bounded.h
+++ b/libs/wire/include/ragwort/wire/Bounded.h
@@ -58,6 +58,18 @@
   Flag = Byte == 1;
 }
 
+/// Transfers an enumerator in one byte. A byte beyond \p Last is refused.
+/// \throws cereal::Exception when the byte is no enumerator.
+template <class Archive, class E>
+void transferEnum(Archive &Ar, E &Value, E Last) {
+  auto Byte = static_cast<uint8_t>(Value);
+  Ar(Byte);
+  if (Byte > static_cast<uint8_t>(Last))
+    throw cereal::Exception("enumerator " + std::to_string(Byte) +
+                            " is out of range");
+  Value = static_cast<E>(Byte);
+}
+
 /// Transfers a value that may be absent.
 template <class Archive, class T>
 void transferOptional(Archive &Ar, std::optional<T> &Value) {
