--- a/libs/gateway/include/ragwort/gateway/BackendDirectory.h
+++ b/libs/gateway/include/ragwort/gateway/BackendDirectory.h
@@ -3,12 +3,17 @@
 // The last known list of backend servers and its version. Lists and changes
 // with an older version are ignored, whatever their source.
 //
+// A restored store lists what it knew some seconds earlier: servers that have
+// left since then, or that have begun to drain. Neither is believed until the
+// server writes its entry again.
+//
 //===----------------------------------------------------------------------===//
 #ifndef RAGWORT_GATEWAY_BACKENDDIRECTORY_H
 #define RAGWORT_GATEWAY_BACKENDDIRECTORY_H
 
-#include "ragwort/base/Time.h"
+#include "ragwort/gateway/StoreVersion.h"
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -47,21 +52,30 @@
 /// \endcode
 class BackendDirectory {
 public:
+  /// Time after the grace period of a restored list for which an entry is
+  /// doubted that was known to be removed. The platform removes the entries of
+  /// servers that have been silent for less than this.
+  static constexpr Duration RestoredEntryDoubt =
+      std::chrono::milliseconds(5000);
+  /// Maximum number of removed entries that are remembered.
+  static constexpr size_t MaxRemembered = 1024;
+
   /// Replaces the list unless \p NewVersion is older. \returns whether it was
   /// replaced. \p GraceUntil is set when the store has just recovered from an
-  /// outage: missing entries may have expired during it, and are kept until
-  /// then.
-  bool replaceAll(std::vector<BackendInstance> Listed, uint64_t NewVersion,
+  /// outage or a restore: missing entries may have expired during it or have
+  /// been lost with it, and are kept until then.
+  bool replaceAll(std::vector<BackendInstance> Listed, StoreVersion NewVersion,
                   std::optional<TimePoint> GraceUntil);
   /// Applies the changes that lead to \p NewVersion. Removed entries are kept
   /// until \p GraceUntil in the same way.
-  void apply(std::vector<DirectoryChange> Changes, uint64_t NewVersion,
+  void apply(std::vector<DirectoryChange> Changes, StoreVersion NewVersion,
              std::optional<TimePoint> GraceUntil);
-  /// Removes entries whose grace period has ended. \returns their number.
+  /// Removes entries whose grace period has ended and adds those that are no
+  /// longer doubted. \returns their number.
   size_t expire(TimePoint Now);
 
-  uint64_t version() const { return Version; }
-  bool isKnown() const { return Version > 0; }
+  StoreVersion version() const { return Version; }
+  bool isKnown() const { return Version > StoreVersion(); }
   const std::map<std::string, BackendInstance, std::less<>> &instances() const {
     return Entries;
   }
@@ -69,8 +83,23 @@
   std::vector<BackendInstance> snapshot() const;
 
 private:
-  uint64_t Version = 0;
+  struct DoubtedEntry {
+    BackendInstance Entry;
+    TimePoint AddAt;
+  };
+  void remove(std::string_view Id);
+  /// Whether the entry in a restored list of this run is not to be used yet.
+  bool wasRemoved(const BackendInstance &B) const;
+
+  StoreVersion Version;
   std::map<std::string, BackendInstance, std::less<>> Entries;
+  // Id of a removed entry -> start of the run that it named. Invariant: the ids
+  // are those in RemovedOrder, oldest first.
+  std::map<std::string, uint64_t, std::less<>> RemovedRuns;
+  std::deque<std::string> RemovedOrder;
+  // Entries of a restored list that were known to be removed. Invariant: no id
+  // is a key of Entries.
+  std::map<std::string, DoubtedEntry, std::less<>> Doubted;
   // Id of a missing entry -> end of its grace period. Invariant: each id is a
   // key of Entries.
   std::map<std::string, TimePoint, std::less<>> DropAt;
--- a/libs/gateway/include/ragwort/gateway/Dispatcher.h
+++ b/libs/gateway/include/ragwort/gateway/Dispatcher.h
@@ -4,7 +4,9 @@
 // for a free slot, or is refused with a Retry-After time. The decision compares
 // the fleet's requests in flight with the slots of the usable servers. While
 // all slots are taken, it compares the length of this node's queue with the
-// rate at which this node's requests have been completing.
+// rate at which this node's requests have been completing. While all servers
+// have asked this node to pause, it compares the end of the first pause with
+// the time for which the caller can wait.
 //
 //===----------------------------------------------------------------------===//
 #ifndef RAGWORT_GATEWAY_DISPATCHER_H
@@ -32,7 +34,13 @@
 };
 
 /// Why a request is refused.
-enum class PlacementRefusal : uint8_t { NoServer, Recovering, Overloaded };
+enum class PlacementRefusal : uint8_t {
+  NoServer,
+  Recovering,
+  /// All servers have asked this node to pause.
+  Paused,
+  Overloaded,
+};
 
 std::string_view toString(PlacementRefusal Value);
 
@@ -49,11 +57,13 @@
   Duration RetryAfter{0};
 };
 
-/// A request taken from the queue, either to be sent now or because its time to
-/// wait has ended.
+/// A request taken from the queue, either to be sent to a server now or because
+/// its time to wait has ended.
 struct DequeuedRequest {
   uint64_t Ticket = 0;
-  bool IsExpired = false;
+  /// Empty if the request has expired.
+  std::optional<BackendInstance> Server;
+  /// For an expired request.
   Duration RetryAfter{0};
 };
 
@@ -88,10 +98,14 @@
   bool hasFreeServer(std::string_view Service,
                      std::span<const std::string> Excluded, TimePoint Now);
   void cancelWait(std::string_view Service, uint64_t Ticket);
-  /// Removes the waiting requests that can be sent now or that have expired.
-  /// For those that can be sent, place() must be called again.
+  /// Removes the waiting requests that can be sent now, at most one for each
+  /// service, and those that have expired. onStarted() must be called for the
+  /// former before the next call.
   std::vector<DequeuedRequest> takeReady(TimePoint Now);
   size_t waiting() const;
+  /// A random time from \p RetryAfter to half as long again, so that callers
+  /// that were refused together do not retry together.
+  Duration spread(Duration RetryAfter);
 
   void onStarted(std::string_view Id, TimePoint Now) {
     Tracker.onStarted(Id, Now);
@@ -117,7 +131,12 @@
   };
   ServiceState &stateOf(std::string_view Service);
   bool hasRoom(const Choice &C, bool IsBatched) const;
-  Duration retryAfter(ServiceState &State, bool IsRecovering, TimePoint Now);
+  std::optional<BackendInstance>
+  serverWithRoom(std::string_view Service, const ServiceState &State,
+                 std::span<const std::string> Excluded, TimePoint Now);
+  /// Retry-After time for a request that no server has room for.
+  Duration retryAfter(std::string_view Service, ServiceState &State,
+                      std::span<const std::string> Excluded, TimePoint Now);
   static TimePoint giveUpAt(const PlacementRequest &R, bool IsRecovering);
   Placement wait(ServiceState &State, const PlacementRequest &R,
                  TimePoint GiveUpAt, TimePoint Now);
--- a/libs/gateway/include/ragwort/gateway/Forwarding.h
+++ b/libs/gateway/include/ragwort/gateway/Forwarding.h
@@ -56,7 +56,7 @@
   /// Called when a slot may have become free.
   std::function<void()> OnSlotFree;
   /// Returns the version of the backend directory, for the log.
-  std::function<uint64_t()> DirectoryVersion;
+  std::function<std::string()> DirectoryVersion;
 };
 
 /// A request that has been accepted under one configuration.
@@ -106,7 +106,11 @@
   std::string requestHead() const;
   void parse();
   bool acceptHead();
+  void noteServerFields();
+  std::optional<Duration> requestedPause();
   bool isOtherRequestsAnswer() const;
+  /// Whether another instance answered that it now has the server's address.
+  bool isAnswerOfReplacement() const;
   void forwardBody();
   void finishAnswer();
   void finishStream();
@@ -151,6 +155,8 @@
   // Whether a complete event was received on this send.
   bool HasEvent = false;
   bool HasHead = false;
+  // How long the server asked this node to send it nothing, with this answer.
+  std::optional<Duration> Pause;
   bool IsEventStream = false;
   std::string Body;
   // Head of a stream that has begun, as sent by the first server.
--- a/libs/gateway/include/ragwort/gateway/LoadTracker.h
+++ b/libs/gateway/include/ragwort/gateway/LoadTracker.h
@@ -14,11 +14,19 @@
 // that leaves none; they return when their agent reports them open or, without
 // a report, when one of the trial requests, sent one at a time, succeeds.
 //
+// Servers that have said that they are leaving receive nothing more in that
+// run. Servers that asked this node to pause receive nothing until the pause is
+// over, then one trial request at a time until one succeeds. Other nodes are
+// not told of a pause: servers ask each node by itself, and may have room for
+// the others.
+//
 //===----------------------------------------------------------------------===//
 #ifndef RAGWORT_GATEWAY_LOADTRACKER_H
 #define RAGWORT_GATEWAY_LOADTRACKER_H
 
 #include "ragwort/gateway/BackendDirectory.h"
+#include "ragwort/gateway/SelfReports.h"
+#include <algorithm>
 #include <random>
 #include <span>
 #include <unordered_map>
@@ -114,8 +122,14 @@
   std::optional<Choice> choose(std::string_view Service,
                                std::span<const std::string> Excluded,
                                TimePoint Now);
-  /// Whether \p Service has usable servers but all of them are unavailable.
-  bool isRecovering(std::string_view Service) const;
+  /// Whether \p Service has usable servers but all of them are unavailable or
+  /// paused, and not all are paused.
+  bool isRecovering(std::string_view Service, TimePoint Now) const;
+  /// The earliest time at which a paused server of \p Service that is not in
+  /// \p Excluded may be tried; nothing if none is paused.
+  std::optional<TimePoint> pauseEnd(std::string_view Service,
+                                    std::span<const std::string> Excluded,
+                                    TimePoint Now) const;
 
   void onStarted(std::string_view Id, TimePoint Now);
   void onEnded(std::string_view Id);
@@ -127,6 +141,17 @@
   /// Another instance answered at the server's address: the server no longer
   /// exists, even if the directory still lists it.
   void onReplaced(std::string_view Id);
+  /// The run \p Instance of a server said in an answer that it is leaving.
+  void onLeaving(const BackendInstance &Instance, TimePoint Now);
+  /// The run \p Instance of a server asked this node to send it nothing for
+  /// \p Pause.
+  void onPaused(const BackendInstance &Instance, Duration Pause, TimePoint Now);
+  /// A peer forwarded which servers told it that they are leaving.
+  void onPeerLeaving(std::span<const ServerRun> Leaving, TimePoint Now);
+  /// A server sent a header field that cannot be understood. Logged once for
+  /// each run.
+  void onMalformedField(std::string_view Id, std::string_view Field,
+                        std::string_view Value);
   /// The agent of the server at \p Address reported its condition.
   void onEngineNotice(std::string_view Address, EngineCondition Condition,
                       TimePoint Now);
@@ -141,6 +166,10 @@
   std::vector<InFlightReport> ownReport(TimePoint Now) const;
   /// The conditions that agents reported to this node, for its peers.
   std::vector<EngineConditionReport> ownConditions(TimePoint Now) const;
+  /// The servers that told this node that they are leaving, for its peers.
+  std::vector<ServerRun> ownLeaving(TimePoint Now) const {
+    return Reports.toForward(Now);
+  }
   bool isStraggler(std::string_view Id, TimePoint Now) const;
   uint32_t inFlight(std::string_view Id) const;
   /// One line per server, for the state dump.
@@ -178,9 +207,21 @@
     bool IsReplaced = false;
     // A newer instance is registered at the same address.
     bool IsSuperseded = false;
+    // Copies of what Reports contains for this run.
+    bool IsLeaving = false;
+    TimePoint PausedUntil{};
+    // It has been paused and has not answered successfully since.
+    bool IsReturning = false;
+    bool HasMalformedField = false;
 
+    ServerRun run() const { return {Key, Entry.BornMillis}; }
     bool isUsable() const {
-      return !Entry.IsDraining && !IsReplaced && !IsSuperseded;
+      return !Entry.IsDraining && !IsReplaced && !IsSuperseded && !IsLeaving;
+    }
+    // Earliest time at which it may be sent a request, as far as it has asked
+    // this node to pause.
+    TimePoint pauseEnd() const {
+      return IsReturning ? std::max(PausedUntil, NextTrial) : PausedUntil;
     }
   };
   struct PeerReport {
@@ -189,6 +230,9 @@
   };
 
   Server *find(std::string_view Id);
+  void applyReports(Server &S) const;
+  /// Logs that \p S is leaving and excludes it.
+  static void markLeaving(Server &S, std::string_view Source);
   static void applyCondition(Server &S, EngineCondition Condition,
                              std::string_view Source, TimePoint Now);
   static void markStraggler(Server &S, std::string_view Source, TimePoint Now);
@@ -219,6 +263,7 @@
   std::map<std::string, Server, std::less<>> Servers;
   std::unordered_map<uint64_t, std::string> IdByKey;
   std::map<std::string, PeerReport, std::less<>> Peers;
+  SelfReports Reports;
   // Service -> time of the next trial request while no server is available.
   std::map<std::string, TimePoint, std::less<>> NextTrials;
 };
--- a/libs/gateway/include/ragwort/gateway/PeerExchange.h
+++ b/libs/gateway/include/ragwort/gateway/PeerExchange.h
@@ -77,7 +77,7 @@
     TimePoint AddedAt;
     TimePoint LastHeardAt{};
     uint64_t ConfigVersion = 0;
-    uint64_t DirectoryVersion = 0;
+    StoreVersion DirectoryVersion;
     bool IsLeaving = false;
   };
 
@@ -102,7 +102,7 @@
   std::map<std::string, Peer> Peers;
   TimePoint ConfigBehindSince{};
   TimePoint DirectoryBehindSince{};
-  uint64_t LastDirectoryVersion = 0;
+  StoreVersion LastDirectoryVersion;
   bool IsFetchingConfig = false;
   bool IsFetchingDirectory = false;
   bool IsLeaving = false;
--- a/libs/gateway/include/ragwort/gateway/PeerHeartbeat.h
+++ b/libs/gateway/include/ragwort/gateway/PeerHeartbeat.h
@@ -25,14 +25,14 @@
 /// The periodic state report of one node.
 struct PeerHeartbeat {
   /// Heartbeats of another protocol version are dropped.
-  static constexpr uint16_t Protocol = 3;
+  static constexpr uint16_t Protocol = 4;
 
   std::string Node;
   /// Differs between two runs of one node.
   uint64_t Incarnation = 0;
   bool IsLeaving = false;
   uint64_t ConfigVersion = 0;
-  uint64_t DirectoryVersion = 0;
+  StoreVersion DirectoryVersion;
   std::vector<InFlightReport> InFlight;
   /// IP addresses of other nodes, so that a new node discovers all of them.
   std::vector<std::string> PeerIps;
@@ -67,9 +67,19 @@
 encodeDigests(std::span<const EngineConditionReport> Entries);
 absl::StatusOr<NoticeDigest> decodeDigest(std::string_view Datagram);
 
+/// The servers that told a node that they are leaving, for its peers.
+struct LeavingDigest {
+  static constexpr uint16_t Protocol = 1004;
+
+  std::vector<ServerRun> Leaving;
+};
+/// \returns as many datagrams as \p Leaving requires; none if it is empty.
+std::vector<std::string> encodeLeaving(std::span<const ServerRun> Leaving);
+absl::StatusOr<LeavingDigest> decodeLeaving(std::string_view Datagram);
+
 /// The directory of backend servers at one version.
 struct DirectorySnapshot {
-  uint64_t Version = 0;
+  StoreVersion Version;
   std::vector<BackendInstance> Instances;
 };
 std::string encodeDirectory(const DirectorySnapshot &Snapshot);
--- a/libs/gateway/include/ragwort/gateway/ProtocolNames.h
+++ b/libs/gateway/include/ragwort/gateway/ProtocolNames.h
@@ -34,6 +34,8 @@
   /// A server's proof that it produced the response. Successful responses
   /// without it are not forwarded.
   std::string AnswerStamp = "Ragwort-Answer-Stamp";
+  /// "1" in each response of a server that is leaving.
+  std::string Leaving = "Ragwort-Leaving";
   /// Id of the last event that the caller of a resumed stream has received.
   std::string LastEventId = "Last-Event-Id";
   /// Version of the model's weights that the request requires. Never accepted
--- a/libs/gateway/include/ragwort/gateway/RequestFlow.h
+++ b/libs/gateway/include/ragwort/gateway/RequestFlow.h
@@ -84,6 +84,9 @@
     return isRepeatable() && canSendAgain(Conditions);
   }
   uint32_t sends() const { return Sends; }
+  /// Requests that have reached some server. Unlike sends(), counts those that
+  /// reached another instance than the intended one.
+  uint32_t arrivals() const { return Arrivals; }
   bool hasAnswerBegun() const { return IsAnswerBegun; }
   /// Whether some backend server may have run the request.
   bool mayHaveRun() const { return UnknownSends > 0; }
@@ -91,6 +94,9 @@
 
   /// Misdirected sends that do not count as attempts.
   static constexpr uint32_t MaxMisdirected = 3;
+  /// Failed connects after which a request is given up: so many failures mean
+  /// that the service is down, and each one may take the whole connect timeout.
+  static constexpr uint32_t MaxConnectFailures = 4;
 
 private:
   Step giveUp() const;
@@ -99,7 +105,9 @@
   const Repeatability Repeat;
   const uint32_t MaxAttempts;
   uint32_t Sends = 0;
+  uint32_t Arrivals = 0;
   uint32_t Misdirected = 0;
+  uint32_t ConnectFailures = 0;
   // Sends that were not declined, so that the server may have run the request.
   // Invariant: at most Sends, and at most one if Repeat is AtMostOnce.
   uint32_t UnknownSends = 0;
--- a/libs/gateway/include/ragwort/gateway/RowStore.h
+++ b/libs/gateway/include/ragwort/gateway/RowStore.h
@@ -7,7 +7,7 @@
 #ifndef RAGWORT_GATEWAY_ROWSTORE_H
 #define RAGWORT_GATEWAY_ROWSTORE_H
 
-#include "ragwort/base/Time.h"
+#include "ragwort/gateway/StoreVersion.h"
 #include "ragwort/transport/Asio.h"
 #include <absl/status/statusor.h>
 #include <concepts>
@@ -21,6 +21,7 @@
 struct StoredRow {
   std::string Key;
   std::string Value;
+  /// Number of the transaction that wrote it.
   uint64_t Version = 0;
   bool IsRemoved = false;
 };
@@ -28,21 +29,21 @@
 /// The rows of a table at one version of the store.
 struct RowList {
   std::vector<StoredRow> Rows;
-  uint64_t Version = 0;
+  StoreVersion Version;
 };
 
 /// Changes of a table in order, up to and including a version.
 struct RowChanges {
   std::vector<StoredRow> Rows;
-  uint64_t Version = 0;
+  StoreVersion Version;
   /// The store no longer has the requested changes; the table must be listed
   /// again.
   bool IsHistoryLost = false;
 };
 
-/// A store that can list a table and report its changes after a version,
-/// waiting up to a given time for one. An error status means that the store did
-/// not respond or refused the request.
+/// A store that can list a table and report its changes after the version with
+/// a given number, waiting up to a given time for one. An error status means
+/// that the store did not respond or refused the request.
 template <class T>
 concept RowStore = requires(T &Store, std::string Table, uint64_t After,
                             Duration Wait) {
--- a/libs/gateway/include/ragwort/gateway/TableFollower.h
+++ b/libs/gateway/include/ragwort/gateway/TableFollower.h
@@ -2,8 +2,8 @@
 //
 // Lists a table once and then follows its changes by long polling. After an
 // outage it resumes at its last version, or lists the table again if the store
-// no longer has the history, and tells its sink that the store has just
-// recovered.
+// no longer has the history or was restored from a backup, and tells its sink
+// that the store has just recovered.
 //
 //===----------------------------------------------------------------------===//
 #ifndef RAGWORT_GATEWAY_TABLEFOLLOWER_H
@@ -19,8 +19,8 @@
 namespace ragwort::gateway {
 
 /// Receives what a follower reads. \p GraceUntil has a value only for a short
-/// time after the store has become reachable again: until then, entries that
-/// expired during the outage may reappear.
+/// time after the store has become reachable again or was restored: until then,
+/// entries that expired during the outage or were lost may reappear.
 template <class T>
 concept TableSink = requires(T &Sink, RowList List, RowChanges Changes,
                              std::optional<TimePoint> GraceUntil) {
@@ -43,6 +43,9 @@
   /// to MaxBackoff.
   Duration InitialBackoff = std::chrono::milliseconds(200);
   Duration MaxBackoff = std::chrono::milliseconds(800);
+  /// After a restore the table is listed after a random delay of at most this,
+  /// so that the nodes of a large fleet do not all list it at the same time.
+  Duration RestoredListSpread = std::chrono::milliseconds(500);
 };
 
 /// Reads one table until stop() is called, and passes rows and changes to a
@@ -54,12 +57,6 @@
 /// \endcode
 template <RowStore Store, TableSink Sink> class TableFollower {
 public:
-  /// How long entries may still be missing after the store has recovered. The
-  /// users' requirement is about two seconds. A server that leaves in that time
-  /// must also receive no more requests once the two seconds are over, so a
-  /// tenth of them is reserved for its removal.
-  static constexpr Duration RecoveryGrace = std::chrono::milliseconds(1800);
-
   TableFollower(asio::io_context &Io, Store &From, std::string Table, Sink &To,
                 FollowerTiming Timing, uint64_t Seed)
       : Io(Io), From(From), Table(std::move(Table)), To(To), Timing(Timing),
@@ -83,27 +80,38 @@
     }
   }
   void stop() { IsStopped = true; }
+  /// The store's era as of its last answer.
+  uint64_t era() const { return Version.Era; }
 
 private:
   asio::awaitable<absl::Status> step() {
-    if (Version == 0) {
+    if (!IsListed) {
       absl::StatusOr<RowList> List = co_await From.list(Table);
       if (!List.ok())
         co_return List.status();
-      onAnswer();
+      onAnswer(List->Version.Era);
       Version = List->Version;
+      IsListed = true;
       To.onList(std::move(*List), graceUntil());
       co_return absl::OkStatus();
     }
     absl::StatusOr<RowChanges> Changes =
-        co_await From.follow(Table, Version, pollTimeout());
+        co_await From.follow(Table, Version.Number, pollTimeout());
     if (!Changes.ok())
       co_return Changes.status();
-    onAnswer();
+    bool IsRestored = Changes->Version.Era > Version.Era;
+    onAnswer(Changes->Version.Era);
+    if (IsRestored) {
+      // The numbers up to the last known version have been given out again:
+      // these changes may lack some, so they are not applied.
+      IsListed = false;
+      co_await sleepFor(randomUpTo(Timing.RestoredListSpread));
+      co_return absl::OkStatus();
+    }
     if (Changes->IsHistoryLost) {
       logEvent(LogLevel::Info, "store-history-lost",
-               {{"table", Table}, {"version", Version}});
-      Version = 0;
+               {{"table", Table}, {"version", toString(Version)}});
+      IsListed = false;
       co_return absl::OkStatus();
     }
     Version = std::max(Version, Changes->Version);
@@ -115,14 +123,25 @@
     return Timing.IsRelaxed() ? Timing.RelaxedPollTimeout : Timing.PollTimeout;
   }
 
-  // The first response after an outage starts the grace period.
-  void onAnswer() {
-    if (!IsReached && WasReached)
+  // The first response after an outage or a restore starts the grace period.
+  void onAnswer(uint64_t Era) {
+    bool IsRestored = WasReached && Era > Version.Era;
+    if (IsRestored)
+      logEvent(
+          LogLevel::Warning, "store-restored",
+          {{"table", Table}, {"version", toString(Version)}, {"era", Era}});
+    if (IsRestored || (!IsReached && WasReached))
       RecoveredAt = Clock.now();
+    Version.Era = std::max(Version.Era, Era);
+  }
+
+  Duration randomUpTo(Duration Limit) {
+    std::uniform_int_distribution<int64_t> Any(0, Limit.count());
+    return Duration(Any(Random));
   }
 
   std::optional<TimePoint> graceUntil() const {
-    TimePoint Until = RecoveredAt + RecoveryGrace;
+    TimePoint Until = RecoveredAt + StoreRecoveryGrace;
     bool IsRecovering = RecoveredAt != TimePoint() && Clock.now() < Until;
     return IsRecovering ? std::optional(Until) : std::nullopt;
   }
@@ -131,7 +150,7 @@
     Backoff = Timing.InitialBackoff;
     if (!IsReached)
       logEvent(LogLevel::Info, "store-reached",
-               {{"table", Table}, {"version", Version}});
+               {{"table", Table}, {"version", toString(Version)}});
     IsReached = true;
     WasReached = true;
   }
@@ -140,7 +159,7 @@
     if (IsReached || !WasTried)
       logEvent(LogLevel::Warning, "store-lost",
                {{"table", Table},
-                {"version", Version},
+                {"version", toString(Version)},
                 {"reason", std::string(Reason.message())}});
     IsReached = false;
     WasTried = true;
@@ -161,8 +180,10 @@
   const FollowerTiming Timing;
   std::mt19937_64 Random;
   SteadyClock Clock;
-  // Zero if the table has to be listed.
-  uint64_t Version = 0;
+  // The last version that the sink has received; its era may be newer while the
+  // table has to be listed again.
+  StoreVersion Version;
+  bool IsListed = false;
   Duration Backoff = Timing.InitialBackoff;
   TimePoint RecoveredAt{};
   bool IsReached = false;
--- a/libs/gateway/include/ragwort/gateway/WaitQueue.h
+++ b/libs/gateway/include/ragwort/gateway/WaitQueue.h
@@ -11,9 +11,11 @@
 #define RAGWORT_GATEWAY_WAITQUEUE_H
 
 #include "ragwort/base/Time.h"
+#include <concepts>
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
 #include <tuple>
 #include <vector>
 
@@ -29,25 +31,39 @@
   TimePoint OnTimeUntil;
   /// Time at which the request is removed from the queue.
   TimePoint GiveUpAt;
+  /// Instances that have already failed or declined the request.
+  std::vector<std::string> Excluded;
 };
 
 /// \code
-///   Queue.push({Ticket, Priority, Now, OnTimeUntil, GiveUpAt});
-///   while (hasFreeSlot())
-///     start(Queue.pop(Now));
+///   Queue.push({Ticket, Priority, Now, OnTimeUntil, GiveUpAt, Excluded});
+///   while (auto Ticket = Queue.popFirst(
+///              Now, [&](const Waiter &W) { return hasFreeSlotFor(W); }))
+///     start(*Ticket);
 /// \endcode
 class WaitQueue {
 public:
   void push(const Waiter &W);
   void remove(uint64_t Ticket);
-  /// Removes the next request to start. \returns its ticket, or nothing if the
-  /// queue is empty.
-  std::optional<uint64_t> pop(TimePoint Now);
+  /// Removes the first request in starting order that satisfies \p CanStart.
+  /// \returns its ticket, or nothing if there is none.
+  template <std::predicate<const Waiter &> Condition>
+  std::optional<uint64_t> popFirst(TimePoint Now, Condition CanStart) {
+    for (const Waiter *Next : startingOrder(Now))
+      if (CanStart(*Next)) {
+        uint64_t Ticket = Next->Ticket;
+        remove(Ticket);
+        return Ticket;
+      }
+    return std::nullopt;
+  }
   /// Removes the requests whose GiveUpAt has passed. \returns their tickets.
   std::vector<uint64_t> takeExpired(TimePoint Now);
   size_t size() const { return Waiters.size(); }
 
 private:
+  std::vector<const Waiter *> startingOrder(TimePoint Now) const;
+
   // Priority, time of joining the queue, ticket.
   using SortKey = std::tuple<uint32_t, TimePoint, uint64_t>;
   std::map<SortKey, Waiter> Waiters;
--- a/libs/gateway/src/Dispatcher.cpp
+++ b/libs/gateway/src/Dispatcher.cpp
@@ -10,6 +10,8 @@
     return "no-server";
   case PlacementRefusal::Recovering:
     return "servers-recovering";
+  case PlacementRefusal::Paused:
+    return "servers-paused";
   case PlacementRefusal::Overloaded:
     return "overloaded";
   }
@@ -33,8 +35,7 @@
 // Bounds of the Retry-After time.
 constexpr Duration MinRetryAfter = std::chrono::milliseconds(200);
 constexpr Duration MaxRetryAfter = std::chrono::milliseconds(2500);
-// Random spread of the Retry-After time, as a fraction of it, so that callers
-// that were refused together do not retry together.
+// Random part of the Retry-After time, as a fraction of the rest.
 constexpr double RetryAfterSpread = 0.5;
 
 Duration scaled(Duration Length, double Factor) {
@@ -63,16 +64,25 @@
   return C.InFlight < Slots + (IsBatched ? ExtraBatchedRequests : Slots);
 }
 
-Duration Dispatcher::retryAfter(ServiceState &State, bool IsRecovering,
+Duration Dispatcher::spread(Duration RetryAfter) {
+  std::uniform_real_distribution<double> Factor(1.0, 1.0 + RetryAfterSpread);
+  return scaled(RetryAfter, Factor(Random));
+}
+
+Duration Dispatcher::retryAfter(std::string_view Service, ServiceState &State,
+                                std::span<const std::string> Excluded,
                                 TimePoint Now) {
-  Duration Wait = IsRecovering
-                      ? RecoveringRetryAfter
-                      : State.Drain.timeToComplete(State.Queue.size() + 1, Now)
-                            .value_or(MaxRetryAfter);
-  std::uniform_real_distribution<double> Spread(1.0, 1.0 + RetryAfterSpread);
-  return std::min(
-      scaled(std::clamp(Wait, MinRetryAfter, MaxRetryAfter), Spread(Random)),
-      MaxRetryAfter);
+  Duration Wait = RecoveringRetryAfter;
+  if (!Tracker.isRecovering(Service, Now)) {
+    // A pause is stated by the servers, so its length is not limited here.
+    if (!Tracker.choose(Service, Excluded, Now))
+      if (auto End = Tracker.pauseEnd(Service, Excluded, Now))
+        return spread(std::max(*End - Now, MinRetryAfter));
+    Wait = State.Drain.timeToComplete(State.Queue.size() + 1, Now)
+               .value_or(MaxRetryAfter);
+  }
+  return std::min(spread(std::clamp(Wait, MinRetryAfter, MaxRetryAfter)),
+                  MaxRetryAfter);
 }
 
 Placement Dispatcher::refuse(PlacementRefusal Refusal,
@@ -95,9 +105,12 @@
   Placement P;
   P.Result = Placement::Decision::Wait;
   P.Ticket = NextTicket++;
-  State.Queue.push({P.Ticket, R.Priority, Now,
+  State.Queue.push({P.Ticket,
+                    R.Priority,
+                    Now,
                     R.Arrived + scaled(R.TargetLatency, OnTimeQueueFraction),
-                    GiveUpAt});
+                    GiveUpAt,
+                    {R.Excluded.begin(), R.Excluded.end()}});
   return P;
 }
 
@@ -112,20 +125,29 @@
     P.InFlight = Best->InFlight;
     return P;
   }
-  bool IsRecovering = !Best && Tracker.isRecovering(R.Service);
-  if (!Best && !IsRecovering)
-    return refuse(PlacementRefusal::NoServer, NoServerRetryAfter);
+  bool IsRecovering = !Best && Tracker.isRecovering(R.Service, Now);
+  std::optional<TimePoint> PauseEnd;
+  if (!Best && !IsRecovering) {
+    PauseEnd = Tracker.pauseEnd(R.Service, R.Excluded, Now);
+    if (!PauseEnd)
+      return refuse(PlacementRefusal::NoServer, NoServerRetryAfter);
+  }
   TimePoint GiveUpAt = giveUpAt(R, IsRecovering);
-  bool IsRefused = State.Queue.size() >= MaxWaiting || Now >= GiveUpAt;
-  if (!IsRecovering) {
+  bool IsRefused = State.Queue.size() >= MaxWaiting || Now >= GiveUpAt ||
+                   (PauseEnd && *PauseEnd >= GiveUpAt);
+  if (!IsRecovering && !PauseEnd) {
     std::optional<Duration> Wait =
         State.Drain.timeToComplete(State.Queue.size() + 1, Now);
     IsRefused |= Wait && Now + *Wait >= GiveUpAt;
   }
-  if (IsRefused)
-    return refuse(IsRecovering ? PlacementRefusal::Recovering
-                               : PlacementRefusal::Overloaded,
-                  retryAfter(State, IsRecovering, Now));
+  if (IsRefused) {
+    PlacementRefusal Refusal = PlacementRefusal::Overloaded;
+    if (IsRecovering)
+      Refusal = PlacementRefusal::Recovering;
+    else if (PauseEnd)
+      Refusal = PlacementRefusal::Paused;
+    return refuse(Refusal, retryAfter(R.Service, State, R.Excluded, Now));
+  }
   return wait(State, R, GiveUpAt, Now);
 }
 
@@ -143,20 +165,35 @@
 std::vector<DequeuedRequest> Dispatcher::takeReady(TimePoint Now) {
   std::vector<DequeuedRequest> Result;
   for (auto &[Service, State] : ServiceStates) {
-    bool IsRecovering = Tracker.isRecovering(Service);
     for (uint64_t Ticket : State.Queue.takeExpired(Now))
-      Result.push_back({Ticket, true, retryAfter(State, IsRecovering, Now)});
+      Result.push_back(
+          {Ticket, std::nullopt, retryAfter(Service, State, {}, Now)});
     if (State.Queue.size() == 0)
       continue;
-    std::optional<Choice> Best = Tracker.choose(Service, {}, Now);
-    if (!Best || !hasRoom(*Best, State.IsBatched))
-      continue;
-    if (std::optional<uint64_t> Ticket = State.Queue.pop(Now))
-      Result.push_back({*Ticket, false, Duration(0)});
+    // A request must not be dequeued for a server that has already failed it:
+    // it would only join the queue again.
+    std::optional<BackendInstance> Server;
+    std::optional<uint64_t> Ticket =
+        State.Queue.popFirst(Now, [&](const Waiter &W) {
+          Server = serverWithRoom(Service, State, W.Excluded, Now);
+          return Server.has_value();
+        });
+    if (Ticket)
+      Result.push_back({*Ticket, std::move(Server), Duration(0)});
   }
   return Result;
 }
 
+std::optional<BackendInstance>
+Dispatcher::serverWithRoom(std::string_view Service, const ServiceState &State,
+                           std::span<const std::string> Excluded,
+                           TimePoint Now) {
+  std::optional<Choice> Best = Tracker.choose(Service, Excluded, Now);
+  if (!Best || !hasRoom(*Best, State.IsBatched))
+    return std::nullopt;
+  return *Best->Server;
+}
+
 size_t Dispatcher::waiting() const {
   size_t Total = 0;
   for (const auto &[Service, State] : ServiceStates)
--- a/libs/gateway/src/DispatcherTest.cpp
+++ b/libs/gateway/src/DispatcherTest.cpp
@@ -7,6 +7,7 @@
 #include "ragwort/gateway/Dispatcher.h"
 #include "VirtualRun.h"
 #include <cppunit/extensions/HelperMacros.h>
+#include <set>
 
 namespace ragwort::gateway {
 
@@ -46,7 +47,7 @@
       B.Slots = Slots;
       List.push_back(B);
     }
-    Directory.replaceAll(List, 1, std::nullopt);
+    Directory.replaceAll(List, {0, 1}, std::nullopt);
     Dispatch.loadTracker().sync(Directory);
   }
 
@@ -158,10 +159,10 @@
       for (const DequeuedRequest &D : Dequeued) {
         Request R = Waiting.at(D.Ticket);
         Waiting.erase(D.Ticket);
-        if (D.IsExpired)
-          refuse(R, D.RetryAfter);
+        if (D.Server)
+          start(R, D.Server->Id);
         else
-          place(R);
+          refuse(R, D.RetryAfter);
       }
     }
   }
@@ -186,10 +187,50 @@
   CPPUNIT_TEST(urgentWhenOverloadedIsRefusedLessOften);
   CPPUNIT_TEST(callersWhenAGroupIsDownForSecondsAreServedOnceItIsBack);
   CPPUNIT_TEST(requestWhenServiceHasNoServerIsRefusedAtOnce);
+  CPPUNIT_TEST(waitingWhenOnlyAServerThatFailedItIsFreeStaysWaiting);
+  CPPUNIT_TEST(waitingWhenTheFirstCannotUseAServerLetsTheNextPass);
+  CPPUNIT_TEST(requestWhenAllServersPauseBrieflyWaits);
+  CPPUNIT_TEST(requestWhenAllServersPauseForLongIsRefusedAtOnce);
+  CPPUNIT_TEST(requestsWhenAPauseEndsAreTriedOneAtATime);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr int64_t SimulatedMillis = 30'000;
 
+  static TimePoint at(int64_t Millis) {
+    return TimePoint(std::chrono::milliseconds(Millis + 1000));
+  }
+
+  /// Lists servers a and b with one slot each, and returns them.
+  static std::vector<BackendInstance> addTwoServers(Dispatcher &D) {
+    std::vector<BackendInstance> List(2);
+    for (size_t I = 0; I < List.size(); ++I) {
+      List[I].Id = std::string(1, static_cast<char>('a' + I));
+      List[I].Service = "s";
+      List[I].Address = "10.0.0." + std::to_string(I + 1) + ":1";
+      List[I].Slots = 1;
+    }
+    BackendDirectory Directory;
+    Directory.replaceAll(List, {0, 1}, std::nullopt);
+    D.loadTracker().sync(Directory);
+    return List;
+  }
+
+  static PlacementRequest request(int64_t ArrivedMillis,
+                                  std::span<const std::string> Excluded = {}) {
+    PlacementRequest P;
+    P.Service = "s";
+    P.Excluded = Excluded;
+    P.Arrived = at(ArrivedMillis);
+    P.TargetLatency = std::chrono::milliseconds(TargetMillis);
+    P.ExpiresAt = at(ArrivedMillis + CallerTimeoutMillis);
+    return P;
+  }
+
+  static void fill(Dispatcher &D, const std::string &Id) {
+    for (int I = 0; I < 2; ++I)
+      D.onStarted(Id, at(0));
+  }
+
 public:
   void loadWhenBelowCapacityIsServedOnTime() {
     Outcome O = LoadSimulation(1).run(0.8, SimulatedMillis);
@@ -255,6 +296,90 @@
     CPPUNIT_ASSERT(Where.Refusal == PlacementRefusal::NoServer);
     CPPUNIT_ASSERT(Where.RetryAfter > Duration(0));
   }
+
+  // Guards against an endless loop: such a request was taken from the queue for
+  // the free server, which it may not use, and joined the queue again at once,
+  // until its time to wait had passed. Each turn left a timer's handler behind,
+  // and entry nodes ran out of memory within a fraction of a second.
+  void waitingWhenOnlyAServerThatFailedItIsFreeStaysWaiting() {
+    Dispatcher D("here", RetryBudgetLimits(), 1);
+    addTwoServers(D);
+    fill(D, "b");
+    std::vector<std::string> Failed = {"a"};
+    CPPUNIT_ASSERT(D.place(request(0, Failed), at(0)).Result ==
+                   Placement::Decision::Wait);
+    CPPUNIT_ASSERT(D.takeReady(at(1)).empty());
+    CPPUNIT_ASSERT_EQUAL(size_t(1), D.waiting());
+    D.onEnded("s", "b", at(2));
+    std::vector<DequeuedRequest> Ready = D.takeReady(at(2));
+    CPPUNIT_ASSERT_EQUAL(size_t(1), Ready.size());
+    CPPUNIT_ASSERT(Ready.front().Server && Ready.front().Server->Id == "b");
+  }
+
+  void waitingWhenTheFirstCannotUseAServerLetsTheNextPass() {
+    Dispatcher D("here", RetryBudgetLimits(), 1);
+    addTwoServers(D);
+    fill(D, "a");
+    fill(D, "b");
+    std::vector<std::string> Failed = {"a"};
+    Placement First = D.place(request(0, Failed), at(0));
+    Placement Next = D.place(request(0), at(1));
+    CPPUNIT_ASSERT(First.Result == Placement::Decision::Wait);
+    CPPUNIT_ASSERT(Next.Result == Placement::Decision::Wait);
+    D.onEnded("s", "a", at(2));
+    std::vector<DequeuedRequest> Ready = D.takeReady(at(2));
+    CPPUNIT_ASSERT_EQUAL(size_t(1), Ready.size());
+    CPPUNIT_ASSERT_EQUAL(Next.Ticket, Ready.front().Ticket);
+  }
+
+  void requestWhenAllServersPauseBrieflyWaits() {
+    Dispatcher D("here", RetryBudgetLimits(), 1);
+    for (const BackendInstance &Server : addTwoServers(D))
+      D.loadTracker().onPaused(Server, std::chrono::milliseconds(500), at(0));
+    CPPUNIT_ASSERT(D.place(request(0), at(0)).Result ==
+                   Placement::Decision::Wait);
+    CPPUNIT_ASSERT(D.takeReady(at(499)).empty());
+    CPPUNIT_ASSERT_EQUAL(size_t(1), D.takeReady(at(500)).size());
+  }
+
+  void requestWhenAllServersPauseForLongIsRefusedAtOnce() {
+    Dispatcher D("here", RetryBudgetLimits(), 1);
+    for (const BackendInstance &Server : addTwoServers(D))
+      D.loadTracker().onPaused(Server, std::chrono::seconds(6), at(0));
+    std::set<int64_t> RetryTimes;
+    for (int I = 0; I < 20; ++I) {
+      Placement Where = D.place(request(0), at(1000));
+      CPPUNIT_ASSERT(Where.Result == Placement::Decision::Refuse);
+      CPPUNIT_ASSERT(Where.Refusal == PlacementRefusal::Paused);
+      // Callers must not come back before the pause is over, nor all at once.
+      CPPUNIT_ASSERT(Where.RetryAfter >= std::chrono::seconds(5));
+      CPPUNIT_ASSERT(Where.RetryAfter <= std::chrono::seconds(8));
+      RetryTimes.insert(Where.RetryAfter.count());
+    }
+    CPPUNIT_ASSERT(RetryTimes.size() > 10);
+  }
+
+  void requestsWhenAPauseEndsAreTriedOneAtATime() {
+    Dispatcher D("here", RetryBudgetLimits(), 1);
+    std::vector<BackendInstance> Servers = addTwoServers(D);
+    for (const BackendInstance &Server : Servers)
+      D.loadTracker().onPaused(Server, std::chrono::milliseconds(500), at(0));
+    for (int I = 0; I < 10; ++I)
+      CPPUNIT_ASSERT(D.place(request(0), at(0)).Result ==
+                     Placement::Decision::Wait);
+    size_t Sent = 0;
+    for (auto Ready = D.takeReady(at(500)); !Ready.empty();
+         Ready = D.takeReady(at(500))) {
+      D.onStarted(Ready.front().Server->Id, at(500));
+      ++Sent;
+    }
+    CPPUNIT_ASSERT_EQUAL(Servers.size(), Sent);
+    // An answer to a request from before the pause does not end the caution.
+    D.loadTracker().onAnswered("a", std::chrono::milliseconds(600), at(510));
+    CPPUNIT_ASSERT(D.takeReady(at(510)).empty());
+    D.loadTracker().onAnswered("a", std::chrono::milliseconds(20), at(520));
+    CPPUNIT_ASSERT(!D.takeReady(at(520)).empty());
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(DispatcherTest);
 
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -39,6 +39,8 @@
 constexpr size_t MaxUnsentBytes = 256 * KiB;
 
 constexpr unsigned StatusMisdirected = 421;
+constexpr unsigned StatusUnavailable = 503;
+constexpr std::string_view RetryAfterField = "Retry-After";
 
 TimePoint now() { return SteadyClock().now(); }
 
@@ -129,7 +131,7 @@
   RetryConditions Result;
   Result.IsTimeLeft = Accepted.Deadline - At > MinRetryTime;
   Result.IsBudgetLeft =
-      Flow.sends() == 0 || Context.Dispatch.hasRetryBudget(Service, At);
+      Flow.arrivals() == 0 || Context.Dispatch.hasRetryBudget(Service, At);
   return Result;
 }
 
@@ -171,8 +173,8 @@
     return;
   auto Self = shared_from_this();
   Ticket = 0;
-  if (!C.IsExpired) {
-    place();
+  if (C.Server) {
+    sendTo(*C.Server);
     return;
   }
   if (LastFault.empty())
@@ -261,10 +263,11 @@
   Unparsed.clear();
   Body.clear();
   HasHead = false;
+  Pause.reset();
   IsEventStream = false;
   HasBytes = false;
   HasEvent = false;
-  if (Flow.sends() > 0)
+  if (Flow.arrivals() > 0)
     Context.Dispatch.onRetry(Service, now());
   std::string Bytes = requestHead();
   Bytes += Accepted.Message.Body;
@@ -319,9 +322,43 @@
   }
 }
 
+void Forwarding::noteServerFields() {
+  std::string_view Value = Parser.head().header(Context.Names.Leaving);
+  if (Value.empty())
+    return;
+  LoadTracker &Tracker = Context.Dispatch.loadTracker();
+  if (Value != "1")
+    Tracker.onMalformedField(Server.Id, Context.Names.Leaving, Value);
+  else if (!isAnswerOfReplacement())
+    Tracker.onLeaving(Server, now());
+}
+
+std::optional<Duration> Forwarding::requestedPause() {
+  const http::ResponseHead &H = Parser.head();
+  std::string_view Value = H.header(RetryAfterField);
+  if (H.Status != StatusUnavailable || Value.empty())
+    return std::nullopt;
+  std::optional<Duration> Pause = parsePause(Value);
+  if (!Pause)
+    Context.Dispatch.loadTracker().onMalformedField(Server.Id, RetryAfterField,
+                                                    Value);
+  return Pause;
+}
+
+bool Forwarding::isAnswerOfReplacement() const {
+  const http::ResponseHead &H = Parser.head();
+  std::string_view Answering = H.header(Context.Names.AnsweringInstance);
+  return H.Status == StatusMisdirected && !Answering.empty() &&
+         Answering != Server.Id;
+}
+
 bool Forwarding::acceptHead() {
   HasHead = true;
   const http::ResponseHead &H = Parser.head();
+  noteServerFields();
+  Pause = requestedPause();
+  if (Pause)
+    Context.Dispatch.loadTracker().onPaused(Server, *Pause, now());
   bool IsStamped = !H.header(Context.Names.AnswerStamp).empty();
   if (isSuccess(H.Status) && !IsStamped) {
     onServerFault(ServerFault::Malformed, "missing-answer-stamp");
@@ -427,9 +464,7 @@
 void Forwarding::onDeclined() {
   const http::ResponseHead &H = Parser.head();
   LoadTracker &Tracker = Context.Dispatch.loadTracker();
-  std::string_view Answering = H.header(Context.Names.AnsweringInstance);
-  bool IsReplaced = H.Status == StatusMisdirected && !Answering.empty() &&
-                    Answering != Server.Id;
+  bool IsReplaced = isAnswerOfReplacement();
   // A server that declines a request although it has free slots is not full but
   // unavailable.
   bool IsUnavailable = H.Status == StatusMisdirected ||
@@ -438,14 +473,17 @@
   LastFault = "declined-" + std::to_string(H.Status);
   if (IsReplaced)
     Tracker.onReplaced(Server.Id);
-  else
+  else if (!Pause) // Otherwise, the server has stated when to come back.
     Tracker.onFault(
         Server.Id, IsUnavailable ? ServerFault::Unavailable : ServerFault::Full,
         now());
   Excluded.push_back(Server.Id);
   leaveServer(!IsReplaced);
-  RetryAfter =
-      IsUnavailable ? Dispatcher::RecoveringRetryAfter : DefaultRetryAfter;
+  if (Pause)
+    RetryAfter = Context.Dispatch.spread(*Pause);
+  else
+    RetryAfter =
+        IsUnavailable ? Dispatcher::RecoveringRetryAfter : DefaultRetryAfter;
   carryOut(IsReplaced ? Flow.onMisdirected(retryConditions())
                       : Flow.onDeclined(retryConditions()));
 }
--- a/libs/gateway/src/Gateway.cpp
+++ b/libs/gateway/src/Gateway.cpp
@@ -50,7 +50,7 @@
                 Waiting.emplace(Ticket, std::move(Request));
               },
               [this] { scheduleDispatch(); },
-              [this] { return Directory.version(); }} {}
+              [this] { return toString(Directory.version()); }} {}
 
 Gateway::~Gateway() = default;
 
@@ -235,7 +235,7 @@
   return "ready=" + std::to_string(isReady()) +
          " draining=" + std::to_string(IsDraining) +
          " config=" + std::to_string(configVersion()) +
-         " directory=" + std::to_string(Directory.version()) +
+         " directory=" + toString(Directory.version()) +
          " callers=" + std::to_string(Sessions.size()) +
          " active=" + std::to_string(activeRequests()) +
          " waiting=" + std::to_string(Dispatch.waiting()) +
--- a/libs/gateway/src/GatewayTest.cpp
+++ b/libs/gateway/src/GatewayTest.cpp
@@ -159,6 +159,11 @@
   CPPUNIT_TEST(requestWhenNoConfigurationIsKnownIsRefusedAsNotRun);
   CPPUNIT_TEST(atMostOnceWhenServerResetsIsSentOnce);
   CPPUNIT_TEST(atMostOnceWhenDeclinedReturnsNotRunAndRetryAfter);
+  CPPUNIT_TEST(burstWhenServersRefuseConnectionsIsAnsweredWithFewAttempts);
+  CPPUNIT_TEST(serverWhenItsAnswerSaysItLeavesReceivesNoMore);
+  CPPUNIT_TEST(streamsWhenTheirServerLeavesEndCompletely);
+  CPPUNIT_TEST(serverWhenItAsksForAPauseReceivesNoMore);
+  CPPUNIT_TEST(serverWhenItsPauseIsMalformedIsStillUsed);
   CPPUNIT_TEST(idempotentWhenServerResetsIsServedByAnother);
   CPPUNIT_TEST(idempotentWhenServerFailsIsServedByAnother);
   CPPUNIT_TEST(answerWhenWithoutStampIsNotForwarded);
@@ -244,7 +249,7 @@
       B.Slots = 4;
       List.push_back(B);
     }
-    Node->directory().replaceAll(List, ++DirectoryVersion, std::nullopt);
+    Node->directory().replaceAll(List, {0, ++DirectoryVersion}, std::nullopt);
     Node->onDirectoryChanged();
   }
   uint64_t DirectoryVersion = 0;
@@ -401,6 +406,111 @@
     CPPUNIT_ASSERT_EQUAL(size_t(1), requestsSeen().size());
   }
 
+  void burstWhenServersRefuseConnectionsIsAnsweredWithFewAttempts() {
+    // Nothing listens at these addresses any more.
+    Servers.clear();
+    constexpr size_t Burst = 40;
+    std::vector<std::unique_ptr<Caller>> Callers;
+    for (size_t I = 0; I < Burst; ++I)
+      Callers.push_back(call(request("/slow/x", "q" + std::to_string(I))));
+    runUntil([&] {
+      return std::all_of(Callers.begin(), Callers.end(),
+                         [](const auto &C) { return !C->Received.empty(); });
+    });
+    for (const auto &C : Callers) {
+      CPPUNIT_ASSERT(C->Received.starts_with("HTTP/1.1 503"));
+      CPPUNIT_ASSERT_EQUAL(size_t(1), count(C->Received, "Retry-After: "));
+    }
+    CPPUNIT_ASSERT(
+        Metrics->counter("ragwort_backend_connections_total").value() <=
+        Burst * RequestFlow::MaxConnectFailures);
+  }
+
+  void serverWhenItsAnswerSaysItLeavesReceivesNoMore() {
+    // Each kind of answer counts: success, failure, decline.
+    for (const char *Status :
+         {"200 OK", "404 Not Found", "500 Oops", "421 Elsewhere"}) {
+      tearDown();
+      setUp();
+      std::string Text = Status;
+      scriptBoth(
+          [Text](const std::string &R) {
+            return answer(
+                Text, idOf(R),
+                Stamp + "Ragwort-Leaving: 1\r\n" +
+                    (Text.starts_with("421") ? "Ragwort-Not-Run: 1\r\n" : ""),
+                "bye");
+          },
+          1);
+      exchange(request("/once/x", "q0"));
+      size_t Leaving = Servers[0]->Requests.empty() ? 1 : 0;
+      CPPUNIT_ASSERT_EQUAL(size_t(1), Servers[Leaving]->Requests.size());
+      for (auto &S : Servers)
+        S->Script.assign(10, served("fine"));
+      for (int I = 1; I <= 10; ++I)
+        exchange(request("/once/x", "q" + std::to_string(I)));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Text, size_t(1),
+                                   Servers[Leaving]->Requests.size());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Text, size_t(10),
+                                   Servers[1 - Leaving]->Requests.size());
+    }
+  }
+
+  void streamsWhenTheirServerLeavesEndCompletely() {
+    auto Begun = [](const std::string &R) {
+      return "HTTP/1.1 200 OK\r\nRagwort-Request-Id: " + idOf(R) + "\r\n" +
+             Stamp +
+             "Ragwort-Leaving: 1\r\nContent-Type: text/event-stream\r\n"
+             "Content-Length: 14\r\n\r\nid: 1\n\n";
+    };
+    scriptBoth(Begun);
+    auto C = call(request("/slow/x", "q"));
+    runUntil([&] { return count(C->Received, "id: 1") == 1; });
+    size_t Used = Servers[0]->Requests.empty() ? 1 : 0;
+    Servers[Used]->sendLate("id: 2\n\n");
+    runUntil([&] { return count(C->Received, "id: 2") == 1; });
+    CPPUNIT_ASSERT_EQUAL(size_t(1), requestsSeen().size());
+  }
+
+  void serverWhenItAsksForAPauseReceivesNoMore() {
+    scriptBoth(
+        [](const std::string &R) {
+          return answer("503 Busy", idOf(R),
+                        "Ragwort-Not-Run: 1\r\nRetry-After: 30\r\n", "");
+        },
+        10);
+    std::string Refused;
+    for (int I = 0; I < 8; ++I)
+      Refused = exchange(request("/once/x", "q" + std::to_string(I)));
+    // Each server was asked once. Later requests are refused at once, with the
+    // time that the servers named.
+    CPPUNIT_ASSERT_EQUAL(size_t(2), requestsSeen().size());
+    CPPUNIT_ASSERT(Refused.starts_with("HTTP/1.1 503"));
+    size_t At = Refused.find("Retry-After: ");
+    CPPUNIT_ASSERT(At != std::string::npos);
+    CPPUNIT_ASSERT(std::stod(Refused.substr(At + 13)) >= 29);
+  }
+
+  void serverWhenItsPauseIsMalformedIsStillUsed() {
+    auto Paused = [](const std::string &R) {
+      return answer("503 Busy", idOf(R),
+                    "Ragwort-Not-Run: 1\r\nRetry-After: soon\r\n"
+                    "Ragwort-Leaving: maybe\r\n",
+                    "");
+    };
+    for (auto &S : Servers) {
+      S->Script.push_back(Paused);
+      for (int I = 0; I < 4; ++I)
+        S->Script.push_back(served("fine"));
+    }
+    for (int I = 0; I < 2; ++I)
+      exchange(request("/once/x", "q" + std::to_string(I)));
+    // Declining with free slots makes a server unavailable for a short time.
+    runFor(std::chrono::milliseconds(700));
+    std::string Answer = exchange(request("/once/x", "q9"));
+    CPPUNIT_ASSERT(Answer.starts_with("HTTP/1.1 200"));
+  }
+
   void idempotentWhenServerResetsIsServedByAnother() {
     scriptFirst(literal(ScriptedServer::Reset), served("second"));
     std::string Got = exchange(request("/safe/", "r1"));
--- a/libs/gateway/src/LoadTracker.cpp
+++ b/libs/gateway/src/LoadTracker.cpp
@@ -4,6 +4,7 @@
 #include "ragwort/observe/Log.h"
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace ragwort::gateway {
 
@@ -77,10 +78,72 @@
     S.Entry = Entry;
     S.Key = hash64(Id);
     IdByKey[S.Key] = Id;
+    applyReports(S);
   }
   markSuperseded();
 }
 
+void LoadTracker::applyReports(Server &S) const {
+  S.IsLeaving = Reports.isLeaving(S.run());
+  S.PausedUntil = Reports.pausedUntil(S.run());
+  S.IsReturning |= S.PausedUntil != TimePoint();
+}
+
+void LoadTracker::markLeaving(Server &S, std::string_view Source) {
+  if (std::exchange(S.IsLeaving, true))
+    return;
+  logEvent(LogLevel::Info, "server-leaving",
+           {{"instance", S.Entry.Id},
+            {"source", Source},
+            {"own", S.OwnInFlight},
+            {"peers", S.PeerInFlight}});
+}
+
+void LoadTracker::onLeaving(const BackendInstance &Instance, TimePoint Now) {
+  ServerRun Run{hash64(Instance.Id), Instance.BornMillis};
+  Reports.setLeaving(Run, Now, /*IsOwn=*/true);
+  if (Server *S = find(Instance.Id); S && S->run() == Run)
+    markLeaving(*S, "answer");
+}
+
+void LoadTracker::onPeerLeaving(std::span<const ServerRun> Leaving,
+                                TimePoint Now) {
+  for (const ServerRun &Run : Leaving) {
+    Reports.setLeaving(Run, Now, /*IsOwn=*/false);
+    auto Id = IdByKey.find(Run.InstanceKey);
+    if (Id == IdByKey.end())
+      continue;
+    if (Server &S = Servers[Id->second]; S.run() == Run)
+      markLeaving(S, "peer");
+  }
+}
+
+void LoadTracker::onPaused(const BackendInstance &Instance, Duration Pause,
+                           TimePoint Now) {
+  ServerRun Run{hash64(Instance.Id), Instance.BornMillis};
+  Reports.setPaused(Run, Now + Pause, Now);
+  Server *S = find(Instance.Id);
+  if (!S || S->run() != Run)
+    return;
+  if (Now >= S->PausedUntil)
+    logEvent(LogLevel::Info, "server-paused",
+             {{"instance", Instance.Id},
+              {"pause_ms", Pause.count() / 1000},
+              {"own", S->OwnInFlight},
+              {"peers", S->PeerInFlight}});
+  applyReports(*S);
+  S->NextTrial = S->PausedUntil;
+}
+
+void LoadTracker::onMalformedField(std::string_view Id, std::string_view Field,
+                                   std::string_view Value) {
+  Server *S = find(Id);
+  if (!S || std::exchange(S->HasMalformedField, true))
+    return;
+  logEvent(LogLevel::Warning, "server-field-ignored",
+           {{"instance", Id}, {"field", Field}, {"value", Value}});
+}
+
 void LoadTracker::markSuperseded() {
   // An entry is removed only some heartbeats after its server has ended. Of the
   // instances at one address only the newest can be running.
@@ -114,10 +177,11 @@
   if (!S)
     return;
   ++S->OwnInFlight;
-  if (!S->IsUnavailable)
+  if (!S->IsUnavailable && !S->IsReturning)
     return;
   S->NextTrial = Now + TrialInterval;
-  NextTrials[S->Entry.Service] = Now + TrialInterval;
+  if (S->IsUnavailable)
+    NextTrials[S->Entry.Service] = Now + TrialInterval;
 }
 
 void LoadTracker::onEnded(std::string_view Id) {
@@ -141,6 +205,9 @@
   // does not show that it is available again.
   if (Now - Latency >= S->ReportedUnavailableAt)
     S->IsUnavailable = false;
+  // Nor does one to a request sent before the end of a pause.
+  if (Now - Latency >= S->PausedUntil)
+    S->IsReturning = false;
   S->NextEjection = FirstEjection;
 }
 
@@ -362,22 +429,36 @@
          TieBreak(Random);
 }
 
-bool LoadTracker::isRecovering(std::string_view Service) const {
-  bool HasServers = false;
+bool LoadTracker::isRecovering(std::string_view Service, TimePoint Now) const {
+  bool HasUnavailable = false;
   for (const auto &[Id, S] : Servers) {
-    if (S.Entry.Service != Service || !S.isUsable())
+    if (S.Entry.Service != Service || !S.isUsable() || Now < S.PausedUntil)
       continue;
     if (!S.IsUnavailable)
       return false;
-    HasServers = true;
+    HasUnavailable = true;
+  }
+  return HasUnavailable;
+}
+
+std::optional<TimePoint>
+LoadTracker::pauseEnd(std::string_view Service,
+                      std::span<const std::string> Excluded,
+                      TimePoint Now) const {
+  std::optional<TimePoint> First;
+  for (const auto &[Id, S] : Servers) {
+    if (S.Entry.Service != Service || !S.isUsable() || contains(Excluded, Id) ||
+        Now >= S.pauseEnd())
+      continue;
+    First = std::min(First.value_or(S.pauseEnd()), S.pauseEnd());
   }
-  return HasServers;
+  return First;
 }
 
 std::optional<Choice> LoadTracker::choose(std::string_view Service,
                                           std::span<const std::string> Excluded,
                                           TimePoint Now) {
-  if (isRecovering(Service)) {
+  if (isRecovering(Service, Now)) {
     auto Trial = NextTrials.find(Service);
     if (Trial != NextTrials.end() && Now < Trial->second)
       return std::nullopt;
@@ -386,7 +467,8 @@
   size_t Ejected = 0;
   size_t Stragglers = 0;
   for (const auto &[Id, S] : Servers) {
-    if (S.Entry.Service != Service || !S.isUsable() || S.IsUnavailable)
+    if (S.Entry.Service != Service || !S.isUsable() || S.IsUnavailable ||
+        Now < S.pauseEnd())
       continue;
     ++Usable;
     Ejected += Now < S.EjectedUntil;
@@ -402,7 +484,7 @@
     if (S.Entry.Service != Service || !S.isUsable() || contains(Excluded, Id) ||
         (SkipsEjected && Now < S.EjectedUntil) ||
         (SkipsStragglers && Now < S.StragglerUntil) ||
-        (S.IsUnavailable && Now < S.NextTrial))
+        (S.IsUnavailable && Now < S.NextTrial) || Now < S.pauseEnd())
       continue;
     Candidates.push_back(&S);
   }
@@ -491,6 +573,8 @@
             " latency_ms=" + std::to_string(std::lround(S.LatencyMillis)) +
             " gap_ms=" + std::to_string(std::lround(gapMillis(S, Now))) +
             (S.Entry.IsDraining ? " draining" : "") +
+            (S.IsLeaving ? " leaving" : "") +
+            (Now < S.PausedUntil ? " paused" : "") +
             (S.IsUnavailable ? " unavailable" : "") +
             (Now < S.StragglerUntil ? " straggler" : "") +
             (Now < S.EjectedUntil ? " ejected" : "") + "\n";
--- a/libs/gateway/src/LoadTrackerTest.cpp
+++ b/libs/gateway/src/LoadTrackerTest.cpp
@@ -13,6 +13,11 @@
   CPPUNIT_TEST(choiceWhenMostServersFailStillReturnsOne);
   CPPUNIT_TEST(choiceWhenNoServerIsAvailableAllowsOneTrialAtATime);
   CPPUNIT_TEST(choiceWhenAServerDrainsExcludesIt);
+  CPPUNIT_TEST(choiceWhenAServerSaysItLeavesExcludesItInThatRun);
+  CPPUNIT_TEST(choiceWhenAPeerSaysAServerLeavesExcludesIt);
+  CPPUNIT_TEST(choiceWhenALeavingServersEntryLapsesStillExcludesIt);
+  CPPUNIT_TEST(choiceWhenAServerPausesExcludesItUntilTheEnd);
+  CPPUNIT_TEST(choiceWhenAPausedServerRestartsTakesIt);
   CPPUNIT_TEST(choiceWhenAnAddressHasANewerInstanceTakesTheNewer);
   CPPUNIT_TEST(choiceWhenAServerWasReplacedExcludesItUntilItRestarts);
   CPPUNIT_TEST(choiceWhenAServerIsSlowPrefersTheOthers);
@@ -47,7 +52,7 @@
   }
 
   void list(std::vector<BackendInstance> Servers) {
-    Directory.replaceAll(std::move(Servers), ++Version, std::nullopt);
+    Directory.replaceAll(std::move(Servers), {0, ++Version}, std::nullopt);
     Tracker->sync(Directory);
   }
 
@@ -105,7 +110,7 @@
   void choiceWhenNoServerIsAvailableAllowsOneTrialAtATime() {
     for (const char *Id : {"a", "b", "c"})
       Tracker->onFault(Id, ServerFault::Unavailable, at(0));
-    CPPUNIT_ASSERT(Tracker->isRecovering("s"));
+    CPPUNIT_ASSERT(Tracker->isRecovering("s", at(100)));
     CPPUNIT_ASSERT_EQUAL(std::string(), chosen(at(100)));
     std::string Trial = chosen(at(400));
     CPPUNIT_ASSERT(!Trial.empty());
@@ -114,12 +119,78 @@
     // An answer to a request sent before the servers became unavailable does
     // not count.
     Tracker->onAnswered(Trial, std::chrono::milliseconds(450), at(405));
-    CPPUNIT_ASSERT(Tracker->isRecovering("s"));
+    CPPUNIT_ASSERT(Tracker->isRecovering("s", at(405)));
     Tracker->onAnswered(Trial, std::chrono::milliseconds(5), at(405));
-    CPPUNIT_ASSERT(!Tracker->isRecovering("s"));
+    CPPUNIT_ASSERT(!Tracker->isRecovering("s", at(405)));
     CPPUNIT_ASSERT(!chosen(at(460)).empty());
   }
 
+  static std::vector<BackendInstance> threeServers(uint64_t BornOfA = 1) {
+    return {instance("a", "10.0.0.1:1", BornOfA), instance("b", "10.0.0.2:1"),
+            instance("c", "10.0.0.3:1")};
+  }
+
+  /// Whether any of many choices returns server a.
+  bool isAChosen(TimePoint Now) {
+    for (int I = 0; I < 50; ++I)
+      if (chosen(Now) == "a")
+        return true;
+    return false;
+  }
+
+  void choiceWhenAServerSaysItLeavesExcludesItInThatRun() {
+    Tracker->onLeaving(instance("a", "10.0.0.1:1"), at(0));
+    CPPUNIT_ASSERT(!isAChosen(at(0)));
+    // Neither a further list that shows it nor time ends that.
+    list(threeServers());
+    CPPUNIT_ASSERT(!isAChosen(at(600'000)));
+    CPPUNIT_ASSERT(Tracker->ownLeaving(at(100)) ==
+                   std::vector<ServerRun>({ServerRun{hash64("a"), 1}}));
+    list(threeServers(/*BornOfA=*/2));
+    CPPUNIT_ASSERT(isAChosen(at(600'000)));
+  }
+
+  void choiceWhenAPeerSaysAServerLeavesExcludesIt() {
+    std::vector<ServerRun> Leaving = {{hash64("a"), 1}, {hash64("b"), 9}};
+    Tracker->onPeerLeaving(Leaving, at(0));
+    CPPUNIT_ASSERT(!isAChosen(at(0)));
+    CPPUNIT_ASSERT(Tracker->ownLeaving(at(0)).empty());
+    // The report on b is about a run that this node does not know yet.
+    std::vector<BackendInstance> List = threeServers();
+    List[1].BornMillis = 9;
+    list(List);
+    for (int I = 0; I < 50; ++I)
+      CPPUNIT_ASSERT_EQUAL(std::string("c"), chosen(at(0)));
+  }
+
+  void choiceWhenALeavingServersEntryLapsesStillExcludesIt() {
+    Tracker->onLeaving(instance("a", "10.0.0.1:1"), at(0));
+    list({instance("b", "10.0.0.2:1")});
+    list(threeServers());
+    CPPUNIT_ASSERT(!isAChosen(at(0)));
+  }
+
+  void choiceWhenAServerPausesExcludesItUntilTheEnd() {
+    Tracker->onPaused(instance("a", "10.0.0.1:1"), std::chrono::seconds(4),
+                      at(0));
+    CPPUNIT_ASSERT(!isAChosen(at(3999)));
+    // An agent's notice that its group has opened does not end the pause.
+    Tracker->onEngineNotice("10.0.0.1:1", EngineCondition::Closed, at(100));
+    Tracker->onEngineNotice("10.0.0.1:1", EngineCondition::Opened, at(200));
+    CPPUNIT_ASSERT(!isAChosen(at(3999)));
+    CPPUNIT_ASSERT(isAChosen(at(4000)));
+    Tracker->onStarted("a", at(4000));
+    CPPUNIT_ASSERT(!isAChosen(at(4100)));
+    CPPUNIT_ASSERT(!Tracker->isRecovering("s", at(4100)));
+  }
+
+  void choiceWhenAPausedServerRestartsTakesIt() {
+    Tracker->onPaused(instance("a", "10.0.0.1:1"), std::chrono::seconds(4),
+                      at(0));
+    list(threeServers(/*BornOfA=*/2));
+    CPPUNIT_ASSERT(isAChosen(at(1)));
+  }
+
   void choiceWhenAServerDrainsExcludesIt() {
     BackendInstance Leaving = instance("a", "10.0.0.1:1");
     Leaving.IsDraining = true;
@@ -206,11 +277,11 @@
     // agents' notices arrive.
     for (int Millis = 0; Millis <= 1500; Millis += 150) {
       notifyAll(EngineCondition::Closed, at(Millis));
-      CPPUNIT_ASSERT(Tracker->isRecovering("s"));
+      CPPUNIT_ASSERT(Tracker->isRecovering("s", at(Millis)));
       CPPUNIT_ASSERT_EQUAL(std::string(), chosen(at(Millis + 149)));
     }
     notifyAll(EngineCondition::Opened, at(1650));
-    CPPUNIT_ASSERT(!Tracker->isRecovering("s"));
+    CPPUNIT_ASSERT(!Tracker->isRecovering("s", at(1650)));
     CPPUNIT_ASSERT(!chosen(at(1650)).empty());
   }
 
@@ -306,7 +377,7 @@
       B.Slots = 10;
       List.push_back(B);
     }
-    Directory.replaceAll(List, ++Version, std::nullopt);
+    Directory.replaceAll(List, {0, ++Version}, std::nullopt);
     std::vector<std::unique_ptr<LoadTracker>> Trackers;
     for (size_t N = 0; N < Nodes; ++N) {
       Trackers.push_back(std::make_unique<LoadTracker>("here", N + 1));
--- a/libs/gateway/src/PeerExchange.cpp
+++ b/libs/gateway/src/PeerExchange.cpp
@@ -79,6 +79,9 @@
       Heartbeat.PeerIps.push_back(Ip);
   std::vector<std::string> Datagrams =
       encodeDigests(Node.dispatcher().loadTracker().ownConditions(now()));
+  std::vector<std::string> Leaving =
+      encodeLeaving(Node.dispatcher().loadTracker().ownLeaving(now()));
+  Datagrams.insert(Datagrams.end(), Leaving.begin(), Leaving.end());
   Datagrams.push_back(encodeHeartbeat(std::move(Heartbeat)));
   // Lost datagrams are not resent; the next heartbeat replaces them.
   for (const auto &[Ip, P] : Peers)
@@ -112,6 +115,10 @@
     if (auto Digest = decodeDigest(Datagram); Digest.ok())
       Node.dispatcher().loadTracker().onPeerConditions(Digest->Entries, now());
     return;
+  case LeavingDigest::Protocol:
+    if (auto Digest = decodeLeaving(Datagram); Digest.ok())
+      Node.dispatcher().loadTracker().onPeerLeaving(Digest->Leaving, now());
+    return;
   }
 }
 
@@ -250,10 +257,14 @@
   }
   logEvent(LogLevel::Info, "peer-directory-received",
            {{"peer", Ip},
-            {"version", Snapshot->Version},
+            {"version", toString(Snapshot->Version)},
             {"servers", Snapshot->Instances.size()}});
+  // This node may learn of a restore of the store from its peer.
+  std::optional<TimePoint> GraceUntil;
+  if (Snapshot->Version.Era > Node.directory().version().Era)
+    GraceUntil = now() + StoreRecoveryGrace;
   if (Node.directory().replaceAll(std::move(Snapshot->Instances),
-                                  Snapshot->Version, std::nullopt))
+                                  Snapshot->Version, GraceUntil))
     Node.onDirectoryChanged();
 }
 
@@ -284,7 +295,7 @@
                  ? std::string("never")
                  : std::to_string((At - P.LastHeardAt).count() / 1000)) +
             " config=" + std::to_string(P.ConfigVersion) +
-            " directory=" + std::to_string(P.DirectoryVersion) +
+            " directory=" + toString(P.DirectoryVersion) +
             (P.IsLeaving ? " leaving" : "") + "\n";
   return Text;
 }
--- a/libs/gateway/src/PeerHeartbeat.cpp
+++ b/libs/gateway/src/PeerHeartbeat.cpp
@@ -23,6 +23,14 @@
   Report.GapMillis = Gap;
 }
 
+template <class Archive> void serialize(Archive &Ar, StoreVersion &V) {
+  Ar(V.Era, V.Number);
+}
+
+template <class Archive> void serialize(Archive &Ar, ServerRun &Run) {
+  Ar(Run.InstanceKey, Run.BornMillis);
+}
+
 template <class Archive> void serialize(Archive &Ar, BackendInstance &B) {
   using wire::MaxNameBytes;
   wire::transferText(Ar, B.Id, MaxNameBytes);
@@ -70,6 +78,27 @@
   wire::transferList(Ar, Digest.Entries, MaxPeerDatagramBytes);
 }
 
+template <class Archive> void serialize(Archive &Ar, LeavingDigest &Digest) {
+  wire::transferProtocol(Ar, LeavingDigest::Protocol);
+  wire::transferList(Ar, Digest.Leaving, MaxPeerDatagramBytes);
+}
+
+/// Datagrams of type \p Digest with all of \p Entries, each of which takes
+/// \p EntryBytes.
+template <class Digest, class Entry>
+std::vector<std::string> encodeInParts(std::span<const Entry> Entries,
+                                       size_t EntryBytes) {
+  const size_t EntriesPerDatagram =
+      (MaxPeerDatagramBytes - HeaderBytes) / EntryBytes;
+  std::vector<std::string> Result;
+  while (!Entries.empty()) {
+    auto Part = Entries.first(std::min(Entries.size(), EntriesPerDatagram));
+    Result.push_back(wire::toArchive(Digest{{Part.begin(), Part.end()}}));
+    Entries = Entries.subspan(Part.size());
+  }
+  return Result;
+}
+
 std::string encodeHeartbeat(PeerHeartbeat Heartbeat) {
   std::string Bytes = wire::toArchive(Heartbeat);
   if (Bytes.size() <= MaxPeerDatagramBytes)
@@ -104,21 +133,21 @@
 std::vector<std::string>
 encodeDigests(std::span<const EngineConditionReport> Entries) {
   // An entry takes its key and one byte for the condition.
-  constexpr size_t EntriesPerDatagram =
-      (MaxPeerDatagramBytes - HeaderBytes) / (sizeof(uint64_t) + 1);
-  std::vector<std::string> Result;
-  while (!Entries.empty()) {
-    auto Part = Entries.first(std::min(Entries.size(), EntriesPerDatagram));
-    Result.push_back(wire::toArchive(NoticeDigest{{Part.begin(), Part.end()}}));
-    Entries = Entries.subspan(Part.size());
-  }
-  return Result;
+  return encodeInParts<NoticeDigest>(Entries, sizeof(uint64_t) + 1);
 }
 
 absl::StatusOr<NoticeDigest> decodeDigest(std::string_view Datagram) {
   return wire::fromDatagram<NoticeDigest>(Datagram, MaxPeerDatagramBytes);
 }
 
+std::vector<std::string> encodeLeaving(std::span<const ServerRun> Leaving) {
+  return encodeInParts<LeavingDigest>(Leaving, sizeof(ServerRun));
+}
+
+absl::StatusOr<LeavingDigest> decodeLeaving(std::string_view Datagram) {
+  return wire::fromDatagram<LeavingDigest>(Datagram, MaxPeerDatagramBytes);
+}
+
 std::string encodeDirectory(const DirectorySnapshot &Snapshot) {
   return wire::toArchive(Snapshot);
 }
--- a/libs/gateway/src/PeerHeartbeatTest.cpp
+++ b/libs/gateway/src/PeerHeartbeatTest.cpp
@@ -13,6 +13,7 @@
   CPPUNIT_TEST(noticeWhenDecodedAsHeartbeatIsRejected);
   CPPUNIT_TEST(digestsWhenEncodedHoldAllEntries);
   CPPUNIT_TEST(digestWhenTruncatedOrCorruptNeverThrows);
+  CPPUNIT_TEST(leavingServersWhenEncodedAreAllSent);
   CPPUNIT_TEST(directoryWhenDecodedEqualsTheEncodedOne);
   CPPUNIT_TEST_SUITE_END();
 
@@ -21,7 +22,7 @@
     B.Node = "n1";
     B.Incarnation = 7;
     B.ConfigVersion = 3;
-    B.DirectoryVersion = 44;
+    B.DirectoryVersion = {2, 44};
     B.InFlight = {{1, 2, 0}, {3, 4, 85}};
     B.PeerIps = {"10.0.0.1", "10.0.0.2"};
     return B;
@@ -32,13 +33,30 @@
     auto Back = decodeHeartbeat(encodeHeartbeat(heartbeat()));
     CPPUNIT_ASSERT(Back.ok());
     CPPUNIT_ASSERT_EQUAL(std::string("n1"), Back->Node);
-    CPPUNIT_ASSERT_EQUAL(uint64_t(44), Back->DirectoryVersion);
+    CPPUNIT_ASSERT(Back->DirectoryVersion == StoreVersion({2, 44}));
     CPPUNIT_ASSERT_EQUAL(size_t(2), Back->InFlight.size());
     CPPUNIT_ASSERT_EQUAL(4u, Back->InFlight[1].Count);
     CPPUNIT_ASSERT_EQUAL(85u, Back->InFlight[1].GapMillis);
     CPPUNIT_ASSERT(Back->PeerIps == heartbeat().PeerIps);
   }
 
+  void leavingServersWhenEncodedAreAllSent() {
+    std::vector<ServerRun> Runs;
+    for (uint64_t I = 0; I < 300; ++I)
+      Runs.push_back({I, I * 1000});
+    std::vector<ServerRun> Back;
+    for (const std::string &Bytes : encodeLeaving(Runs)) {
+      CPPUNIT_ASSERT(Bytes.size() <= MaxPeerDatagramBytes);
+      auto Digest = decodeLeaving(Bytes);
+      CPPUNIT_ASSERT(Digest.ok());
+      Back.insert(Back.end(), Digest->Leaving.begin(), Digest->Leaving.end());
+      for (size_t Size = 0; Size < Bytes.size(); ++Size)
+        CPPUNIT_ASSERT(!decodeLeaving(Bytes.substr(0, Size)).ok());
+    }
+    CPPUNIT_ASSERT(Back == Runs);
+    CPPUNIT_ASSERT(encodeLeaving({}).empty());
+  }
+
   void heartbeatWhenTooLargeKeepsTheHighestLoads() {
     PeerHeartbeat Large = heartbeat();
     for (uint32_t I = 0; I < 1000; ++I)
@@ -107,12 +125,12 @@
   }
 
   void directoryWhenDecodedEqualsTheEncodedOne() {
-    DirectorySnapshot S{9, {BackendInstance()}};
+    DirectorySnapshot S{{1, 9}, {BackendInstance()}};
     S.Instances[0].Id = "i";
     S.Instances[0].IsDraining = true;
     auto Back = decodeDirectory(encodeDirectory(S));
     CPPUNIT_ASSERT(Back.ok());
-    CPPUNIT_ASSERT_EQUAL(uint64_t(9), Back->Version);
+    CPPUNIT_ASSERT(Back->Version == StoreVersion({1, 9}));
     CPPUNIT_ASSERT(Back->Instances == S.Instances);
   }
 };
--- a/libs/gateway/src/RequestFlow.cpp
+++ b/libs/gateway/src/RequestFlow.cpp
@@ -44,7 +44,9 @@
 
 Step RequestFlow::onConnectFailed(RetryConditions Conditions) {
   // A failed connect is not a send: it uses neither attempts nor retry budget.
-  return Conditions.IsTimeLeft ? Step::TryAnother : giveUp();
+  if (++ConnectFailures >= MaxConnectFailures || !Conditions.IsTimeLeft)
+    return giveUp();
+  return Step::TryAnother;
 }
 
 void RequestFlow::onSent() {
@@ -53,6 +55,7 @@
   if (Repeat == Repeatability::AtMostOnce && UnknownSends > 0)
     std::abort();
   ++Sends;
+  ++Arrivals;
   ++UnknownSends;
 }
 
--- a/libs/gateway/src/RequestFlowTest.cpp
+++ b/libs/gateway/src/RequestFlowTest.cpp
@@ -11,7 +11,9 @@
   CPPUNIT_TEST(connectFailureWhenTimeIsLeftTriesAnother);
   CPPUNIT_TEST(declineWhenAttemptsAreLeftTriesAnother);
   CPPUNIT_TEST(declineWhenAttemptsAreUsedIsRefusedAsNotRun);
+  CPPUNIT_TEST(connectFailuresWhenManyAreGivenUp);
   CPPUNIT_TEST(misdirectionWhenRepeatedIsBounded);
+  CPPUNIT_TEST(misdirectionWhenUncountedAsSendIsAnArrival);
   CPPUNIT_TEST(breakWhenAtMostOnceIsUnknownAndNeverSentAgain);
   CPPUNIT_TEST(breakWhenIdempotentTriesAnotherThenIsUnknown);
   CPPUNIT_TEST(declineWhenAnEarlierSendBrokeIsStillUnknown);
@@ -45,6 +47,22 @@
     checkStep(Step::RefuseNotRun, Flow.onConnectFailed({false, true}));
   }
 
+  void connectFailuresWhenManyAreGivenUp() {
+    RequestFlow Flow(Repeatability::Idempotent, 2);
+    for (uint32_t I = 1; I < RequestFlow::MaxConnectFailures; ++I)
+      checkStep(Step::TryAnother, Flow.onConnectFailed(Conditions));
+    checkStep(Step::RefuseNotRun, Flow.onConnectFailed(Conditions));
+  }
+
+  // Each of them loads some server, so each but the first is a retry.
+  void misdirectionWhenUncountedAsSendIsAnArrival() {
+    RequestFlow Flow(Repeatability::AtMostOnce, 1);
+    Flow.onSent();
+    checkStep(Step::RefuseNotRun, Flow.onMisdirected({true, false}));
+    CPPUNIT_ASSERT_EQUAL(uint32_t(0), Flow.sends());
+    CPPUNIT_ASSERT_EQUAL(uint32_t(1), Flow.arrivals());
+  }
+
   void declineWhenAttemptsAreLeftTriesAnother() {
     RequestFlow Flow(Repeatability::AtMostOnce, 2);
     Flow.onSent();
--- a/libs/gateway/src/StoreSinks.cpp
+++ b/libs/gateway/src/StoreSinks.cpp
@@ -53,7 +53,7 @@
     if (auto Instance = decodeRow(Row))
       Listed.push_back(std::move(*Instance));
   logEvent(LogLevel::Info, "directory-listed",
-           {{"version", List.Version},
+           {{"version", toString(List.Version)},
             {"servers", Listed.size()},
             {"grace", int(GraceUntil.has_value())}});
   Node.directory().replaceAll(std::move(Listed), List.Version, GraceUntil);
--- a/libs/gateway/src/TableFollowerTest.cpp
+++ b/libs/gateway/src/TableFollowerTest.cpp
@@ -9,14 +9,17 @@
 
 /// A store whose responses are scripted.
 struct ScriptedStore {
-  enum class Answer : uint8_t { Ok, Fail, HistoryLost };
+  enum class Answer : uint8_t { Ok, Fail, HistoryLost, Restored };
 
   asio::awaitable<absl::StatusOr<RowList>> list(std::string) {
     ++Lists;
-    if (next() == Answer::Fail)
+    Answer Next = next();
+    if (Next == Answer::Fail)
       co_return absl::UnavailableError("store is unavailable");
+    if (Next == Answer::Restored)
+      restore();
     RowList List;
-    List.Version = ++Version;
+    List.Version = nextVersion();
     co_return List;
   }
 
@@ -27,12 +30,25 @@
     Answer Next = next();
     if (Next == Answer::Fail)
       co_return absl::UnavailableError("store is unavailable");
+    if (Next == Answer::Restored)
+      restore();
     RowChanges Changes;
     Changes.IsHistoryLost = Next == Answer::HistoryLost;
-    Changes.Version = ++Version;
+    Changes.Version = nextVersion();
     co_return Changes;
   }
 
+  StoreVersion nextVersion() {
+    ++Version.Number;
+    return Version;
+  }
+
+  // Gives out the last ten numbers again.
+  void restore() {
+    ++Version.Era;
+    Version.Number -= 10;
+  }
+
   Answer next() {
     if (Script.empty()) {
       OnScriptEnd();
@@ -45,7 +61,7 @@
 
   std::deque<Answer> Script;
   std::function<void()> OnScriptEnd;
-  uint64_t Version = 40;
+  StoreVersion Version{1, 40};
   uint64_t LastAfter = 0;
   Duration LastWait{0};
   int Lists = 0;
@@ -72,6 +88,9 @@
   CPPUNIT_TEST(followerWhenHistoryIsLostListsAgainWithoutGrace);
   CPPUNIT_TEST(followerWhenRelaxedPollsLonger);
   CPPUNIT_TEST(followerWhenTheFirstCallFailsListsWithoutGrace);
+  CPPUNIT_TEST(followerWhenTheStoreIsRestoredListsAgainWithGrace);
+  CPPUNIT_TEST(followerWhenTheStoreIsRestoredTwiceListsForTheLastEra);
+  CPPUNIT_TEST(followerWhenTheStoreIsRestoredInAnOutageListsAgain);
   CPPUNIT_TEST_SUITE_END();
 
   using Answer = ScriptedStore::Answer;
@@ -86,6 +105,7 @@
     FollowerTiming Timing;
     Timing.InitialBackoff = Duration(10);
     Timing.MaxBackoff = Duration(10);
+    Timing.RestoredListSpread = Duration(10);
     Timing.IsRelaxed = [IsRelaxed] { return IsRelaxed; };
     TableFollower Follower(Io, Store, "t", Sink, Timing, 1);
     Store.OnScriptEnd = [&Follower] { Follower.stop(); };
@@ -129,6 +149,31 @@
     CPPUNIT_ASSERT_EQUAL(std::string("lc"),
                          seen({Answer::Fail, Answer::Ok, Answer::Ok}));
   }
+
+  // The numbers of the restored store rise beyond the last known one while the
+  // node is not looking, so the changes after that one would lack some.
+  void followerWhenTheStoreIsRestoredListsAgainWithGrace() {
+    CPPUNIT_ASSERT_EQUAL(std::string("lcLC"),
+                         seen({Answer::Ok, Answer::Ok, Answer::Restored,
+                               Answer::Ok, Answer::Ok}));
+    CPPUNIT_ASSERT_EQUAL(2, Store.Lists);
+    CPPUNIT_ASSERT_EQUAL(uint64_t(2), Store.Version.Era);
+    // It resumes at a number of the new era, below those of the old one.
+    CPPUNIT_ASSERT_EQUAL(uint64_t(35), Store.LastAfter);
+  }
+
+  void followerWhenTheStoreIsRestoredTwiceListsForTheLastEra() {
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("lLC"),
+        seen({Answer::Ok, Answer::Restored, Answer::Restored, Answer::Ok}));
+    CPPUNIT_ASSERT_EQUAL(uint64_t(3), Store.Version.Era);
+  }
+
+  void followerWhenTheStoreIsRestoredInAnOutageListsAgain() {
+    CPPUNIT_ASSERT_EQUAL(std::string("lcLC"),
+                         seen({Answer::Ok, Answer::Ok, Answer::Fail,
+                               Answer::Restored, Answer::Ok, Answer::Ok}));
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(TableFollowerTest);
 
--- a/libs/gateway/src/WaitQueue.cpp
+++ b/libs/gateway/src/WaitQueue.cpp
@@ -18,17 +18,15 @@
   KeyByTicket.erase(Found);
 }
 
-std::optional<uint64_t> WaitQueue::pop(TimePoint Now) {
-  if (Waiters.empty())
-    return std::nullopt;
-  auto Next = std::find_if(Waiters.begin(), Waiters.end(), [Now](auto &Item) {
-    return Now <= Item.second.OnTimeUntil;
+std::vector<const Waiter *> WaitQueue::startingOrder(TimePoint Now) const {
+  std::vector<const Waiter *> Order;
+  Order.reserve(Waiters.size());
+  for (const auto &[Key, W] : Waiters)
+    Order.push_back(&W);
+  std::stable_partition(Order.begin(), Order.end(), [Now](const Waiter *W) {
+    return Now <= W->OnTimeUntil;
   });
-  if (Next == Waiters.end())
-    Next = Waiters.begin();
-  uint64_t Ticket = Next->second.Ticket;
-  remove(Ticket);
-  return Ticket;
+  return Order;
 }
 
 std::vector<uint64_t> WaitQueue::takeExpired(TimePoint Now) {
--- a/testing/soak/backends.py
+++ b/testing/soak/backends.py
@@ -12,7 +12,9 @@
 # Faults that affect the response to a request after it has been executed.
 EXECUTED_FAULT_MODES = ["fail", "reset", "lose", "garble", "extra", "cut_event",
                         "hang"]
-FAULT_MODES = EXECUTED_FAULT_MODES + ["decline"]
+FAULT_MODES = EXECUTED_FAULT_MODES + ["decline", "pause"]
+# Pauses that a server asks for, in seconds.
+PAUSES_S = [0.8, 1.5, 3.0]
 
 
 async def read_head(reader):
@@ -40,6 +42,8 @@
     def __init__(self):
         self.executions = {}
         self.arrivals = []
+        # (time, request, backend, seconds) of the declines that asked for a pause.
+        self.pauses = []
 
     def record_arrival(self, request_id, backend):
         self.arrivals.append((time.monotonic(), request_id, backend))
@@ -66,6 +70,8 @@
         self.fault_probability = 0.0
         self.state = "ready"
         self.drained_at = None
+        # Whether it says in its responses that it is leaving, once it is.
+        self.announces_leaving = random.random() < 0.7
         self.link = None
         self._server = None
         self._writers = set()
@@ -117,6 +123,14 @@
             self._write_response(writer, 503, request_id, "Not-Executed: 1\r\n",
                                  b"")
             return True
+        if fault == "pause":
+            pause_s = self.random.choice(PAUSES_S)
+            self.ledger.pauses.append(
+                (time.monotonic(), request_id, self, pause_s))
+            self._write_response(
+                writer, 503, request_id,
+                f"Not-Executed: 1\r\nRetry-After: {pause_s}\r\n", b"")
+            return True
         self.ledger.record_execution(request_id, self, headers,
                                      request_digest(method, target, body))
         await asyncio.sleep(SERVICE_TIME_S)
@@ -141,7 +155,10 @@
         return True
 
     def _stamp_header(self, request_id):
-        return f"Server-Stamp: {self.id}.{request_id}\r\n"
+        leaving = ""
+        if self.announces_leaving and self.state in ("leaving", "draining"):
+            leaving = "Server-Leaving: 1\r\n"
+        return f"Server-Stamp: {self.id}.{request_id}\r\n{leaving}"
 
     def _write_response(self, writer, status, request_id, extra_headers, body):
         writer.write(
--- a/testing/soak/invariants.py
+++ b/testing/soak/invariants.py
@@ -7,6 +7,10 @@
 CONFIG_PROPAGATION_S = 2.0
 DRAIN_PROPAGATION_S = 2.0
 ROLLBACK_SLACK_S = 0.25
+# Time from a decline with a pause after which at most PAUSE_ALLOWANCE more
+# requests may arrive from the same node until the end of the pause.
+PAUSE_SLACK_S = 0.5
+PAUSE_ALLOWANCE = 2
 # A node is assumed to have read a request that was open for longer than this.
 READ_ASSUMED_AFTER_S = 0.2
 # Minimum share of the requests after the recovery phase that must be served.
@@ -23,6 +27,8 @@
         failures += check_no_lost_requests(run, request, executions)
     failures += check_no_unsent_requests(run)
     failures += check_drain(run)
+    failures += check_leaving(run)
+    failures += check_pauses(run)
     failures += check_config(run)
     failures += check_recovery(run)
     return failures
@@ -104,6 +110,62 @@
     return failures
 
 
+def stood_still(run, name, begin, end):
+    """Whether the node was paused between begin and end."""
+    return any(start < end and stop > begin
+               for node in run.nodes if node.name == name
+               for start, stop in node.paused)
+
+
+def check_leaving(run):
+    """A node that has passed on an answer of a leaving server sends it nothing more,
+    in reach of the store or not."""
+    by_id = {request.id: request for request in run.requests}
+    # By node, incarnation and backend server: end of the first such answer.
+    told = {}
+    for request in run.requests:
+        if request.outcome != "complete" \
+                or request.response_headers.get("server-leaving") != "1":
+            continue
+        server = request.response_headers["server-stamp"].split(".")[0]
+        key = (request.node, request.incarnation, server)
+        told[key] = min(told.get(key, request.ended_at), request.ended_at)
+    failures = []
+    for at, request_id, backend in run.ledger.arrivals:
+        request = by_id.get(request_id)
+        if not request:
+            continue
+        since = told.get((request.node, request.incarnation, backend.id))
+        if since and request.sent_at > since + DRAIN_PROPAGATION_S \
+                and not stood_still(run, request.node, since, at):
+            failures.append(f"{request_id} from {request.node} reached {backend.id} "
+                            f"{at - since:.2f} s after it had said that it leaves")
+    return failures
+
+
+def check_pauses(run):
+    """A server that asked a node for a pause hears little from it until the end."""
+    by_id = {request.id: request for request in run.requests}
+    disturbed = [f for f in run.fault_windows
+                 if f[2].split()[0] in ("link", "kill", "start", "crash", "machine")]
+    failures = []
+    for told_at, told_id, backend, pause_s in run.ledger.pauses:
+        asker = by_id.get(told_id)
+        begin, end = told_at + PAUSE_SLACK_S, told_at + pause_s
+        if not asker or stood_still(run, asker.node, told_at, end) or any(
+                start < end and stop > told_at for start, stop, _ in disturbed):
+            continue
+        later = [id for at, id, other in run.ledger.arrivals
+                 if other is backend and begin < at < end and id in by_id
+                 and (by_id[id].node, by_id[id].incarnation)
+                 == (asker.node, asker.incarnation)]
+        if len(later) > PAUSE_ALLOWANCE:
+            failures.append(f"{len(later)} requests from {asker.node} reached "
+                            f"{backend.id} within the {pause_s} s for which it had "
+                            f"asked for none, such as {later[0]}")
+    return failures
+
+
 def service_of(version):
     """Returns the service to which a configuration version routes /moved/."""
     return f"m{version % 3}"
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -6,9 +6,10 @@
 Each seed starts entry nodes and a store, simulates callers and backend servers
 in this process, and injects faults: links that delay or reset their connections
 or forward nothing in one or both directions; signals that stop, pause and kill
-nodes, which are then restarted; a store that is down, slow, loses responses or
-forgets its history; backend servers that send faulty responses, leave, crash
-and pass their address on to another service. The invariants are checked on what
+nodes, which are then restarted; a store that is down, slow, loses responses,
+forgets its history or is restored from an older copy; backend servers that send
+faulty responses, ask for a pause, leave, crash and pass their address on to
+another service. The invariants are checked on what
 callers and backend servers recorded. Seeds in regressions.txt are always
 included.
 """
@@ -57,6 +58,8 @@
         self.store_link = Link(("127.0.0.1", run.store_port))
         self.settings_path = os.path.join(run.dir, f"{self.name}.conf")
         self.popen = None
+        # (begin, end) of the times in which it stood still.
+        self.paused = []
         self.incarnation = 0
         self.in_rotation = False
         self.should_run = True
@@ -139,6 +142,9 @@
         # (acknowledged at, version). The service of /moved/ rotates with the
         # version.
         self.acknowledged_versions = []
+        self.last_config = None
+        # Ids of the servers whose rows were removed.
+        self.removed_servers = []
         # (begin, end, cause): times in which the time bounds are not checked.
         self.fault_windows = []
         # (begin, end, node, operation)
@@ -179,6 +185,10 @@
         self.sequence += 1
         await self.write_row("servers", backend.id, backend.to_row(self.sequence))
 
+    async def remove_server_row(self, backend):
+        self.removed_servers.append(backend.id)
+        await self.write_row("servers", backend.id, None)
+
     async def change_config(self):
         version = self.version + self.random.randrange(1, 4)
         moved = f"m{version % 3}"
@@ -188,12 +198,13 @@
             self.route("moved", "safe", moved, 2),
         ]
         self.version = version
-        await self.write_row("op", "config", {
+        self.last_config = {
             "version": version, "routes": routes,
             "services": [{"name": n} for n in ("pay", "draft", "m0", "m1", "m2")],
             "limits": {"maxHeaderBytes": 8192, "maxBodyBytes": 65536,
                        "headerTimeoutMs": 2000, "idleTimeoutMs": 15000},
-            "tenants": [{"name": "org-one", "apiKeys": ["key-one"]}]})
+            "tenants": [{"name": "org-one", "apiKeys": ["key-one"]}]}
+        await self.write_row("op", "config", self.last_config)
         self.acknowledged_versions.append((time.monotonic(), version))
 
     @staticmethod
@@ -259,6 +270,27 @@
         await asyncio.sleep(length)
         await self.call_store("/faults", restored)
 
+    async def fault_restore(self):
+        """Takes the store away for a moment and restores it from an older copy. The
+        operator and the servers then write again what they wrote; the rows of
+        servers that have left go once the store finds them silent."""
+        down_s = self.random.uniform(0.0, 1.0)
+        lost_s = self.random.uniform(0.5, 6.0)
+        self.record_fault("store restore", down_s + CRASHED_ROW_LIFETIME_S)
+        await self.call_store("/faults", {"down": True})
+        await asyncio.sleep(down_s)
+        await self.call_store("/faults", {"restore_s": lost_s})
+        await self.call_store("/faults", {"down": False})
+        if self.last_config:
+            await self.write_row("op", "config", self.last_config)
+        for backend in list(self.backends):
+            await asyncio.sleep(self.random.uniform(0.0, 0.2))
+            if backend in self.backends and backend.state in ("ready", "draining"):
+                await self.write_server_row(backend)
+        await asyncio.sleep(CRASHED_ROW_LIFETIME_S - 2.0)
+        for server_id in list(self.removed_servers):
+            await self.write_row("servers", server_id, None)
+
     async def fault_kill(self):
         node = self.random.choice(self.nodes)
         if not node.should_run:
@@ -275,6 +307,7 @@
         node = self.random.choice(self.nodes)
         length = self.random.uniform(0.2, 3.0)
         self.record_fault("pause", length)
+        node.paused.append((time.monotonic(), time.monotonic() + length))
         node.send_signal(signal.SIGSTOP)
         await asyncio.sleep(length)
         node.send_signal(signal.SIGCONT)
@@ -316,7 +349,7 @@
         old.drained_at = time.monotonic()
         await asyncio.sleep(4)
         self.backends.remove(old)
-        await self.write_row("servers", old.id, None)
+        await self.remove_server_row(old)
         await old.stop()
 
     async def fault_crash(self):
@@ -338,7 +371,7 @@
         other = self.random.choice(["pay", "draft", "m0"])
         await self.add_backend(other, old.port, old.link)
         await asyncio.sleep(CRASHED_ROW_LIFETIME_S - 2.0)
-        await self.write_row("servers", old.id, None)
+        await self.remove_server_row(old)
         if other != old.service:
             await self.add_backend(old.service)
 
@@ -352,10 +385,10 @@
         backend.fault_mode = None
 
     async def inject(self, until):
-        kinds = [self.fault_link, self.fault_link, self.fault_store, self.fault_kill,
-                 self.fault_pause, self.plan_stop, self.plan_stop, self.plan_reload,
+        kinds = [self.fault_link, self.fault_link, self.fault_store,
+                 self.fault_restore, self.fault_kill, self.fault_pause, self.plan_stop, self.plan_stop, self.plan_reload,
                  self.plan_config, self.plan_config, self.plan_drain, self.fault_crash,
-                 self.fault_mode]
+                 self.fault_mode, self.fault_mode]
         # Every fourth seed has planned operations only, which must not cut any
         # request.
         if self.seed % 4 == 0:
--- a/testing/standins/Platform.cpp
+++ b/testing/standins/Platform.cpp
@@ -3,14 +3,18 @@
 // Implements the platform's published interfaces for tables, objects, weights
 // and the instance list. POST /faults sets any of: down (bool),
 // delay_ms, lose_answers (number of transactions that are applied but get no
-// response), list_lag_ms, forget_history (bool). /faults and /register/ are not
-// subject to faults. GET /calls returns the number of calls of each path.
+// response), list_lag_ms, forget_history (bool), restore (number of the last
+// transactions that are lost), restore_s (seconds of transactions that are
+// lost), stated_era (text in place of the era; null for the true one). /faults
+// and /register/ are not subject to faults. GET /calls returns the number of
+// calls of each path.
 //
 //===----------------------------------------------------------------------===//
 #include "Standin.h"
 #include <algorithm>
 #include <deque>
 #include <map>
+#include <optional>
 #include <tuple>
 
 namespace ragwort::standin {
@@ -32,6 +36,14 @@
   bool IsRemoved = false;
 };
 
+/// What a row was before a transaction changed it; nothing if it did not exist.
+struct Undo {
+  Clock::time_point At;
+  uint64_t Version = 0;
+  RowId Id;
+  std::optional<StoredRow> Before;
+};
+
 class Platform final : public Service {
 public:
   asio::awaitable<void> handle(http::Exchange &X) override {
@@ -63,6 +75,9 @@
       --AnswersToDrop;
       co_return;
     }
+    std::string StatedEra = EraOverride.value_or(std::to_string(Era));
+    if (!StatedEra.empty())
+      Answer.Head.Headers.push_back({"Store-Era", std::move(StatedEra)});
     co_await X.respond(std::move(Answer));
   }
 
@@ -142,11 +157,12 @@
         std::strtoull(queryValue(R.Target, "after").c_str(), nullptr, 10);
     int64_t WaitMillis =
         std::strtoll(queryValue(R.Target, "waitMs").c_str(), nullptr, 10);
-    if (After < OldestVersion)
-      co_return jsonResponse(410, newestVersion());
     auto End = Clock::now() + std::chrono::milliseconds(WaitMillis);
     std::vector<std::pair<uint64_t, Json>> ChangedRows;
     while (true) {
+      // The store may be restored while it waits.
+      if (After < OldestVersion || After > NewestVersion)
+        co_return jsonResponse(410, newestVersion());
       for (const auto &[Id, Row] : Rows)
         if (std::get<0>(Id) == Table && Row.Version > After)
           ChangedRows.emplace_back(Row.Version, rowJson(Id, Row));
@@ -175,13 +191,39 @@
       }
     ++NewestVersion;
     for (const Json &Upsert : Body["upserts"])
-      Rows[rowIdOf(Upsert)] = {NewestVersion,
-                               Upsert["value"].get<std::string>(), false};
+      setRow(rowIdOf(Upsert),
+             {NewestVersion, Upsert["value"].get<std::string>(), false});
     for (const Json &Removed : Body["remove"])
-      Rows[rowIdOf(Removed)] = {NewestVersion, "", true};
+      setRow(rowIdOf(Removed), {NewestVersion, "", true});
     return jsonResponse(200, newestVersion());
   }
 
+  void setRow(const RowId &Id, StoredRow Row) {
+    std::optional<StoredRow> Before;
+    if (auto Found = Rows.find(Id); Found != Rows.end())
+      Before = Found->second;
+    Undos.push_back({Clock::now(), Row.Version, Id, std::move(Before)});
+    if (Undos.size() > MaxUndos)
+      Undos.pop_front();
+    Rows[Id] = std::move(Row);
+  }
+
+  /// Goes back to the state before the changes that satisfy \p IsLost. They
+  /// must be the latest ones.
+  template <class Condition> void restore(Condition IsLost) {
+    while (!Undos.empty() && IsLost(Undos.back())) {
+      Undo &Last = Undos.back();
+      if (Last.Before)
+        Rows[Last.Id] = std::move(*Last.Before);
+      else
+        Rows.erase(Last.Id);
+      NewestVersion = Last.Version - 1;
+      Undos.pop_back();
+    }
+    OldestVersion = std::min(OldestVersion, NewestVersion);
+    ++Era;
+  }
+
   http::Response handleObject(const http::Request &R, const std::string &Path) {
     if (R.Method == "PUT") {
       Objects[Path] = R.Body;
@@ -242,6 +284,18 @@
     ListLagMillis = Body.value("list_lag_ms", ListLagMillis);
     if (Body.value("forget_history", false))
       OldestVersion = NewestVersion;
+    if (uint64_t Lost = Body.value("restore", uint64_t(0)); Lost > 0)
+      restore([Kept = NewestVersion - Lost](const Undo &U) {
+        return U.Version > Kept;
+      });
+    if (double Seconds = Body.value("restore_s", 0.0); Seconds > 0)
+      restore([Backup = Clock::now() - std::chrono::duration<double>(Seconds)](
+                  const Undo &U) { return U.At > Backup; });
+    if (Body.contains("stated_era")) {
+      EraOverride.reset();
+      if (Body["stated_era"].is_string())
+        EraOverride = Body["stated_era"];
+    }
     return jsonResponse(200, {{"ok", true}});
   }
 
@@ -252,7 +306,13 @@
     std::map<std::string, Json> Instances;
   };
 
+  static constexpr size_t MaxUndos = 100'000;
+
   std::map<RowId, StoredRow> Rows;
+  /// Oldest first.
+  std::deque<Undo> Undos;
+  uint64_t Era = 1;
+  std::optional<std::string> EraOverride;
   uint64_t NewestVersion = 1;
   /// Changes up to this version are no longer available.
   uint64_t OldestVersion = 0;
