Change the maps of groups of 96 ranks: counts in turns, paced orders, sparse differences

Cause: with 96 ranks, 16 sets and 192 experts each rank's counts take 3.7 KB every 150 ms: 2.3 MB/s into the controller's link of 0.75 MB/s. An order to prepare was sent to all ranks at once, 340 KB into a link whose queue takes some 60 KB: the first 15 ranks executed it, the rest never received it whole; the resends, with the complete map of 6 KB, kept the link full. Every change was given up after four seconds. Ruled out: digests of unknown maps (no such log line), refusals by the engines (each executed order was accepted), planning time (3.7 ms).

Change: ranks take turns to report counts (CountRota), so that counts use 0.35 of the controller's link; orders are paced to half of the link (LinkPacer), orders not sent yet first; a difference names only the ranks that change; an agent that lacks the base of a difference says so, instead of each resend carrying the whole map; a report that a rank has prepared ends the resends. Orders to prepare and orders without an answer are logged by their agent, datagrams that the system did not take are logged with their size.

Tests: GroupLinkTest plays a change of 32, 63 and 96 ranks on their link in virtual time; CountRotaTest, LinkPacerTest.

--- a/libs/rankgroup/include/ragwort/rankgroup/AgentMessage.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/AgentMessage.h
@@ -55,6 +55,9 @@
 };
 
 std::string encodeMessage(const AgentMessage &Message);
+/// Approximate size of the counts of all sets in a heartbeat, with the headers
+/// of the datagrams that they need.
+size_t countBytes(uint32_t Sets, uint32_t Experts);
 /// Encodes a heartbeat into datagrams: \p Message with \p Experts and with
 /// \p Selections, the selection counts by set and expert, which may be empty.
 /// All heartbeats of a group share its controller's link. So the experts are
--- a/libs/rankgroup/include/ragwort/rankgroup/EngineTypes.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/EngineTypes.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace ragwort::rankgroup {
@@ -66,6 +67,8 @@
 /// Kind of an order; MapSwitch.h describes the steps of a change.
 enum class OrderKind : uint8_t { Prepare, Arm, Disarm, Hold, Release };
 
+std::string_view toString(OrderKind Kind);
+
 /// An order to one rank. It fails once the group has been re-formed.
 struct RankOrder {
   OrderKind Kind = OrderKind::Prepare;
@@ -86,6 +89,9 @@
   Accepted,
   /// The order does not match the rank's state or epoch.
   Conflict,
+  /// Only from an agent: it does not have the map that the order's map is a
+  /// difference from. The engine has not received the order.
+  MapUnknown,
 };
 
 } // namespace ragwort::rankgroup
--- a/libs/rankgroup/include/ragwort/rankgroup/GroupAgent.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/GroupAgent.h
@@ -12,7 +12,9 @@
 #include "ragwort/observe/Log.h"
 #include "ragwort/observe/Metrics.h"
 #include "ragwort/rankgroup/AgentMessage.h"
+#include "ragwort/rankgroup/CountRota.h"
 #include "ragwort/rankgroup/HeartbeatSchedule.h"
+#include "ragwort/rankgroup/LinkPacer.h"
 #include "ragwort/rankgroup/OrderMessage.h"
 #include "ragwort/transport/DatagramSocket.h"
 #include "ragwort/wire/Archived.h"
@@ -45,6 +47,8 @@
   /// Address of the engine next to this agent.
   Address OwnEngine;
   uint64_t Incarnation = 0;
+  /// Bandwidth of an agent's link; zero if unknown.
+  double LinkBytesPerSecond = 0;
 };
 
 /// Agent of one engine, and controller of the group while the engine is rank 0.
@@ -70,13 +74,20 @@
   /// read directly. Engines may return a state up to this old to remote
   /// callers, so an earlier read might show the state before the request.
   static constexpr Duration EngineReadDelay = std::chrono::milliseconds(600);
+  /// Number of orders that are taken at once. They share their datagrams, and
+  /// may together exceed what the link allows by that much.
+  static constexpr size_t OrdersPerBatch = 8;
+  /// Minimum time between two log lines about datagrams that the operating
+  /// system did not take; all of them are counted.
+  static constexpr Duration UnsentLogInterval = std::chrono::seconds(1);
 
   GroupAgent(asio::io_context &Io, AgentOptions Options,
              EngineFactory MakeEngine, MetricsRegistry &Metrics)
       : Io(Io), Options(std::move(Options)), MakeEngine(std::move(MakeEngine)),
         Metrics(Metrics), OwnClient(this->MakeEngine(this->Options.OwnEngine)),
         OwnOrderClient(this->MakeEngine(this->Options.OwnEngine)),
-        HeartbeatTimer(Io),
+        HeartbeatTimer(Io), Rota(this->Options.LinkBytesPerSecond),
+        OrderPacer(this->Options.LinkBytesPerSecond),
         Socket(Io.get_executor(), MaxAgentDatagramBytes,
                [this](std::string_view Datagram, const Address &From) {
                  onDatagram(Datagram, From.Ip);
@@ -121,6 +132,9 @@
     TimePoint HeardAt{};
     bool HasOrderInFlight = false;
     bool HasReadInFlight = false;
+    // Its agent does not have the map in use, from which maps are sent as
+    // differences.
+    bool NeedsWholeMap = false;
   };
 
   struct EncodedOrderKey {
@@ -176,10 +190,8 @@
           LastExperts.Sets.empty())
         co_await readExperts();
       std::vector<std::vector<uint64_t>> Selections;
-      // The first counts are only the baseline for the next ones.
-      if (Shape.isKnown() && Token == 0 && IsDue &&
-          (LastCounts.empty() || Report->Step != LastCountedStep))
-        Selections = co_await readCounts(*Report);
+      if (Shape.isKnown() && Token == 0 && IsDue)
+        Selections = co_await takeCounts(*Report);
       if (IsDue)
         sendHeartbeat(*Report, Token, Selections);
     } else if (IsEngineReached) {
@@ -216,6 +228,24 @@
       LastExperts = std::move(*Experts);
   }
 
+  /// \returns the counts to be reported with this heartbeat; empty if it is not
+  /// this rank's turn.
+  asio::awaitable<std::vector<std::vector<uint64_t>>>
+  takeCounts(const EngineReport &Report) {
+    std::vector<std::vector<uint64_t>> Selections;
+    Rota.setGroup(Report.GroupSize, Report.Rank,
+                  countBytes(Shape.Sets, Shape.Experts));
+    CountTurn Turn = Rota.next(Schedule.interval(now()));
+    bool HasNewCounts = LastCounts.empty() || Report.Step != LastCountedStep;
+    if (Turn == CountTurn::None || !HasNewCounts)
+      co_return Selections;
+    // The first counts are only the base for the next ones.
+    Selections = co_await readCounts(Report);
+    if (Turn == CountTurn::ReadBase)
+      Selections.clear();
+    co_return Selections;
+  }
+
   /// \returns the selections since the last call, by set and expert.
   asio::awaitable<std::vector<std::vector<uint64_t>>>
   readCounts(const EngineReport &Report) {
@@ -336,10 +366,10 @@
       std::optional<ExpertMap> Map =
           Maps.resolve(*Complete->From, Complete->Order.Map);
       if (!Map) {
-        // The controller's next attempt contains the complete map.
         logEvent(LogLevel::Info, "map-base-unknown",
                  {{"base", Complete->From->BaseVersion},
                   {"version", Complete->Order.Version}});
+        reply(Complete->Order, Number, OrderAnswer::MapUnknown, Ip);
         return;
       }
       Complete->Order.Map = std::move(*Map);
@@ -354,27 +384,59 @@
   asio::awaitable<void> executeOrder(RankOrder Order, uint64_t Number,
                                      std::string Ip) {
     IsExecutingOrder = true;
+    TimePoint Begun = now();
     absl::StatusOr<OrderAnswer> Answer = co_await OwnOrderClient->order(Order);
     IsExecutingOrder = false;
     onOwnEngineAnswer(Order, Answer);
-    if (!Answer.ok())
-      co_return;
+    logOrder(Order, Number, Answer, now() - Begun);
+    if (Answer.ok())
+      reply(Order, Number, *Answer, Ip);
+  }
+
+  void reply(const RankOrder &Order, uint64_t Number, OrderAnswer Answer,
+             const std::string &Ip) {
     OrderReply Reply;
     Reply.Group = OwnReport.Group;
     Reply.Rank = OwnReport.Rank;
     Reply.Epoch = Order.Epoch;
     Reply.Number = Number;
-    Reply.Answer = *Answer;
+    Reply.Answer = Answer;
     sendBytes(encodeReply(Reply), Ip);
   }
 
+  /// Orders to prepare a map are logged, as each is sent once in a change, and
+  /// so are orders without an answer.
+  void logOrder(const RankOrder &Order, uint64_t Number,
+                const absl::StatusOr<OrderAnswer> &Answer, Duration Time) {
+    if (Answer.ok() && Order.Kind != OrderKind::Prepare)
+      return;
+    std::string Outcome(Answer.status().message());
+    if (Answer.ok())
+      Outcome = *Answer == OrderAnswer::Accepted ? "accepted" : "conflict";
+    logEvent(
+        Answer.ok() ? LogLevel::Info : LogLevel::Warning, "order-executed",
+        {{"group", OwnReport.Group},
+         {"rank", OwnReport.Rank},
+         {"kind", toString(Order.Kind)},
+         {"version", Order.Version},
+         {"number", Number},
+         {"ms",
+          std::chrono::duration_cast<std::chrono::milliseconds>(Time).count()},
+         {"outcome", Outcome}});
+  }
+
   void onReply(const OrderReply &Reply) {
     if (!Controller || Reply.Group != ControlledGroup ||
         Reply.Rank >= Controller->ranks() ||
         Controller->mapSwitch().epoch() != Reply.Epoch)
       return;
-    Controller->mapSwitch().onAnswer(Reply.Rank, Reply.Number, Reply.Answer,
-                                     now());
+    MapSwitch &Switch = Controller->mapSwitch();
+    if (Reply.Answer == OrderAnswer::MapUnknown) {
+      Members[Reply.Rank].NeedsWholeMap = true;
+      Switch.onNoAnswer(Reply.Rank, Reply.Number, now());
+    } else {
+      Switch.onAnswer(Reply.Rank, Reply.Number, Reply.Answer, now());
+    }
     advanceChange();
   }
 
@@ -434,6 +496,8 @@
           {{"group", ControlledGroup}, {"held", C.mapSwitch().heldStep()}});
     if (!IsStopping)
       if (std::optional<PlannedChange> Change = C.plan(At)) {
+        for (auto &[Rank, M] : Members)
+          M.NeedsWholeMap = false;
         logEvent(LogLevel::Info, "map-change-begun",
                  {{"group", ControlledGroup},
                   {"epoch", C.mapSwitch().epoch()},
@@ -443,16 +507,27 @@
                   {"copies", Change->Copies},
                   {"pass_us", C.passTime().count()}});
       }
-    // Planning may take longer than an engine takes to answer.
-    TimePoint SentAt = now();
-    for (OutgoingOrder &S : C.mapSwitch().takeOrders(SentAt))
-      if (!relayOrder(S, SentAt))
-        asio::co_spawn(Io, sendOrderToEngine(std::move(S)), asio::detached);
+    sendOrders();
     for (const ReportRequest &R : C.mapSwitch().awaitedReports())
       requestReport(R, At);
     logFinishedChange(Before, At);
   }
 
+  /// Sends the due orders as far as the link allows.
+  void sendOrders() {
+    // Planning may take longer than an engine takes to answer.
+    TimePoint SentAt = now();
+    while (OrderPacer.room(SentAt) > 0) {
+      std::vector<OutgoingOrder> Orders =
+          Controller->mapSwitch().takeOrders(SentAt, OrdersPerBatch);
+      if (Orders.empty())
+        return;
+      for (OutgoingOrder &S : Orders)
+        if (!relayOrder(S, SentAt))
+          asio::co_spawn(Io, sendOrderToEngine(std::move(S)), asio::detached);
+    }
+  }
+
   /// Duration of one step of a change in milliseconds, zero if it was not
   /// reached.
   static int64_t stepMillis(TimePoint Begin, TimePoint End) {
@@ -534,9 +609,8 @@
 
   /// Whether this attempt is sent to the engine directly, since its agent may
   /// be unreachable. This is every second attempt, but only every third one of
-  /// a prepare order: its map takes long to send, and its first attempt may be
-  /// a difference from a map that the agent does not have, so that the second
-  /// one, with the complete map, goes to the agent too.
+  /// a prepare order, whose map takes long to send and which is sent again if
+  /// the agent does not have the map that it is a difference from.
   static bool isSentToEngine(const OutgoingOrder &S) {
     return S.Order.Kind == OrderKind::Prepare ? S.Attempt % 3 == 0
                                               : S.Attempt % 2 == 0;
@@ -549,16 +623,20 @@
     if (Found == Members.end() || Found->second.Ip == Options.Listen.Ip ||
         At - Found->second.HeardAt > AgentTimeout || isSentToEngine(S))
       return false;
-    for (const std::string &Bytes : datagramsOf(S))
+    for (const std::string &Bytes : datagramsOf(S, Found->second)) {
       sendBytes(Bytes, Found->second.Ip);
+      OrderPacer.spend(Bytes.size());
+    }
     return true;
   }
 
   /// Encodes an order, or returns the cached datagrams of the last one.
   /// Encoding a map is slow, and orders with the same number differ only in
   /// their rank, which the datagrams do not contain.
-  const std::vector<std::string> &datagramsOf(const OutgoingOrder &S) {
-    bool IsDifference = S.Attempt == 1 && S.Order.Kind == OrderKind::Prepare &&
+  const std::vector<std::string> &datagramsOf(const OutgoingOrder &S,
+                                              const Member &To) {
+    bool IsDifference = !To.NeedsWholeMap &&
+                        S.Order.Kind == OrderKind::Prepare &&
                         Controller->mapSwitch().versionInUse();
     EncodedOrderKey Key{S.Number, S.Order.Kind, S.Order.Version, IsDifference};
     if (!Datagrams.empty() && EncodedKey == Key)
@@ -570,12 +648,18 @@
   }
 
   std::vector<std::string> encodeDifference(const OutgoingOrder &S) {
+    // Attempts of one change have the same difference, which is slow to
+    // compute.
     const MapSwitch &Switch = Controller->mapSwitch();
+    if (EncodedVersion != S.Order.Version) {
+      EncodedVersion = S.Order.Version;
+      Difference = differenceOf(Switch.mapInUse(), S.Order.Map);
+      TargetDigest = digestOf(S.Order.Map);
+    }
     RankOrder Order = S.Order;
-    Order.Map = differenceOf(Switch.mapInUse(), S.Order.Map);
-    return encodeOrder(
-        ControlledGroup, S.Number, Order,
-        MapReference{*Switch.versionInUse(), digestOf(S.Order.Map)});
+    Order.Map = Difference;
+    return encodeOrder(ControlledGroup, S.Number, Order,
+                       MapReference{*Switch.versionInUse(), TargetDigest});
   }
 
   asio::awaitable<void> sendOrderToEngine(OutgoingOrder S) {
@@ -604,10 +688,16 @@
     sendBytes(encodeMessage(M), Ip);
   }
 
-  /// Failures are only counted: later datagrams make up for lost ones.
+  /// Later datagrams make up for lost ones.
   void sendBytes(const std::string &Bytes, const std::string &Ip) {
-    if (!Socket.send(Bytes, {Ip, Options.Listen.Port}))
-      Metrics.counter("ragwort_agent_datagrams_unsent_total").add();
+    if (Socket.send(Bytes, {Ip, Options.Listen.Port}))
+      return;
+    Metrics.counter("ragwort_agent_datagrams_unsent_total").add();
+    if (TimePoint At = now(); At - UnsentLoggedAt >= UnsentLogInterval) {
+      UnsentLoggedAt = At;
+      logEvent(LogLevel::Warning, "datagram-unsent",
+               {{"to", Ip}, {"bytes", Bytes.size()}});
+    }
   }
 
   asio::io_context &Io;
@@ -618,6 +708,9 @@
   // A separate connection, so that an order never waits for a report.
   std::unique_ptr<EngineClient> OwnOrderClient;
   asio::steady_timer HeartbeatTimer;
+  CountRota Rota;
+  // For the orders of this agent as the controller.
+  LinkPacer OrderPacer;
   DatagramSocket Socket;
   GroupShape Shape;
   std::set<std::string> PeerIps;
@@ -644,7 +737,13 @@
   // Key and datagrams of the order that was encoded last.
   EncodedOrderKey EncodedKey;
   std::vector<std::string> Datagrams;
+  // The difference that was encoded last, its version, and the digest of the
+  // map that results from it.
+  uint64_t EncodedVersion = 0;
+  ExpertMap Difference;
+  uint64_t TargetDigest = 0;
   TimePoint LastAnnounced{};
+  TimePoint UnsentLoggedAt{};
   uint64_t Completed = 0;
   uint64_t Abandoned = 0;
 };
--- a/libs/rankgroup/include/ragwort/rankgroup/HeartbeatSchedule.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/HeartbeatSchedule.h
@@ -26,7 +26,8 @@
   static constexpr Duration UsualInterval = std::chrono::milliseconds(150);
   /// Interval while the group has just opened, since passes are slow until a
   /// better map is in use. The heartbeats of 32 ranks then take about two
-  /// thirds of a link of 8 Mbit/s.
+  /// thirds of a link of 8 Mbit/s; larger groups report fewer counts, see
+  /// CountRota.h.
   static constexpr Duration OpeningInterval = std::chrono::milliseconds(75);
   /// Interval of reading the engine while it copies experts for a map.
   static constexpr Duration CopyInterval = std::chrono::milliseconds(40);
--- a/libs/rankgroup/include/ragwort/rankgroup/MapSwitch.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/MapSwitch.h
@@ -37,6 +37,7 @@
 
 #include "ragwort/base/Time.h"
 #include "ragwort/rankgroup/EngineTypes.h"
+#include <limits>
 #include <optional>
 #include <string_view>
 #include <vector>
@@ -153,13 +154,15 @@
     PassesAhead = MinPassesAhead + Passes;
   }
 
-  /// Returns the orders that are due to be sent or resent now.
-  std::vector<OutgoingOrder> takeOrders(TimePoint Now);
+  /// Returns the orders that are due to be sent or resent now, at most
+  /// \p Limit of them. Orders that have not been sent yet come first.
+  std::vector<OutgoingOrder>
+  takeOrders(TimePoint Now, size_t Limit = std::numeric_limits<size_t>::max());
   /// Processes the answer to an order.
   void onAnswer(uint32_t Rank, uint64_t Number, OrderAnswer Answer,
                 TimePoint Now);
-  /// Records that sending an order failed without an answer; it is resent by
-  /// the next takeOrders().
+  /// Records that an order failed without an answer of the engine; it is resent
+  /// by the next takeOrders().
   void onNoAnswer(uint32_t Rank, uint64_t Number, TimePoint Now);
   /// Reports that the change waits for. They must be read after the request.
   std::vector<ReportRequest> awaitedReports() const;
--- a/libs/rankgroup/include/ragwort/rankgroup/OrderMessage.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/OrderMessage.h
@@ -20,7 +20,7 @@
 /// One datagram of an order.
 struct OrderPart {
   /// Datagrams of another protocol version are dropped.
-  static constexpr uint16_t Protocol = 204;
+  static constexpr uint16_t Protocol = 205;
 
   std::string Group;
   /// The controller's number for the order, repeated in the reply.
@@ -38,7 +38,7 @@
 
 /// An agent's reply with its engine's answer to an order.
 struct OrderReply {
-  static constexpr uint16_t Protocol = 202;
+  static constexpr uint16_t Protocol = 206;
 
   std::string Group;
   uint32_t Rank = 0;
--- a/libs/rankgroup/src/AgentMessage.cpp
+++ b/libs/rankgroup/src/AgentMessage.cpp
@@ -76,6 +76,15 @@
   Ar(cereal::binary_data(M.Counts.data(), M.Counts.size()));
 }
 
+size_t countBytes(uint32_t Sets, uint32_t Experts) {
+  // Message without counts, and the headers of UDP, IP and Ethernet.
+  constexpr size_t BytesPerDatagram = 250;
+  size_t SetsPerPart =
+      std::max<size_t>(1, MaxCountsPerDatagram / std::max(Experts, 1u));
+  size_t Parts = (Sets + SetsPerPart - 1) / SetsPerPart;
+  return size_t{Sets} * Experts + Parts * BytesPerDatagram;
+}
+
 std::string encodeMessage(const AgentMessage &Message) {
   return wire::toArchive(Message);
 }
--- a/libs/rankgroup/src/MapSwitch.cpp
+++ b/libs/rankgroup/src/MapSwitch.cpp
@@ -68,8 +68,11 @@
   HighestVersion =
       std::max({HighestVersion, Report.MapVersion, Report.Prepared.value_or(0),
                 Report.Armed ? Report.Armed->Version : 0});
-  if (Phase == SwitchPhase::Preparing && Report.Prepared == Version)
+  if (Phase == SwitchPhase::Preparing && Report.Prepared == Version) {
     R.IsPrepared = true;
+    // The answer to the order was lost.
+    R.PendingOrder.reset();
+  }
   if (R.AwaitedToken != 0 && Token >= R.AwaitedToken) {
     R.AwaitedToken = 0;
     onAwaitedReport(Index, Now);
@@ -152,13 +155,18 @@
               ResendAfter * std::min(R.Attempts, MaxResendFactor));
 }
 
-std::vector<OutgoingOrder> MapSwitch::takeOrders(TimePoint Now) {
+std::vector<OutgoingOrder> MapSwitch::takeOrders(TimePoint Now, size_t Limit) {
   advance(Now);
+  std::vector<uint32_t> Due;
+  for (uint32_t I = 0; I < Ranks.size(); ++I)
+    if (isDue(Ranks[I], Now))
+      Due.push_back(I);
+  std::stable_partition(Due.begin(), Due.end(),
+                        [this](uint32_t I) { return Ranks[I].Attempts == 0; });
+  Due.resize(std::min(Due.size(), Limit));
   std::vector<OutgoingOrder> Result;
-  for (uint32_t I = 0; I < Ranks.size(); ++I) {
+  for (uint32_t I : Due) {
     Rank &R = Ranks[I];
-    if (!isDue(R, Now))
-      continue;
     R.Number = NextNumber;
     if (R.Attempts == 0)
       R.FirstNumber = NextNumber;
--- a/libs/rankgroup/src/OrderMessage.cpp
+++ b/libs/rankgroup/src/OrderMessage.cpp
@@ -2,6 +2,7 @@
 #include "ragwort/rankgroup/OrderMessage.h"
 #include "ExpertLists.h"
 #include "ragwort/rankgroup/AgentMessage.h"
+#include "ragwort/rankgroup/SetPlanner.h"
 #include "ragwort/wire/Archived.h"
 #include "ragwort/wire/Bounded.h"
 #include <algorithm>
@@ -11,21 +12,52 @@
 namespace {
 
 constexpr size_t MaxRanks = 1024; // per set of a map
-// Bytes reserved in a datagram for everything except the map.
-constexpr size_t HeaderBytes = wire::MaxNameBytes + 100;
+// Bytes reserved in a datagram for everything except the map and the name of
+// the group.
+constexpr size_t HeaderBytes = 120;
 
 bool isOneByte(const ExpertMap &Map) {
   return std::all_of(Map.At.begin(), Map.At.end(),
                      [](const auto &Set) { return rankgroup::isOneByte(Set); });
 }
 
-size_t bytesOf(const std::vector<std::vector<ExpertId>> &Set, bool IsOneByte) {
+size_t filledRanks(const SetMap &Set) {
+  return static_cast<size_t>(std::count_if(
+      Set.begin(), Set.end(), [](const auto &Rank) { return !Rank.empty(); }));
+}
+
+size_t bytesOf(const SetMap &Set, bool IsOneByte, bool IsSparse) {
+  size_t Unit = IsOneByte ? 1 : sizeof(ExpertId);
   size_t Bytes = sizeof(uint64_t);
+  if (IsSparse)
+    Bytes += sizeof(uint16_t) + filledRanks(Set) * sizeof(uint16_t);
   for (const auto &Rank : Set)
-    Bytes += (1 + Rank.size()) * (IsOneByte ? 1 : sizeof(ExpertId));
+    if (!IsSparse || !Rank.empty())
+      Bytes += (1 + Rank.size()) * Unit;
   return Bytes;
 }
 
+/// Serialises only the ranks that have experts, each with its index.
+template <class Archive>
+void transferSparse(Archive &Ar, SetMap &Set, bool IsOneByte) {
+  auto Filled = static_cast<uint16_t>(filledRanks(Set));
+  Ar(Filled);
+  bool HasByteIndex = Set.size() <= MaxOneByteValue + 1;
+  size_t Next = 0;
+  for (uint16_t I = 0; I < Filled; ++I) {
+    if constexpr (Archive::is_saving::value)
+      while (Set[Next].empty())
+        ++Next;
+    auto Index = static_cast<uint16_t>(Next);
+    transferCompact(Ar, Index, HasByteIndex);
+    if (Index < Next || Index >= Set.size())
+      throw cereal::Exception("rank " + std::to_string(Index) +
+                              " is out of order or range");
+    transferExperts(Ar, Set[Index], IsOneByte);
+    Next = Index + size_t{1};
+  }
+}
+
 } // namespace
 
 template <class Archive> void serialize(Archive &Ar, MapReference &R) {
@@ -47,15 +79,19 @@
   P.Part.At.resize(Count);
   for (auto &Set : P.Part.At) {
     Set.resize(wire::transferLength(Ar, Set.size(), MaxRanks));
-    for (auto &Rank : Set)
-      transferExperts(Ar, Rank, IsOneByte);
+    // Most ranks do not change in a difference.
+    if (P.From)
+      transferSparse(Ar, Set, IsOneByte);
+    else
+      for (auto &Rank : Set)
+        transferExperts(Ar, Rank, IsOneByte);
   }
 }
 
 template <class Archive> void serialize(Archive &Ar, OrderReply &R) {
   wire::transferProtocol(Ar, OrderReply::Protocol);
   wire::transferText(Ar, R.Group, wire::MaxNameBytes);
-  wire::transferEnum(Ar, R.Answer, OrderAnswer::Conflict);
+  wire::transferEnum(Ar, R.Answer, OrderAnswer::MapUnknown);
   Ar(R.Rank, R.Epoch, R.Number);
 }
 
@@ -76,9 +112,9 @@
   do {
     Part.FirstSet = static_cast<uint32_t>(Next);
     Part.Part.At.clear();
-    size_t Bytes = HeaderBytes;
+    size_t Bytes = HeaderBytes + Group.size();
     while (Next < Sets.size()) {
-      Bytes += bytesOf(Sets[Next], IsOneByte);
+      Bytes += bytesOf(Sets[Next], IsOneByte, From.has_value());
       if (Bytes > MaxAgentDatagramBytes && !Part.Part.At.empty())
         break;
       Part.Part.At.push_back(Sets[Next++]);
