--- a/libs/gateway/include/ragwort/gateway/Dispatcher.h
+++ b/libs/gateway/include/ragwort/gateway/Dispatcher.h
@@ -117,8 +117,8 @@
   void onRequest(std::string_view Service, TimePoint Now);
   bool hasRetryBudget(std::string_view Service, TimePoint Now);
   void onRetry(std::string_view Service, TimePoint Now);
-  /// Number of nodes that share the fleet's retry allowance.
-  void setNodes(size_t Count) { Nodes = Count; }
+  /// Number of nodes that share the fleet's retry allowance, if known.
+  void setNodes(std::optional<size_t> Count) { Nodes = Count; }
 
 private:
   struct ServiceState {
@@ -147,7 +147,7 @@
   std::map<std::string, ServiceState, std::less<>> ServiceStates;
   std::mt19937_64 Random;
   uint64_t NextTicket = 1;
-  size_t Nodes = 1;
+  std::optional<size_t> Nodes = 1;
 };
 
 } // namespace ragwort::gateway
--- a/libs/gateway/include/ragwort/gateway/PeerExchange.h
+++ b/libs/gateway/include/ragwort/gateway/PeerExchange.h
@@ -8,6 +8,7 @@
 #ifndef RAGWORT_GATEWAY_PEEREXCHANGE_H
 #define RAGWORT_GATEWAY_PEEREXCHANGE_H
 
+#include "ragwort/gateway/FleetSize.h"
 #include "ragwort/gateway/Gateway.h"
 #include "ragwort/gateway/PeerHeartbeat.h"
 #include "ragwort/http/HttpServer.h"
@@ -20,6 +21,8 @@
   uint64_t Incarnation = 0;
   /// Address at which this node listens. All peers use the same port.
   Address Listen;
+  /// Time over which the fleet's retries are limited.
+  Duration RetryWindow = std::chrono::seconds(10);
 };
 
 /// The configuration as encoded by its source. Peers pass it on unchanged.
@@ -40,8 +43,7 @@
       std::chrono::milliseconds(900);
   /// Peers without a heartbeat for this long are removed and sent nothing more.
   static constexpr Duration PeerRemovalTimeout = std::chrono::seconds(60);
-  /// Peers without a heartbeat for this long no longer count as live, so that
-  /// the retry allowance is divided among fewer nodes.
+  /// Peers without a heartbeat for this long no longer count as live.
   static constexpr Duration LivePeerTimeout = std::chrono::seconds(15);
   /// Number of nodes that follow the store with the short poll timeout, so that
   /// two of them may become unreachable at the same time.
@@ -98,6 +100,7 @@
   DatagramSocket Socket;
   http::Server DocumentServer;
   ConfigDocument PublishedConfig;
+  FleetSize Fleet;
   // By IP address; does not contain this node.
   std::map<std::string, Peer> Peers;
   TimePoint ConfigBehindSince{};
--- a/libs/gateway/include/ragwort/gateway/RetryBudget.h
+++ b/libs/gateway/include/ragwort/gateway/RetryBudget.h
@@ -4,7 +4,7 @@
 // failing. Over a sliding window the fleet may retry a fixed ratio of its
 // requests plus a fixed allowance. Each node uses the ratio of its own requests
 // and an equal share of the allowance, so the fleet stays within the limit
-// without communication between nodes.
+// without communication between nodes. FleetSize.h tells how they are counted.
 //
 //===----------------------------------------------------------------------===//
 #ifndef RAGWORT_GATEWAY_RETRYBUDGET_H
@@ -13,6 +13,7 @@
 #include "ragwort/base/Time.h"
 #include <cstdint>
 #include <deque>
+#include <optional>
 
 namespace ragwort::gateway {
 
@@ -29,7 +30,7 @@
 ///
 /// \code
 ///   Budget.recordRequest(Now);
-///   if (Budget.hasRoom(Now, LiveNodes)) {
+///   if (Budget.hasRoom(Now, Fleet.nodes(Now))) {
 ///     Budget.spend(Now);
 ///     sendAgain();
 ///   }
@@ -40,8 +41,8 @@
 
   void recordRequest(TimePoint Now);
   /// Whether a retry is allowed now. \p Nodes is the number of nodes that share
-  /// the allowance.
-  bool hasRoom(TimePoint Now, size_t Nodes);
+  /// the allowance; this node has no share while it is unknown.
+  bool hasRoom(TimePoint Now, std::optional<size_t> Nodes);
   /// Counts a retry.
   void spend(TimePoint Now);
 
--- a/libs/gateway/src/PeerExchange.cpp
+++ b/libs/gateway/src/PeerExchange.cpp
@@ -36,8 +36,10 @@
                onDatagram(Datagram, From);
              }),
       DocumentServer(
-          Io, [this](http::Exchange &X) { return serve(X); },
-          documentLimits()) {}
+          Io, [this](http::Exchange &X) { return serve(X); }, documentLimits()),
+      Fleet(Options.RetryWindow, now()) {
+  Node.dispatcher().setNodes(std::nullopt);
+}
 
 absl::Status PeerExchange::listen() {
   absl::Status Listening = Socket.listen(Options.Listen);
@@ -51,8 +53,10 @@
   if (Ip == Options.Listen.Ip)
     return;
   auto [At, IsNew] = Peers.try_emplace(Ip);
-  if (IsNew)
-    At->second.AddedAt = now();
+  if (!IsNew)
+    return;
+  At->second.AddedAt = now();
+  Fleet.onNamed(Ip, now());
 }
 
 void PeerExchange::publishConfig(ConfigDocument Document) {
@@ -139,6 +143,10 @@
   P.ConfigVersion = Heartbeat.ConfigVersion;
   P.DirectoryVersion = Heartbeat.DirectoryVersion;
   P.IsLeaving = Heartbeat.IsLeaving;
+  if (P.IsLeaving)
+    Fleet.onLeaving(Ip, At);
+  else
+    Fleet.onHeard(Ip, At);
   // The port is arbitrary: only the IP address is checked.
   for (const std::string &Known : Heartbeat.PeerIps)
     if (parseAddress(Known + ":1"))
@@ -172,7 +180,7 @@
     TimePoint Last = std::max(Item.second.LastHeardAt, Item.second.AddedAt);
     return Now - Last > PeerRemovalTimeout;
   });
-  Node.dispatcher().setNodes(livePeerCount() + 1);
+  Node.dispatcher().setNodes(Fleet.nodes(Now));
 }
 
 void PeerExchange::fetchNewerVersions(TimePoint Now) {
--- a/libs/gateway/src/RetryBudget.cpp
+++ b/libs/gateway/src/RetryBudget.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 // Fraction of the limit that a node uses. The rest covers windows that begin
-// between two expiries and nodes that know of one peer too few.
+// between two expiries and nodes that know of a few peers too few.
 constexpr double SafeFraction = 0.7;
 
 } // namespace
@@ -24,10 +24,11 @@
   Requests.push_back(Now);
 }
 
-bool RetryBudget::hasRoom(TimePoint Now, size_t Nodes) {
+bool RetryBudget::hasRoom(TimePoint Now, std::optional<size_t> Nodes) {
   expire(Now);
-  double Share =
-      Limits.Allowance / static_cast<double>(std::max<size_t>(Nodes, 1));
+  double Share = 0;
+  if (Nodes)
+    Share = Limits.Allowance / static_cast<double>(std::max<size_t>(*Nodes, 1));
   double Bound = SafeFraction *
                  (Limits.Ratio * static_cast<double>(Requests.size()) + Share);
   return static_cast<double>(Retries.size()) + 1 <= Bound;
