Bound peers, skipped rows and members; gauges of servers and the store's era

Peers known to an entry node are bounded (8,192), as each datagram may name more of them; so are the keys of rows that could not be decoded, and reports of ranks beyond the group no longer add members. Reaching the bound of peers is logged. Gauges for servers by state, the store's era, waiting requests and connections.

--- a/libs/gateway/include/ragwort/gateway/Gateway.h
+++ b/libs/gateway/include/ragwort/gateway/Gateway.h
@@ -73,6 +73,8 @@
   /// Closes idle backend connections after the process was suspended for
   /// \p Gap, since they may be dead.
   void onSuspended(Duration Gap);
+  /// Sets the gauges of the node's current state, before they are read.
+  void updateGauges();
   /// State for the operators' state dump.
   std::string describe() const;
 
--- a/libs/gateway/include/ragwort/gateway/LoadTracker.h
+++ b/libs/gateway/include/ragwort/gateway/LoadTracker.h
@@ -91,6 +91,17 @@
   bool HasFreeSlot = false;
 };
 
+/// Number of listed servers in each condition; a server may be in several.
+struct ServerCounts {
+  size_t Listed = 0;
+  size_t Draining = 0;
+  size_t Leaving = 0;
+  size_t Paused = 0;
+  size_t Unavailable = 0;
+  size_t Ejected = 0;
+  size_t Stragglers = 0;
+};
+
 class LoadTracker {
 public:
   /// Load reports of peers are ignored after this time.
@@ -172,6 +183,7 @@
   }
   bool isStraggler(std::string_view Id, TimePoint Now) const;
   uint32_t inFlight(std::string_view Id) const;
+  ServerCounts counts(TimePoint Now) const;
   /// One line per server, for the state dump.
   std::string describe(TimePoint Now) const;
 
--- a/libs/gateway/include/ragwort/gateway/PeerExchange.h
+++ b/libs/gateway/include/ragwort/gateway/PeerExchange.h
@@ -45,6 +45,9 @@
   static constexpr Duration PeerRemovalTimeout = std::chrono::seconds(60);
   /// Peers without a heartbeat for this long no longer count as live.
   static constexpr Duration LivePeerTimeout = std::chrono::seconds(15);
+  /// Maximum number of peers that are known; heartbeats of others are dropped.
+  /// Over twice the number of nodes of the largest fleet.
+  static constexpr size_t MaxPeers = 8192;
   /// Number of nodes that follow the store with the short poll timeout, so that
   /// two of them may become unreachable at the same time.
   static constexpr size_t StoreWatchers = 3;
@@ -57,8 +60,9 @@
                std::function<void(ConfigDocument)> ApplyConfig);
 
   absl::Status listen();
-  /// Adds a peer, unless \p Ip is this node's own.
-  void addPeer(const std::string &Ip);
+  /// Adds a peer, unless \p Ip is this node's own. \returns whether it is
+  /// known: beyond MaxPeers, further ones are not added.
+  bool addPeer(const std::string &Ip);
   /// Makes \p Document available to peers if its version is newer.
   void publishConfig(ConfigDocument Document);
   /// Sends peers a heartbeat immediately which says that this node is leaving.
@@ -109,6 +113,7 @@
   bool IsFetchingConfig = false;
   bool IsFetchingDirectory = false;
   bool IsLeaving = false;
+  bool IsPeerLimitLogged = false;
 };
 
 } // namespace ragwort::gateway
--- a/libs/gateway/include/ragwort/gateway/StoreSinks.h
+++ b/libs/gateway/include/ragwort/gateway/StoreSinks.h
@@ -59,6 +59,9 @@
 
   Gateway &Node;
   const InstanceDecoder Decode;
+  // Rows beyond this number are skipped without a log line.
+  static constexpr size_t MaxUndecodableKeys = 1024;
+
   // Keys of rows that could not be decoded, so that each is logged once.
   std::set<std::string> UndecodableKeys;
 };
--- a/libs/gateway/src/Dispatcher.cpp
+++ b/libs/gateway/src/Dispatcher.cpp
@@ -164,7 +164,9 @@
 
 std::vector<DequeuedRequest> Dispatcher::takeReady(TimePoint Now) {
   std::vector<DequeuedRequest> Result;
-  for (auto &[Service, State] : ServiceStates) {
+  for (auto &Item : ServiceStates) {
+    const std::string &Service = Item.first;
+    ServiceState &State = Item.second;
     for (uint64_t Ticket : State.Queue.takeExpired(Now))
       Result.push_back(
           {Ticket, std::nullopt, retryAfter(Service, State, {}, Now)});
--- a/libs/gateway/src/Gateway.cpp
+++ b/libs/gateway/src/Gateway.cpp
@@ -231,6 +231,25 @@
   return Result;
 }
 
+void Gateway::updateGauges() {
+  auto Set = [this](std::string_view Name, size_t Value,
+                    const std::string &Labels = "") {
+    Metrics.gauge(Name, Labels).set(static_cast<int64_t>(Value));
+  };
+  Set("ragwort_store_era", Directory.version().Era);
+  Set("ragwort_caller_connections", Sessions.size());
+  Set("ragwort_waiting_requests", Dispatch.waiting());
+  Set("ragwort_idle_backend_connections", Pool.size());
+  ServerCounts Counts = Dispatch.loadTracker().counts(SteadyClock().now());
+  Set("ragwort_servers", Counts.Listed, "state=\"listed\"");
+  Set("ragwort_servers", Counts.Draining, "state=\"draining\"");
+  Set("ragwort_servers", Counts.Leaving, "state=\"leaving\"");
+  Set("ragwort_servers", Counts.Paused, "state=\"paused\"");
+  Set("ragwort_servers", Counts.Unavailable, "state=\"unavailable\"");
+  Set("ragwort_servers", Counts.Ejected, "state=\"ejected\"");
+  Set("ragwort_servers", Counts.Stragglers, "state=\"straggler\"");
+}
+
 std::string Gateway::describe() const {
   return "ready=" + std::to_string(isReady()) +
          " draining=" + std::to_string(IsDraining) +
--- a/libs/gateway/src/LoadTracker.cpp
+++ b/libs/gateway/src/LoadTracker.cpp
@@ -562,6 +562,20 @@
              : Found->second.OwnInFlight + Found->second.PeerInFlight;
 }
 
+ServerCounts LoadTracker::counts(TimePoint Now) const {
+  ServerCounts Result;
+  Result.Listed = Servers.size();
+  for (const auto &[Id, S] : Servers) {
+    Result.Draining += S.Entry.IsDraining;
+    Result.Leaving += S.IsLeaving;
+    Result.Paused += Now < S.PausedUntil;
+    Result.Unavailable += S.IsUnavailable;
+    Result.Ejected += Now < S.EjectedUntil;
+    Result.Stragglers += Now < S.StragglerUntil;
+  }
+  return Result;
+}
+
 std::string LoadTracker::describe(TimePoint Now) const {
   std::string Text;
   for (const auto &[Id, S] : Servers) {
--- a/libs/gateway/src/PeerExchange.cpp
+++ b/libs/gateway/src/PeerExchange.cpp
@@ -5,6 +5,7 @@
 #include "ragwort/observe/Log.h"
 #include "ragwort/wire/Archived.h"
 #include <algorithm>
+#include <utility>
 
 namespace ragwort::gateway {
 
@@ -49,14 +50,20 @@
   return DocumentServer.listen(Options.Listen);
 }
 
-void PeerExchange::addPeer(const std::string &Ip) {
+bool PeerExchange::addPeer(const std::string &Ip) {
   if (Ip == Options.Listen.Ip)
-    return;
-  auto [At, IsNew] = Peers.try_emplace(Ip);
-  if (!IsNew)
-    return;
-  At->second.AddedAt = now();
+    return false;
+  if (Peers.contains(Ip))
+    return true;
+  if (Peers.size() >= MaxPeers) {
+    if (!std::exchange(IsPeerLimitLogged, true))
+      logEvent(LogLevel::Error, "peers-limit-reached",
+               {{"peers", Peers.size()}, {"ip", Ip}});
+    return false;
+  }
+  Peers[Ip].AddedAt = now();
   Fleet.onNamed(Ip, now());
+  return true;
 }
 
 void PeerExchange::publishConfig(ConfigDocument Document) {
@@ -129,10 +136,9 @@
 void PeerExchange::onHeartbeat(const PeerHeartbeat &Heartbeat,
                                const std::string &Ip) {
   TimePoint At = now();
-  auto [Found, IsNew] = Peers.try_emplace(Ip);
-  Peer &P = Found->second;
-  if (IsNew)
-    P.AddedAt = At;
+  if (!addPeer(Ip))
+    return;
+  Peer &P = Peers[Ip];
   if (P.LastHeardAt == TimePoint() || P.Incarnation != Heartbeat.Incarnation)
     logEvent(
         LogLevel::Info, "peer-joined",
--- a/libs/gateway/src/StoreSinks.cpp
+++ b/libs/gateway/src/StoreSinks.cpp
@@ -39,7 +39,8 @@
     UndecodableKeys.erase(Row.Key);
     return std::move(*Instance);
   }
-  if (UndecodableKeys.insert(Row.Key).second)
+  if (UndecodableKeys.size() < MaxUndecodableKeys &&
+      UndecodableKeys.insert(Row.Key).second)
     logEvent(LogLevel::Warning, "server-row-skipped",
              {{"key", Row.Key},
               {"version", Row.Version},
--- a/libs/rankgroup/include/ragwort/rankgroup/GroupAgent.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/GroupAgent.h
@@ -459,6 +459,8 @@
   }
 
   void onHeartbeat(const AgentMessage &M, const std::string &Ip) {
+    if (M.Report.Rank >= Controller->ranks())
+      return;
     updateMember(M.Report.Rank, Ip, M.Engine);
     if (!M.Experts.Sets.empty() &&
         !Controller->onExperts(M.Report.Rank, M.Experts))
