Refuse at once what cannot recover soon; serve agents a list of addresses only

Requests for a service whose servers have all been unavailable for over nine seconds, more than twice the time that a group takes to form, are refused at once instead of being held for 0.8 of the caller's time.

Agents fetched the whole directory every two seconds, and all of them from the same entry node: 300 KB each at 3,000 servers, 4.1 MB/s at the busiest entry node of 300 instances, growing by the power of 1.65.

Tests: DispatcherTest, PeerHeartbeatTest; GatewayTest for a stream whose server sends bytes but no events (passes without a change).

--- a/libs/gateway/include/ragwort/gateway/Dispatcher.h
+++ b/libs/gateway/include/ragwort/gateway/Dispatcher.h
@@ -84,6 +84,10 @@
   /// wait at most a third of the time that they have.
   static constexpr Duration RecoveringRetryAfter =
       std::chrono::milliseconds(2000);
+  /// Requests do not wait for a service whose servers have all been unavailable
+  /// for longer than this, over twice the time that a group takes to form: the
+  /// cause is another one, such as missing ranks, and may last.
+  static constexpr Duration MaxRecovery = std::chrono::seconds(9);
   /// Maximum number of waiting requests per service at one node.
   static constexpr size_t MaxWaiting = 64;
 
--- a/libs/gateway/include/ragwort/gateway/LoadTracker.h
+++ b/libs/gateway/include/ragwort/gateway/LoadTracker.h
@@ -135,7 +135,12 @@
                                TimePoint Now);
   /// Whether \p Service has usable servers but all of them are unavailable or
   /// paused, and not all are paused.
-  bool isRecovering(std::string_view Service, TimePoint Now) const;
+  bool isRecovering(std::string_view Service, TimePoint Now) const {
+    return recoveringSince(Service, Now).has_value();
+  }
+  /// Since when isRecovering() has been true; nothing if it is not.
+  std::optional<TimePoint> recoveringSince(std::string_view Service,
+                                           TimePoint Now) const;
   /// The earliest time at which a paused server of \p Service that is not in
   /// \p Excluded may be tried; nothing if none is paused.
   std::optional<TimePoint> pauseEnd(std::string_view Service,
@@ -208,6 +213,7 @@
     // Reported unavailable; since then neither reported open nor successful.
     bool IsUnavailable = false;
     TimePoint ReportedUnavailableAt{}; // The most recent report.
+    TimePoint UnavailableSince{};      // The first of these reports.
     TimePoint NextTrial{};
     // Last condition reported by its agent to this node; forwarded to peers
     // until ReportedUntil.
@@ -252,6 +258,7 @@
   static void markOpened(Server &S, std::string_view Source);
   void markSuperseded();
   void eject(Server &S, TimePoint Now);
+  static void setUnavailable(Server &S, TimePoint Now);
   /// Latency and pause of the faster servers of a service; 0 if unknown.
   struct UsualTimes {
     double LatencyMillis = 0;
--- a/libs/gateway/include/ragwort/gateway/PeerExchange.h
+++ b/libs/gateway/include/ragwort/gateway/PeerExchange.h
@@ -55,6 +55,14 @@
   static constexpr Duration WatcherTimeout = std::chrono::milliseconds(1000);
   static constexpr Duration FetchTimeout = std::chrono::milliseconds(500);
 
+  /// Path at which a node serves the EngineList of a service. The query names
+  /// the service and the digest of the list that the client has; if that is the
+  /// current one, the answer is 304 without a body.
+  static std::string enginesTarget(std::string_view Service,
+                                   std::string_view KnownDigest);
+  /// Header with the digest of a served EngineList.
+  static constexpr std::string_view DigestHeader = "Ragwort-Digest";
+
   /// \p ApplyConfig decodes a document and applies it.
   PeerExchange(asio::io_context &Io, PeerOptions Options, Gateway &Node,
                std::function<void(ConfigDocument)> ApplyConfig);
@@ -92,6 +100,7 @@
   asio::awaitable<void> fetchConfig(std::string Ip);
   asio::awaitable<void> fetchDirectory(std::string Ip);
   asio::awaitable<void> serve(http::Exchange &X);
+  http::Response serveEngines(std::string_view Target) const;
   void sendHeartbeats();
   void onHeartbeat(const PeerHeartbeat &Heartbeat, const std::string &Ip);
   void fetchNewerVersions(TimePoint Now);
--- a/libs/gateway/include/ragwort/gateway/PeerHeartbeat.h
+++ b/libs/gateway/include/ragwort/gateway/PeerHeartbeat.h
@@ -82,6 +82,14 @@
   StoreVersion Version;
   std::vector<BackendInstance> Instances;
 };
+/// The instances of one service, for the agents of its engines: a small part of
+/// the directory, which thousands of agents would otherwise fetch.
+struct EngineList {
+  std::vector<std::string> Ips;
+};
+std::string encodeEngineList(const EngineList &List);
+absl::StatusOr<EngineList> decodeEngineList(std::string_view Bytes);
+
 std::string encodeDirectory(const DirectorySnapshot &Snapshot);
 absl::StatusOr<DirectorySnapshot> decodeDirectory(std::string_view Bytes);
 
--- a/libs/gateway/src/Dispatcher.cpp
+++ b/libs/gateway/src/Dispatcher.cpp
@@ -125,7 +125,10 @@
     P.InFlight = Best->InFlight;
     return P;
   }
-  bool IsRecovering = !Best && Tracker.isRecovering(R.Service, Now);
+  std::optional<TimePoint> RecoveringSince;
+  if (!Best)
+    RecoveringSince = Tracker.recoveringSince(R.Service, Now);
+  bool IsRecovering = RecoveringSince.has_value();
   std::optional<TimePoint> PauseEnd;
   if (!Best && !IsRecovering) {
     PauseEnd = Tracker.pauseEnd(R.Service, R.Excluded, Now);
@@ -134,7 +137,8 @@
   }
   TimePoint GiveUpAt = giveUpAt(R, IsRecovering);
   bool IsRefused = State.Queue.size() >= MaxWaiting || Now >= GiveUpAt ||
-                   (PauseEnd && *PauseEnd >= GiveUpAt);
+                   (PauseEnd && *PauseEnd >= GiveUpAt) ||
+                   (IsRecovering && Now - *RecoveringSince > MaxRecovery);
   if (!IsRecovering && !PauseEnd) {
     std::optional<Duration> Wait =
         State.Drain.timeToComplete(State.Queue.size() + 1, Now);
--- a/libs/gateway/src/DispatcherTest.cpp
+++ b/libs/gateway/src/DispatcherTest.cpp
@@ -192,6 +192,7 @@
   CPPUNIT_TEST(requestWhenAllServersPauseBrieflyWaits);
   CPPUNIT_TEST(requestWhenAllServersPauseForLongIsRefusedAtOnce);
   CPPUNIT_TEST(requestsWhenAPauseEndsAreTriedOneAtATime);
+  CPPUNIT_TEST(requestsWhenServersAreUnavailableForLongAreRefusedAtOnce);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr int64_t SimulatedMillis = 30'000;
@@ -332,6 +333,36 @@
     CPPUNIT_ASSERT_EQUAL(Next.Ticket, Ready.front().Ticket);
   }
 
+  // Load: requests for groups that cannot form, since ranks are missing.
+  void requestsWhenServersAreUnavailableForLongAreRefusedAtOnce() {
+    Dispatcher D("here", RetryBudgetLimits(), 1);
+    std::vector<BackendInstance> Servers = addTwoServers(D);
+    int64_t Longest = Dispatcher::MaxRecovery.count() / 1000;
+    // Reports that repeat the condition do not begin it anew.
+    for (int64_t Millis = 0; Millis <= Longest + 1000; Millis += 300)
+      for (const BackendInstance &Server : Servers)
+        D.loadTracker().onEngineNotice(Server.Address, EngineCondition::Closed,
+                                       at(Millis));
+    CPPUNIT_ASSERT(D.place(request(Longest - 100), at(Longest - 100)).Result ==
+                   Placement::Decision::Wait);
+    Placement Late = D.place(request(Longest + 100), at(Longest + 100));
+    CPPUNIT_ASSERT(Late.Result == Placement::Decision::Refuse);
+    CPPUNIT_ASSERT(Late.Refusal == PlacementRefusal::Recovering);
+    CPPUNIT_ASSERT(Late.RetryAfter >= Dispatcher::RecoveringRetryAfter);
+    // A server that is available again is used at once, and a later outage
+    // begins anew.
+    int64_t Back = Longest + 2000;
+    D.loadTracker().onEngineNotice(Servers[0].Address, EngineCondition::Opened,
+                                   at(Back));
+    CPPUNIT_ASSERT(D.place(request(Back), at(Back)).Result ==
+                   Placement::Decision::Send);
+    for (const BackendInstance &Server : Servers)
+      D.loadTracker().onEngineNotice(Server.Address, EngineCondition::Closed,
+                                     at(Back + 100));
+    CPPUNIT_ASSERT(D.place(request(Back + 200), at(Back + 200)).Result ==
+                   Placement::Decision::Wait);
+  }
+
   void requestWhenAllServersPauseBrieflyWaits() {
     Dispatcher D("here", RetryBudgetLimits(), 1);
     for (const BackendInstance &Server : addTwoServers(D))
--- a/libs/gateway/src/GatewayTest.cpp
+++ b/libs/gateway/src/GatewayTest.cpp
@@ -174,6 +174,7 @@
   CPPUNIT_TEST(streamWhenServerFailsWithinAnEventResumesOnAnotherServer);
   CPPUNIT_TEST(streamWhenItCannotResumeEndsIncomplete);
   CPPUNIT_TEST(streamWhenSilentWithoutAnotherServerKeepsWaiting);
+  CPPUNIT_TEST(streamWhenBytesTrickleWithoutEventsResumesOnAnotherServer);
   CPPUNIT_TEST(streamWhenItsServerStragglesResumesOnAnotherServer);
   CPPUNIT_TEST(atMostOnceWhenItsServerStragglesIsNotMoved);
   CPPUNIT_TEST(callerWhenDisconnectedClosesTheServersConnection);
@@ -651,6 +652,33 @@
         First.address(), EngineCondition::Straggles, SteadyClock().now());
   }
 
+  // A stalled server that sends a byte now and then makes no progress.
+  void streamWhenBytesTrickleWithoutEventsResumesOnAnotherServer() {
+    scriptFirst(
+        [](const std::string &R) {
+          return streamHead(idOf(R)) + chunk(event(1));
+        },
+        [](const std::string &R) {
+          CPPUNIT_ASSERT(R.find("Last-Event-Id: 1\r\n") != std::string::npos);
+          return streamHead(idOf(R)) + chunk(event(2)) + "0\r\n\r\n";
+        });
+    auto C = call(request("/slow/", "r1"));
+    runUntil([&C] { return C->Received.find("id: 1") != std::string::npos; });
+    size_t First = Servers[0]->Requests.empty() ? 1 : 0;
+    std::string Partial = "id: 2\ndata: " + std::string(200, 'x');
+    for (char Byte : Partial) {
+      if (requestsSeen().size() == 2)
+        break;
+      Servers[First]->sendLate(chunk(std::string(1, Byte)));
+      runFor(std::chrono::milliseconds(20));
+    }
+    runUntil(
+        [&C] { return C->Received.find("0\r\n\r\n") != std::string::npos; });
+    ResponseParser P;
+    P.feed(C->Received);
+    CPPUNIT_ASSERT_EQUAL(event(1) + event(2), P.takeBody());
+  }
+
   void streamWhenItsServerStragglesResumesOnAnotherServer() {
     scriptFirst(
         [](const std::string &R) {
--- a/libs/gateway/src/LoadTracker.cpp
+++ b/libs/gateway/src/LoadTracker.cpp
@@ -233,6 +233,12 @@
   S.NextEjection = std::min(2 * S.NextEjection, MaxEjection);
 }
 
+void LoadTracker::setUnavailable(Server &S, TimePoint Now) {
+  if (!std::exchange(S.IsUnavailable, true))
+    S.UnavailableSince = Now;
+  S.ReportedUnavailableAt = Now;
+}
+
 void LoadTracker::onFault(std::string_view Id, ServerFault Fault,
                           TimePoint Now) {
   Server *S = find(Id);
@@ -241,8 +247,7 @@
   S->FailureRate = (1 - AverageWeight) * S->FailureRate + AverageWeight;
   switch (Fault) {
   case ServerFault::Unavailable:
-    S->IsUnavailable = true;
-    S->ReportedUnavailableAt = Now;
+    setUnavailable(*S, Now);
     S->NextTrial = Now + TrialInterval;
     break;
   case ServerFault::Unreachable:
@@ -278,8 +283,7 @@
               {"source", Source},
               {"own", S.OwnInFlight},
               {"peers", S.PeerInFlight}});
-  S.IsUnavailable = true;
-  S.ReportedUnavailableAt = Now;
+  setUnavailable(S, Now);
   // No trial request is needed while the agent's notices arrive.
   S.NextTrial = Now + NoticeLifetime;
 }
@@ -429,16 +433,17 @@
          TieBreak(Random);
 }
 
-bool LoadTracker::isRecovering(std::string_view Service, TimePoint Now) const {
-  bool HasUnavailable = false;
+std::optional<TimePoint> LoadTracker::recoveringSince(std::string_view Service,
+                                                      TimePoint Now) const {
+  std::optional<TimePoint> Since;
   for (const auto &[Id, S] : Servers) {
     if (S.Entry.Service != Service || !S.isUsable() || Now < S.PausedUntil)
       continue;
     if (!S.IsUnavailable)
-      return false;
-    HasUnavailable = true;
+      return std::nullopt;
+    Since = std::max(Since.value_or(S.UnavailableSince), S.UnavailableSince);
   }
-  return HasUnavailable;
+  return Since;
 }
 
 std::optional<TimePoint>
--- a/libs/gateway/src/PeerExchange.cpp
+++ b/libs/gateway/src/PeerExchange.cpp
@@ -13,6 +13,8 @@
 
 constexpr std::string_view ConfigPath = "/config";
 constexpr std::string_view DirectoryPath = "/directory";
+constexpr std::string_view EnginesPath = "/engines?service=";
+constexpr std::string_view KnownParameter = "&known=";
 constexpr std::string_view VersionHeader = "Ragwort-Version";
 
 TimePoint now() { return SteadyClock().now(); }
@@ -282,6 +284,38 @@
     Node.onDirectoryChanged();
 }
 
+std::string PeerExchange::enginesTarget(std::string_view Service,
+                                        std::string_view KnownDigest) {
+  std::string Target(EnginesPath);
+  Target += Service;
+  Target += KnownParameter;
+  Target += KnownDigest;
+  return Target;
+}
+
+http::Response PeerExchange::serveEngines(std::string_view Target) const {
+  Target.remove_prefix(EnginesPath.size());
+  size_t End = Target.rfind(KnownParameter);
+  std::string_view Service = Target.substr(0, End);
+  std::string_view Known;
+  if (End != std::string_view::npos)
+    Known = Target.substr(End + KnownParameter.size());
+  EngineList List;
+  for (const auto &[Id, Entry] : Node.directory().instances())
+    if (Entry.Service == Service)
+      if (std::optional<Address> At = parseAddress(Entry.Address))
+        List.Ips.push_back(At->Ip);
+  std::sort(List.Ips.begin(), List.Ips.end());
+  std::string Bytes = encodeEngineList(List);
+  std::string Digest = std::to_string(hash64(Bytes));
+  http::Response R =
+      Digest == Known
+          ? http::makeResponse(304, "application/octet-stream", "")
+          : http::makeResponse(200, "application/octet-stream", Bytes);
+  R.Head.Headers.push_back({std::string(DigestHeader), Digest});
+  return R;
+}
+
 asio::awaitable<void> PeerExchange::serve(http::Exchange &X) {
   http::Response R;
   if (X.request().Target == ConfigPath && PublishedConfig.Version > 0) {
@@ -289,6 +323,9 @@
                            PublishedConfig.Bytes);
     R.Head.Headers.push_back(
         {std::string(VersionHeader), std::to_string(PublishedConfig.Version)});
+  } else if (X.request().Target.starts_with(EnginesPath) &&
+             Node.directory().isKnown()) {
+    R = serveEngines(X.request().Target);
   } else if (X.request().Target == DirectoryPath &&
              Node.directory().isKnown()) {
     R = http::makeResponse(200, "application/octet-stream",
--- a/libs/gateway/src/PeerHeartbeat.cpp
+++ b/libs/gateway/src/PeerHeartbeat.cpp
@@ -148,6 +148,21 @@
   return wire::fromDatagram<LeavingDigest>(Datagram, MaxPeerDatagramBytes);
 }
 
+template <class Archive> void serialize(Archive &Ar, EngineList &List) {
+  size_t Count = wire::transferLength(Ar, List.Ips.size(), wire::MaxListLength);
+  List.Ips.resize(Count);
+  for (std::string &Ip : List.Ips)
+    wire::transferText(Ar, Ip, wire::MaxNameBytes);
+}
+
+std::string encodeEngineList(const EngineList &List) {
+  return wire::toArchive(List);
+}
+
+absl::StatusOr<EngineList> decodeEngineList(std::string_view Bytes) {
+  return wire::fromArchive<EngineList>(Bytes);
+}
+
 std::string encodeDirectory(const DirectorySnapshot &Snapshot) {
   return wire::toArchive(Snapshot);
 }
--- a/libs/gateway/src/PeerHeartbeatTest.cpp
+++ b/libs/gateway/src/PeerHeartbeatTest.cpp
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(digestWhenTruncatedOrCorruptNeverThrows);
   CPPUNIT_TEST(leavingServersWhenEncodedAreAllSent);
   CPPUNIT_TEST(directoryWhenDecodedEqualsTheEncodedOne);
+  CPPUNIT_TEST(engineListWhenDecodedEqualsTheEncodedOne);
   CPPUNIT_TEST_SUITE_END();
 
   static PeerHeartbeat heartbeat() {
@@ -40,6 +41,14 @@
     CPPUNIT_ASSERT(Back->PeerIps == heartbeat().PeerIps);
   }
 
+  void engineListWhenDecodedEqualsTheEncodedOne() {
+    EngineList List{{"10.0.0.1", "10.0.0.2"}};
+    std::string Bytes = encodeEngineList(List);
+    CPPUNIT_ASSERT(decodeEngineList(Bytes)->Ips == List.Ips);
+    for (size_t Size = 0; Size < Bytes.size(); ++Size)
+      CPPUNIT_ASSERT(!decodeEngineList(Bytes.substr(0, Size)).ok());
+  }
+
   void leavingServersWhenEncodedAreAllSent() {
     std::vector<ServerRun> Runs;
     for (uint64_t I = 0; I < 300; ++I)
