--- a/libs/gateway/src/Dispatcher.cpp
+++ b/libs/gateway/src/Dispatcher.cpp
@@ -176,12 +176,19 @@
           {Ticket, std::nullopt, retryAfter(Service, State, {}, Now)});
     if (State.Queue.size() == 0)
       continue;
+    // Choosing a server is slow: most waiting requests can use the same one.
+    std::optional<BackendInstance> Usual =
+        serverWithRoom(Service, State, {}, Now);
+    if (!Usual)
+      continue;
     // A request must not be dequeued for a server that has already failed it:
     // it would only join the queue again.
     std::optional<BackendInstance> Server;
     std::optional<uint64_t> Ticket =
         State.Queue.popFirst(Now, [&](const Waiter &W) {
-          Server = serverWithRoom(Service, State, W.Excluded, Now);
+          Server = W.Excluded.empty()
+                       ? Usual
+                       : serverWithRoom(Service, State, W.Excluded, Now);
           return Server.has_value();
         });
     if (Ticket)
