Treat a server as returning from a pause only once

Cause: each change of an entry read the pause of its run again and took the server for one that has just come back, also long after the pause: one request at a time until the next answer. Seen in reading. LoadTrackerTest fails without the change.

--- a/libs/gateway/src/LoadTracker.cpp
+++ b/libs/gateway/src/LoadTracker.cpp
@@ -85,8 +85,11 @@
 
 void LoadTracker::applyReports(Server &S) const {
   S.IsLeaving = Reports.isLeaving(S.run());
-  S.PausedUntil = Reports.pausedUntil(S.run());
-  S.IsReturning |= S.PausedUntil != TimePoint();
+  TimePoint Until = Reports.pausedUntil(S.run());
+  if (Until == S.PausedUntil)
+    return;
+  S.PausedUntil = Until;
+  S.IsReturning = true;
 }
 
 void LoadTracker::markLeaving(Server &S, std::string_view Source) {
--- a/libs/gateway/src/LoadTrackerTest.cpp
+++ b/libs/gateway/src/LoadTrackerTest.cpp
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(choiceWhenALeavingServersEntryLapsesStillExcludesIt);
   CPPUNIT_TEST(choiceWhenAServerPausesExcludesItUntilTheEnd);
   CPPUNIT_TEST(choiceWhenAPausedServerRestartsTakesIt);
+  CPPUNIT_TEST(choiceWhenAnEntryChangesAfterAPauseTakesTheServer);
   CPPUNIT_TEST(choiceWhenAnAddressHasANewerInstanceTakesTheNewer);
   CPPUNIT_TEST(choiceWhenAServerWasReplacedExcludesItUntilItRestarts);
   CPPUNIT_TEST(choiceWhenAServerIsSlowPrefersTheOthers);
@@ -191,6 +192,21 @@
     CPPUNIT_ASSERT(isAChosen(at(1)));
   }
 
+  // Only the first request after a pause is a trial.
+  void choiceWhenAnEntryChangesAfterAPauseTakesTheServer() {
+    Tracker->onPaused(instance("a", "10.0.0.1:1"), std::chrono::seconds(4),
+                      at(0));
+    Tracker->onStarted("a", at(4000));
+    Tracker->onAnswered("a", std::chrono::milliseconds(20), at(4020));
+    Tracker->onEnded("a");
+    std::vector<BackendInstance> List = threeServers();
+    List[0].Slots = 8;
+    list(List);
+    Tracker->onStarted("a", at(4100));
+    Tracker->onEnded("a");
+    CPPUNIT_ASSERT(isAChosen(at(4110)));
+  }
+
   void choiceWhenAServerDrainsExcludesIt() {
     BackendInstance Leaving = instance("a", "10.0.0.1:1");
     Leaving.IsDraining = true;
