--- a/libs/rankgroup/include/ragwort/rankgroup/LinkPacer.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/LinkPacer.h
@@ -7,6 +7,7 @@
 #ifndef RAGWORT_RANKGROUP_LINKPACER_H
 #define RAGWORT_RANKGROUP_LINKPACER_H
 
+#include "ragwort/base/Bytes.h"
 #include "ragwort/base/Time.h"
 #include <algorithm>
 #include <cstddef>
@@ -25,7 +26,7 @@
   static constexpr double LinkShare = 0.5;
   /// Bytes that may be sent at once, some ten datagrams: less than the queue of
   /// any link.
-  static constexpr size_t BurstBytes = 16 * 1024;
+  static constexpr size_t BurstBytes = 16 * KiB;
 
   /// \p LinkBytesPerSecond is zero if the link's bandwidth is unknown; sending
   /// is not limited then.
