--- a/libs/gateway/include/ragwort/gateway/Forwarding.h
+++ b/libs/gateway/include/ragwort/gateway/Forwarding.h
@@ -116,6 +116,7 @@
   void finishStream();
   void relayAnswer();
   void onServerFault(ServerFault Fault, std::string_view Text);
+  void logFailedSend(std::string_view Fault) const;
   void onDeclined();
   void onFailureAnswer();
   void carryOut(Step Next);
--- a/libs/gateway/include/ragwort/gateway/ProtocolNames.h
+++ b/libs/gateway/include/ragwort/gateway/ProtocolNames.h
@@ -38,6 +38,8 @@
   std::string Leaving = "Ragwort-Leaving";
   /// Id of the last event that the caller of a resumed stream has received.
   std::string LastEventId = "Last-Event-Id";
+  /// The parts of the request's prompt in order, as a comma-separated list.
+  std::string PromptParts = "Ragwort-Prompt-Parts";
   /// Version of the model's weights that the request requires. Never accepted
   /// from callers.
   std::string ExpectedWeights = "Ragwort-Expected-Weights";
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -38,6 +38,8 @@
 // Bytes buffered for a slow caller above which reading from the server pauses.
 constexpr size_t MaxUnsentBytes = 256 * KiB;
 
+constexpr size_t MaxLoggedPartsBytes = 160;
+
 constexpr unsigned StatusMisdirected = 421;
 constexpr unsigned StatusUnavailable = 503;
 constexpr std::string_view RetryAfterField = "Retry-After";
@@ -502,7 +504,26 @@
   carryOut(Next);
 }
 
+void Forwarding::logFailedSend(std::string_view Fault) const {
+  Context.Metrics
+      .counter("ragwort_failed_sends_total",
+               "fault=\"" + std::string(Fault) + "\"")
+      .add();
+  std::string_view Parts = Accepted.Message.header(Context.Names.PromptParts);
+  logEvent(LogLevel::Info, "send-failed",
+           {{"request", Accepted.RequestId},
+            {"instance", Server.Id},
+            {"fault", Fault},
+            {"send", Flow.sends()},
+            {"events", Events.events()},
+            {"sent_ms", millis(now() - SentAt)},
+            {"silent_ms", millis(now() - LastProgress)},
+            {"organisation", Accepted.Organisation},
+            {"parts", Parts.substr(0, MaxLoggedPartsBytes)}});
+}
+
 void Forwarding::onServerFault(ServerFault Fault, std::string_view Text) {
+  logFailedSend(Text);
   LastFault = Text;
   Context.Dispatch.loadTracker().onFault(Server.Id, Fault, now());
   Excluded.push_back(Server.Id);
@@ -535,6 +556,7 @@
     // The server closed a reused idle connection just as the request was sent;
     // this is not a sign of bad health.
     LastFault = "idle-connection-closed";
+    logFailedSend(LastFault);
     leaveServer(false);
     carryOut(Flow.onBroken(retryConditions()));
     return;
