Quarantine prompt parts that crash one server after another

Cause: nodes judged servers only. A failure that follows the request was taken for a failure of each server in turn, so every further request with the part was sent, and resumable ones once more after their server had ended.

Nodes now tell each other which shared parts were at a server that ended, count the requests that survived, and refuse the part that explains the crashes. A broken connection counts only if nobody listens at the server's address any more and the server was not leaving. The store keeps quarantines for a start of all nodes at once.

--- /dev/null
+++ b/libs/gateway/include/ragwort/gateway/CrashDetector.h
@@ -0,0 +1,56 @@
+//===- CrashDetector.h - Tells crashed servers from broken connections ----===//
+//
+// A connection may break for many reasons. After one has broken, a single
+// connect to the server's address shows whether that run of the server has
+// ended: then nobody listens there.
+//
+//===----------------------------------------------------------------------===//
+#ifndef RAGWORT_GATEWAY_CRASHDETECTOR_H
+#define RAGWORT_GATEWAY_CRASHDETECTOR_H
+
+#include "ragwort/gateway/BackendDirectory.h"
+#include "ragwort/gateway/PromptParts.h"
+#include "ragwort/gateway/SelfReports.h"
+#include "ragwort/gateway/StreamSocket.h"
+#include <functional>
+#include <map>
+
+namespace ragwort::gateway {
+
+/// \code
+///   CrashDetector Detector(Io, [](const ServerRun &Run, PartKeys Parts) {});
+///   Detector.onBroken(Server, Parts, Now);
+/// \endcode
+class CrashDetector {
+public:
+  /// Receives the parts of a request that was at a server when it ended.
+  using Listener = std::function<void(const ServerRun &, PartKeys)>;
+
+  static constexpr Duration ConnectTimeout = std::chrono::milliseconds(400);
+  /// Time for which the result of a check holds for further connections of the
+  /// same run.
+  static constexpr Duration VerdictLifetime = std::chrono::milliseconds(1000);
+  /// Maximum number of checks that are in progress or remembered. Connections
+  /// that break beyond it are not checked.
+  static constexpr size_t MaxChecks = 64;
+
+  CrashDetector(asio::io_context &Io, Listener OnCrash)
+      : Io(Io), OnCrash(std::move(OnCrash)) {}
+  ~CrashDetector();
+
+  /// The connection of a request with \p Parts to \p Server has broken.
+  void onBroken(const BackendInstance &Server, PartKeys Parts, TimePoint Now);
+
+private:
+  class Check;
+  void onVerdict(const Check &Done, bool HasEnded);
+
+  asio::io_context &Io;
+  const Listener OnCrash;
+  // By the server's id.
+  std::map<std::string, std::shared_ptr<Check>, std::less<>> Checks;
+};
+
+} // namespace ragwort::gateway
+
+#endif
--- a/libs/gateway/include/ragwort/gateway/Forwarding.h
+++ b/libs/gateway/include/ragwort/gateway/Forwarding.h
@@ -9,9 +9,11 @@
 #define RAGWORT_GATEWAY_FORWARDING_H
 
 #include "ragwort/gateway/BackendPool.h"
+#include "ragwort/gateway/CrashDetector.h"
 #include "ragwort/gateway/Dispatcher.h"
 #include "ragwort/gateway/EventStream.h"
 #include "ragwort/gateway/MessageParser.h"
+#include "ragwort/gateway/PromptQuarantine.h"
 #include "ragwort/gateway/ProtocolNames.h"
 #include "ragwort/gateway/RequestFlow.h"
 #include "ragwort/observe/Metrics.h"
@@ -50,6 +52,8 @@
   const ProtocolNames &Names;
   Dispatcher &Dispatch;
   BackendPool &Pool;
+  PromptQuarantine &Quarantine;
+  CrashDetector &Crashes;
   MetricsRegistry &Metrics;
   /// Registers a waiting request by its ticket, until it is dequeued.
   std::function<void(uint64_t, std::weak_ptr<Forwarding>)> OnQueued;
@@ -65,6 +69,8 @@
   std::string RequestId;
   /// The organisation of the caller's API key; empty on public routes.
   std::string Organisation;
+  /// The parts of its prompt that other requests may have too.
+  std::vector<PartKey> SharedParts;
   uint32_t Priority = 0;
   TimePoint Arrived;
   /// The earlier of the caller's and the route's deadline.
@@ -86,8 +92,9 @@
   void onCallerGone();
   /// The waiting request was dequeued, to be sent or because it has expired.
   void onDequeued(const DequeuedRequest &C);
-  /// Retries the request at another server if its server is a straggler. Called
-  /// a few times a second.
+  /// Retries the request at another server if its server is a straggler, and
+  /// withdraws it if its prompt was quarantined before the answer has begun.
+  /// Called a few times a second.
   void onTick(TimePoint At);
   /// The caller has read the buffered bytes; reading from the server resumes.
   void onSinkDrained();
@@ -100,6 +107,10 @@
   enum class Phase : uint8_t { Placing, Waiting, Connecting, Sent, Done };
 
   RetryConditions retryConditions();
+  /// Ends the request if its prompt is quarantined. \returns whether it is.
+  bool endIfQuarantined();
+  void noteSurvival();
+  void noteConnectionEnd();
   void place();
   void sendTo(const BackendInstance &Chosen);
   void writeRequest();
@@ -117,6 +128,7 @@
   void relayAnswer();
   void onServerFault(ServerFault Fault, std::string_view Text);
   void logFailedSend(std::string_view Fault) const;
+  void moveFromStraggler(TimePoint At);
   void onDeclined();
   void onFailureAnswer();
   void carryOut(Step Next);
@@ -155,6 +167,9 @@
   bool HasBytes = false;
   // Whether a complete event was received on this send.
   bool HasEvent = false;
+  TimePoint FirstEventAt{};
+  // Whether this send has counted as one that its server survived.
+  bool HasSurvived = false;
   bool HasHead = false;
   // How long the server asked this node to send it nothing, with this answer.
   std::optional<Duration> Pause;
--- a/libs/gateway/include/ragwort/gateway/Gateway.h
+++ b/libs/gateway/include/ragwort/gateway/Gateway.h
@@ -57,6 +57,7 @@
   /// Records the load that \p Peer reported.
   void onPeerReport(std::string_view Peer, std::vector<InFlightReport> Report);
   Dispatcher &dispatcher() { return Dispatch; }
+  PromptQuarantine &promptQuarantine() { return Quarantine; }
 
   /// Whether a load balancer may send callers to this node: it has a
   /// configuration and a directory, and is not draining.
@@ -98,6 +99,8 @@
   asio::steady_timer Ticker;
   Dispatcher Dispatch;
   BackendPool Pool;
+  PromptQuarantine Quarantine;
+  CrashDetector Crashes;
   BackendDirectory Directory;
   std::shared_ptr<const TrafficConfig> Config;
   ForwardingContext Context;
--- a/libs/gateway/include/ragwort/gateway/LoadTracker.h
+++ b/libs/gateway/include/ragwort/gateway/LoadTracker.h
@@ -187,6 +187,9 @@
     return Reports.toForward(Now);
   }
   bool isStraggler(std::string_view Id, TimePoint Now) const;
+  /// Whether the server is expected to end: it drains, has said that it leaves,
+  /// or is no longer listed.
+  bool isStopping(std::string_view Id) const;
   uint32_t inFlight(std::string_view Id) const;
   ServerCounts counts(TimePoint Now) const;
   /// One line per server, for the state dump.
--- a/libs/gateway/include/ragwort/gateway/MessageParser.h
+++ b/libs/gateway/include/ragwort/gateway/MessageParser.h
@@ -75,6 +75,9 @@
   std::string takeBody();
   /// Whether the connection can be used for another request.
   bool isKeepAlive() const;
+  /// Whether the response itself shows where its body ends. Otherwise it ends
+  /// with the connection.
+  bool isFramed() const;
   /// Whether this is a 1xx response, which the final response follows.
   bool isInterim() const;
 
--- /dev/null
+++ b/libs/gateway/src/CrashDetectorTest.cpp
@@ -0,0 +1,90 @@
+//===- CrashDetectorTest.cpp - Tests of CrashDetector.h -------------------===//
+#include "ragwort/gateway/CrashDetector.h"
+#include "LoopbackPeers.h"
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace ragwort::gateway {
+
+class CrashDetectorTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(CrashDetectorTest);
+  CPPUNIT_TEST(serverWhenItStillListensHasNotCrashed);
+  CPPUNIT_TEST(serverWhenNobodyListensHasCrashed);
+  CPPUNIT_TEST(connectionsWhenSeveralBreakAreCheckedOnce);
+  CPPUNIT_TEST(serverWhenStartedAnewIsCheckedAgain);
+  CPPUNIT_TEST_SUITE_END();
+
+  asio::io_context Io{1};
+  std::vector<std::pair<ServerRun, std::vector<PartKey>>> Crashes;
+  std::unique_ptr<CrashDetector> Detector;
+  std::unique_ptr<ScriptedServer> Server;
+  BackendInstance Instance;
+  static constexpr PartKey Part = 7;
+
+public:
+  void setUp() override {
+    Crashes.clear();
+    Detector = std::make_unique<CrashDetector>(Io, [this](const ServerRun &Run,
+                                                          PartKeys Parts) {
+      Crashes.emplace_back(Run,
+                           std::vector<PartKey>(Parts.begin(), Parts.end()));
+    });
+    Server = std::make_unique<ScriptedServer>(Io);
+    Instance.Id = "i0";
+    Instance.Address = Server->address();
+    Instance.BornMillis = 5;
+  }
+
+private:
+  void onBroken() {
+    Detector->onBroken(Instance, std::span(&Part, 1), SteadyClock().now());
+  }
+  void settle() { Io.run_for(std::chrono::milliseconds(50)); }
+
+public:
+  void serverWhenItStillListensHasNotCrashed() {
+    onBroken();
+    settle();
+    CPPUNIT_ASSERT_EQUAL(1, Server->Connections);
+    CPPUNIT_ASSERT(Crashes.empty());
+  }
+
+  void serverWhenNobodyListensHasCrashed() {
+    Server->crash();
+    onBroken();
+    settle();
+    CPPUNIT_ASSERT_EQUAL(size_t(1), Crashes.size());
+    CPPUNIT_ASSERT_EQUAL(uint64_t(5), Crashes[0].first.BornMillis);
+    CPPUNIT_ASSERT(Crashes[0].second == std::vector<PartKey>({Part}));
+  }
+
+  void connectionsWhenSeveralBreakAreCheckedOnce() {
+    onBroken();
+    onBroken();
+    settle();
+    onBroken();
+    settle();
+    CPPUNIT_ASSERT_EQUAL(1, Server->Connections);
+    Server->crash();
+    Instance.Id = "i1";
+    onBroken();
+    onBroken();
+    settle();
+    onBroken();
+    CPPUNIT_ASSERT_EQUAL(size_t(3), Crashes.size());
+  }
+
+  void serverWhenStartedAnewIsCheckedAgain() {
+    onBroken();
+    settle();
+    Server->crash();
+    Instance.BornMillis = 6;
+    onBroken();
+    settle();
+    CPPUNIT_ASSERT_EQUAL(size_t(1), Crashes.size());
+    CPPUNIT_ASSERT_EQUAL(uint64_t(6), Crashes[0].first.BornMillis);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CrashDetectorTest);
+
+} // namespace ragwort::gateway
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -31,6 +31,9 @@
 // Interval at which a request that makes no progress is checked again while no
 // other server is free.
 constexpr Duration ProgressCheckInterval = std::chrono::milliseconds(100);
+// A server that has written a stream for this long survives its prompt; one
+// that crashes of a prompt does so within its first events.
+constexpr Duration SurvivalTime = std::chrono::milliseconds(1000);
 // Retry-After time if no better estimate is available.
 constexpr Duration DefaultRetryAfter = std::chrono::milliseconds(500);
 // Maximum size of an answer that is not an event stream.
@@ -115,6 +118,7 @@
 
 void Forwarding::start() {
   Context.Dispatch.onRequest(Service, now());
+  Context.Quarantine.onRequest(Accepted.SharedParts, now());
   auto Self = shared_from_this();
   place();
 }
@@ -137,8 +141,35 @@
   return Result;
 }
 
+bool Forwarding::endIfQuarantined() {
+  TimePoint At = now();
+  std::optional<TimePoint> Until =
+      Context.Quarantine.quarantinedUntil(Accepted.SharedParts, At);
+  if (!Until)
+    return false;
+  LastFault = "prompt-quarantined";
+  RetryAfter = *Until - At;
+  leaveServer(false);
+  carryOut(Flow.onNoBackend());
+  return true;
+}
+
+void Forwarding::noteSurvival() {
+  if (!std::exchange(HasSurvived, true))
+    Context.Quarantine.onSurvived(Accepted.SharedParts, SentAt, now());
+}
+
+void Forwarding::noteConnectionEnd() {
+  if (Accepted.SharedParts.empty() || HasSurvived ||
+      Context.Dispatch.loadTracker().isStopping(Server.Id))
+    return;
+  Context.Crashes.onBroken(Server, Accepted.SharedParts, now());
+}
+
 void Forwarding::place() {
   CurrentPhase = Phase::Placing;
+  if (endIfQuarantined())
+    return;
   const gateway::Service *ServiceConfig = Accepted.Config->findService(Service);
   PlacementRequest R;
   R.Service = Service;
@@ -175,6 +206,8 @@
     return;
   auto Self = shared_from_this();
   Ticket = 0;
+  if (endIfQuarantined())
+    return;
   if (C.Server) {
     sendTo(*C.Server);
     return;
@@ -210,7 +243,8 @@
 
 void Forwarding::onConnected() {
   auto Self = shared_from_this();
-  writeRequest();
+  if (!endIfQuarantined())
+    writeRequest();
 }
 
 std::string Forwarding::requestHead() const {
@@ -269,6 +303,7 @@
   IsEventStream = false;
   HasBytes = false;
   HasEvent = false;
+  HasSurvived = false;
   if (Flow.arrivals() > 0)
     Context.Dispatch.onRetry(Service, now());
   std::string Bytes = requestHead();
@@ -393,6 +428,10 @@
     Duration Gap = LastProgress - Before;
     LongestGap = std::max(LongestGap, Gap);
     Context.Dispatch.loadTracker().onEvent(Server.Id, Gap, LastProgress);
+    if (LastProgress - FirstEventAt >= SurvivalTime)
+      noteSurvival();
+  } else {
+    FirstEventAt = LastProgress;
   }
   if (!Flow.hasAnswerBegun()) {
     Head = Parser.head();
@@ -421,6 +460,9 @@
     onDeclined();
     return;
   }
+  // An answer that ends with its connection looks the same after a crash.
+  if (isSuccess(H.Status) && Parser.isFramed())
+    noteSurvival();
   if (IsEventStream) {
     finishStream();
     return;
@@ -544,6 +586,7 @@
   }
   if (CurrentPhase != Phase::Sent)
     return;
+  noteConnectionEnd();
   if (End == SocketEnd::Closed && HasHead) {
     // An answer without a length ends when the connection is closed.
     Parser.feedEnd();
@@ -641,12 +684,18 @@
 }
 
 void Forwarding::onTick(TimePoint At) {
+  auto Self = shared_from_this();
+  if (CurrentPhase == Phase::Sent && !HasEvent && endIfQuarantined())
+    return;
+  moveFromStraggler(At);
+}
+
+void Forwarding::moveFromStraggler(TimePoint At) {
   // A slow rank delays not only its own streams but all streams of its group.
   if (CurrentPhase != Phase::Sent ||
       !Context.Dispatch.loadTracker().isStraggler(Server.Id, At) ||
       !Flow.mayRetry(retryConditions()) || !hasOtherFreeServer(At))
     return;
-  auto Self = shared_from_this();
   logEvent(LogLevel::Info, "request-moved",
            {{"request", Accepted.RequestId},
             {"cause", "straggler"},
--- a/libs/gateway/src/Gateway.cpp
+++ b/libs/gateway/src/Gateway.cpp
@@ -41,10 +41,17 @@
     : Io(Io), Options(std::move(Given)), Names(std::move(HeaderNames)),
       Metrics(Metrics), Acceptor(Io), Ticker(Io),
       Dispatch(Options.DataCentre, Options.RetryLimits, Options.Seed),
+      Quarantine(Options.Seed, SteadyClock().now()),
+      Crashes(Io,
+              [this](const ServerRun &Run, PartKeys Parts) {
+                Quarantine.onCrash(Run, Parts, SteadyClock().now());
+              }),
       Context{Io,
               Names,
               Dispatch,
               Pool,
+              Quarantine,
+              Crashes,
               Metrics,
               [this](uint64_t Ticket, std::weak_ptr<Forwarding> Request) {
                 Waiting.emplace(Ticket, std::move(Request));
@@ -105,6 +112,7 @@
     if (Directory.expire(Now) > 0)
       onDirectoryChanged();
     Pool.expire(Now);
+    Quarantine.update(Now);
     dispatchWaiting();
     tick();
   });
@@ -219,6 +227,10 @@
     Result.Organisation = Owner->Name;
     Result.Priority = Owner->Priority.value_or(Target->Priority);
   }
+  Result.SharedParts = sharedPartsOf(Message.header(Names.PromptParts));
+  if (std::optional<TimePoint> Until =
+          Quarantine.quarantinedUntil(Result.SharedParts, Arrived))
+    return LocalReply{503, "prompt-quarantined", *Until - Arrived};
   Duration Time = Target->Timeout;
   if (auto TimeLeft = parseMillis(Message.header(Names.TimeLeftMillis)))
     Time = std::min(Time, *TimeLeft);
@@ -240,6 +252,9 @@
   Set("ragwort_caller_connections", Sessions.size());
   Set("ragwort_waiting_requests", Dispatch.waiting());
   Set("ragwort_idle_backend_connections", Pool.size());
+  Set("ragwort_suspected_prompt_parts", Quarantine.suspectCount());
+  Set("ragwort_quarantined_prompt_parts",
+      Quarantine.quarantined(SteadyClock().now()).size());
   ServerCounts Counts = Dispatch.loadTracker().counts(SteadyClock().now());
   Set("ragwort_servers", Counts.Listed, "state=\"listed\"");
   Set("ragwort_servers", Counts.Draining, "state=\"draining\"");
@@ -259,7 +274,8 @@
          " active=" + std::to_string(activeRequests()) +
          " waiting=" + std::to_string(Dispatch.waiting()) +
          " kept=" + std::to_string(Pool.size()) + "\n" +
-         Dispatch.loadTracker().describe(SteadyClock().now());
+         Dispatch.loadTracker().describe(SteadyClock().now()) +
+         Quarantine.describe(SteadyClock().now());
 }
 
 } // namespace ragwort::gateway
--- a/libs/gateway/src/LoadTracker.cpp
+++ b/libs/gateway/src/LoadTracker.cpp
@@ -352,6 +352,11 @@
   return Found != Servers.end() && Now < Found->second.StragglerUntil;
 }
 
+bool LoadTracker::isStopping(std::string_view Id) const {
+  auto Found = Servers.find(Id);
+  return Found == Servers.end() || !Found->second.isUsable();
+}
+
 void LoadTracker::onPeerReport(std::string_view Peer,
                                std::vector<InFlightReport> Report,
                                TimePoint Now) {
--- a/libs/gateway/src/MessageParser.cpp
+++ b/libs/gateway/src/MessageParser.cpp
@@ -190,6 +190,8 @@
   return State->keep_alive() && !State->need_eof();
 }
 
+bool ResponseParser::isFramed() const { return !State->need_eof(); }
+
 bool ResponseParser::isInterim() const {
   return State->IsHeadDone && State->Head.Status < 200;
 }
--- a/libs/gateway/src/PeerExchange.cpp
+++ b/libs/gateway/src/PeerExchange.cpp
@@ -1,6 +1,7 @@
 //===- PeerExchange.cpp - Exchanges load and versions with peer nodes -----===//
 #include "ragwort/gateway/PeerExchange.h"
 #include "ragwort/base/Hash.h"
+#include "ragwort/gateway/QuarantineWire.h"
 #include "ragwort/http/HttpClient.h"
 #include "ragwort/observe/Log.h"
 #include "ragwort/wire/Archived.h"
@@ -95,6 +96,9 @@
   std::vector<std::string> Leaving =
       encodeLeaving(Node.dispatcher().loadTracker().ownLeaving(now()));
   Datagrams.insert(Datagrams.end(), Leaving.begin(), Leaving.end());
+  std::vector<std::string> Quarantine =
+      encodeQuarantine(Node.promptQuarantine().takeDigest(now()));
+  Datagrams.insert(Datagrams.end(), Quarantine.begin(), Quarantine.end());
   Datagrams.push_back(encodeHeartbeat(std::move(Heartbeat)));
   // Lost datagrams are not resent; the next heartbeat replaces them.
   for (const auto &[Ip, P] : Peers)
@@ -132,6 +136,10 @@
     if (auto Digest = decodeLeaving(Datagram); Digest.ok())
       Node.dispatcher().loadTracker().onPeerLeaving(Digest->Leaving, now());
     return;
+  case QuarantineDigest::Protocol:
+    if (auto Digest = decodeQuarantine(Datagram); Digest.ok())
+      Node.promptQuarantine().onPeerDigest(From.Ip, *Digest, now());
+    return;
   }
 }
 
--- /dev/null
+++ b/libs/gateway/src/PromptQuarantineTest.cpp
@@ -0,0 +1,362 @@
+//===- PromptQuarantineTest.cpp - Tests of PromptQuarantine.h -------------===//
+#include "ragwort/gateway/PromptQuarantine.h"
+#include "ragwort/gateway/QuarantineWire.h"
+#include <cppunit/extensions/HelperMacros.h>
+#include <cstdlib>
+#include <random>
+#include <set>
+
+namespace ragwort::gateway {
+
+namespace {
+
+constexpr PartKey Dead = 0xdead;
+constexpr PartKey Shared = 0x5afe;
+
+TimePoint at(double Seconds) {
+  return TimePoint(Duration(static_cast<int64_t>(Seconds * 1e6)));
+}
+
+/// Nodes that hear each other's digests, over links that may lose them.
+class VirtualFleet {
+public:
+  VirtualFleet(size_t Nodes, uint64_t Seed) : Random(Seed) {
+    for (size_t I = 0; I < Nodes; ++I)
+      add(at(0));
+  }
+
+  PromptQuarantine &add(TimePoint Start) {
+    Nodes.push_back(std::make_unique<PromptQuarantine>(Nodes.size(), Start));
+    return *Nodes.back();
+  }
+
+  /// Advances to \p End in steps of a heartbeat.
+  void runUntil(TimePoint End) {
+    for (; Now < End; Now += std::chrono::milliseconds(200)) {
+      for (size_t I = 0; I < Nodes.size(); ++I)
+        deliver(I);
+      for (auto &N : Nodes)
+        N->update(Now);
+    }
+  }
+
+  size_t quarantining(PartKey Part) const {
+    return static_cast<size_t>(
+        std::count_if(Nodes.begin(), Nodes.end(), [&](const auto &N) {
+          return N->quarantinedUntil(std::span(&Part, 1), Now).has_value();
+        }));
+  }
+  bool isAnyQuarantined() const {
+    return std::any_of(Nodes.begin(), Nodes.end(), [&](const auto &N) {
+      return !N->quarantined(Now).empty();
+    });
+  }
+  PromptQuarantine &anyNode() {
+    return *Nodes[std::uniform_int_distribution<size_t>(0, Nodes.size() -
+                                                               1)(Random)];
+  }
+
+  std::vector<std::unique_ptr<PromptQuarantine>> Nodes;
+  std::mt19937_64 Random;
+  TimePoint Now = at(10);
+  double Loss = 0;
+
+private:
+  void deliver(size_t From) {
+    std::bernoulli_distribution IsLost(Loss);
+    for (const std::string &Bytes :
+         encodeQuarantine(Nodes[From]->takeDigest(Now)))
+      for (size_t To = 0; To < Nodes.size(); ++To)
+        if (To != From && !IsLost(Random))
+          Nodes[To]->onPeerDigest("n" + std::to_string(From),
+                                  *decodeQuarantine(Bytes), Now);
+  }
+};
+
+} // namespace
+
+class PromptQuarantineTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PromptQuarantineTest);
+  CPPUNIT_TEST(partWhenThreeServersCrashedIsQuarantined);
+  CPPUNIT_TEST(partWhenOneServerCrashedUnderManyRequestsIsNotQuarantined);
+  CPPUNIT_TEST(partWhenItHasSurvivorsIsNotBlamedForAnothersCrashes);
+  CPPUNIT_TEST(partWhenARequestSurvivesLaterIsCleared);
+  CPPUNIT_TEST(partWhenItWasSoundAndTurnsDangerousIsQuarantinedLater);
+  CPPUNIT_TEST(partsWhenIndistinguishableWaitForMoreCrashes);
+  CPPUNIT_TEST(partWhenQuarantinedByOneNodeIsRefusedByAll);
+  CPPUNIT_TEST(nodeWhenItJoinsLearnsTheQuarantinesWithinASecond);
+  CPPUNIT_TEST(nodeWhenJustStartedDecidesNothing);
+  CPPUNIT_TEST(quarantineWhenEndedIsRenewedByOneCrash);
+  CPPUNIT_TEST(quarantineWhenItEndsStaysLongerAtSomeNodes);
+  CPPUNIT_TEST(fleetWhenCrashesHaveOtherCausesQuarantinesNothing);
+  CPPUNIT_TEST(fleetWhenAPartCrashesServersFindsItInFiveCrashes);
+  CPPUNIT_TEST(memoryWhenManyPartsCrashIsBounded);
+  CPPUNIT_TEST(digestWhenTruncatedOrCorruptNeverThrows);
+  CPPUNIT_TEST(partsWhenListedOmitTheLast);
+  CPPUNIT_TEST(partsWhenMalformedAreSkipped);
+  CPPUNIT_TEST_SUITE_END();
+
+  static ServerRun run(uint64_t Number) { return {Number, 1000 + Number}; }
+
+  static bool isQuarantined(const PromptQuarantine &Q, PartKey Part,
+                            TimePoint Now) {
+    return Q.quarantinedUntil(std::span(&Part, 1), Now).has_value();
+  }
+
+  /// \p Count crashes of different servers a second apart, beginning at
+  /// \p From, each decided before the next.
+  static void crash(PromptQuarantine &Q, std::vector<PartKey> Parts,
+                    uint64_t Count, double From) {
+    for (uint64_t I = 0; I < Count; ++I) {
+      double Time = From + static_cast<double>(I);
+      Q.onRequest(Parts, at(Time));
+      Q.onCrash(run(static_cast<uint64_t>(Time * 10)), Parts, at(Time));
+      Q.update(at(Time + 0.9));
+    }
+  }
+
+public:
+  void partWhenThreeServersCrashedIsQuarantined() {
+    PromptQuarantine Q(1, at(0));
+    crash(Q, {Dead}, 2, 10);
+    CPPUNIT_ASSERT(!isQuarantined(Q, Dead, at(12)));
+    crash(Q, {Dead}, 1, 12);
+    CPPUNIT_ASSERT(isQuarantined(Q, Dead, at(13)));
+    CPPUNIT_ASSERT(!isQuarantined(Q, Shared, at(13)));
+  }
+
+  void partWhenOneServerCrashedUnderManyRequestsIsNotQuarantined() {
+    PromptQuarantine Q(1, at(0));
+    PartKey Parts[] = {Dead};
+    for (int I = 0; I < 20; ++I) {
+      Q.onRequest(Parts, at(10));
+      Q.onCrash(run(1), Parts, at(10));
+    }
+    Q.update(at(11));
+    CPPUNIT_ASSERT(!isQuarantined(Q, Dead, at(11)));
+  }
+
+  void partWhenItHasSurvivorsIsNotBlamedForAnothersCrashes() {
+    PromptQuarantine Q(1, at(0));
+    PartKey Sound[] = {Shared};
+    for (int I = 0; I < 20; ++I) {
+      Q.onRequest(Sound, at(5));
+      Q.onSurvived(Sound, at(5), at(6));
+    }
+    crash(Q, {Shared, Dead}, 12, 10);
+    CPPUNIT_ASSERT(isQuarantined(Q, Dead, at(25)));
+    CPPUNIT_ASSERT(!isQuarantined(Q, Shared, at(25)));
+  }
+
+  void partWhenARequestSurvivesLaterIsCleared() {
+    PromptQuarantine Q(1, at(0));
+    PartKey Parts[] = {Dead};
+    crash(Q, {Dead}, 2, 10);
+    // Sent before the crashes: shows nothing about them.
+    Q.onSurvived(Parts, at(9), at(12));
+    Q.onSurvived(Parts, at(12), at(13));
+    crash(Q, {Dead}, 2, 14);
+    CPPUNIT_ASSERT(!isQuarantined(Q, Dead, at(17)));
+  }
+
+  void partWhenItWasSoundAndTurnsDangerousIsQuarantinedLater() {
+    PromptQuarantine Q(1, at(0));
+    PartKey Parts[] = {Dead};
+    for (int I = 0; I < 10; ++I)
+      Q.onSurvived(Parts, at(5), at(6));
+    crash(Q, {Dead}, 5, 10);
+    CPPUNIT_ASSERT(!isQuarantined(Q, Dead, at(15)));
+    crash(Q, {Dead}, 3, 15);
+    CPPUNIT_ASSERT(isQuarantined(Q, Dead, at(18)));
+  }
+
+  void partsWhenIndistinguishableWaitForMoreCrashes() {
+    PromptQuarantine Q(1, at(0));
+    crash(Q, {Shared, Dead}, 4, 10);
+    CPPUNIT_ASSERT(Q.quarantined(at(14)).empty());
+    PartKey Sound[] = {Shared};
+    Q.onRequest(Sound, at(14));
+    Q.update(at(14.9));
+    CPPUNIT_ASSERT(isQuarantined(Q, Dead, at(15)));
+    CPPUNIT_ASSERT(!isQuarantined(Q, Shared, at(15)));
+  }
+
+  void partWhenQuarantinedByOneNodeIsRefusedByAll() {
+    VirtualFleet Fleet(5, 1);
+    PartKey Parts[] = {Dead};
+    for (uint64_t I = 0; I < 3; ++I) {
+      Fleet.Nodes[I]->onRequest(Parts, Fleet.Now);
+      Fleet.Nodes[I]->onCrash(run(I), Parts, Fleet.Now);
+    }
+    Fleet.runUntil(at(11.5));
+    CPPUNIT_ASSERT_EQUAL(size_t(5), Fleet.quarantining(Dead));
+  }
+
+  void nodeWhenItJoinsLearnsTheQuarantinesWithinASecond() {
+    VirtualFleet Fleet(3, 1);
+    crash(*Fleet.Nodes[0], {Dead}, 3, 10);
+    Fleet.runUntil(at(60));
+    Fleet.add(Fleet.Now);
+    Fleet.runUntil(at(61.2));
+    CPPUNIT_ASSERT_EQUAL(size_t(4), Fleet.quarantining(Dead));
+  }
+
+  void nodeWhenJustStartedDecidesNothing() {
+    PromptQuarantine Q(1, at(10));
+    PartKey Parts[] = {Shared};
+    for (uint64_t I = 0; I < 6; ++I)
+      Q.onCrash(run(I), Parts, at(10.1));
+    Q.update(at(11.9));
+    CPPUNIT_ASSERT(Q.quarantined(at(11.9)).empty());
+  }
+
+  void quarantineWhenEndedIsRenewedByOneCrash() {
+    PromptQuarantine Q(1, at(0));
+    crash(Q, {Dead}, 3, 10);
+    double End = 13 + 660; // The quarantine and its spread.
+    CPPUNIT_ASSERT(!isQuarantined(Q, Dead, at(End)));
+    crash(Q, {Dead}, 1, End);
+    CPPUNIT_ASSERT(isQuarantined(Q, Dead, at(End + 1)));
+    CPPUNIT_ASSERT(Q.quarantined(at(End + 1))[0].RemainingSeconds > 1100);
+  }
+
+  void quarantineWhenItEndsStaysLongerAtSomeNodes() {
+    VirtualFleet Fleet(10, 1);
+    for (uint64_t I = 0; I < 10; ++I)
+      Fleet.Nodes[I] = std::make_unique<PromptQuarantine>(I * 7'654'321, at(0));
+    QuarantinedPart Known{Dead, 600, 1};
+    for (auto &N : Fleet.Nodes)
+      N->restore(std::span(&Known, 1), "peer", at(10));
+    std::set<TimePoint> Ends;
+    for (auto &N : Fleet.Nodes)
+      Ends.insert(*N->quarantinedUntil(std::span(&Dead, 1), at(10)));
+    CPPUNIT_ASSERT_EQUAL(size_t(10), Ends.size());
+    CPPUNIT_ASSERT(*Ends.rbegin() - *Ends.begin() <=
+                   PromptQuarantine::EndSpread);
+  }
+
+  /// Sound requests with parts of different popularity, and servers that crash
+  /// with some requests that have just begun. \returns the crashes until
+  /// \p Culprit was quarantined everywhere.
+  static size_t play(VirtualFleet &Fleet, double Seconds,
+                     std::optional<PartKey> Culprit) {
+    std::uniform_int_distribution<PartKey> AnyPart(1, 60);
+    std::bernoulli_distribution IsCrash(0.1);
+    uint64_t NextRun = 1;
+    size_t Crashes = 0;
+    auto Sound = [&] {
+      return std::vector<PartKey>{Shared, 0x1000 + AnyPart(Fleet.Random)};
+    };
+    for (TimePoint End =
+             Fleet.Now + std::chrono::milliseconds(int64_t(Seconds * 1000));
+         Fleet.Now < End;) {
+      for (int I = 0; I < 10; ++I) {
+        std::vector<PartKey> Parts = Sound();
+        PromptQuarantine &Node = Fleet.anyNode();
+        Node.onRequest(Parts, Fleet.Now);
+        Node.onSurvived(Parts, Fleet.Now, Fleet.Now);
+      }
+      if (IsCrash(Fleet.Random)) {
+        ServerRun Run = run(NextRun++);
+        for (int I = 0; I < 4; ++I) {
+          std::vector<PartKey> Bystander = Sound();
+          PromptQuarantine &Node = Fleet.anyNode();
+          Node.onRequest(Bystander, Fleet.Now);
+          Node.onCrash(Run, Bystander, Fleet.Now);
+        }
+        PromptQuarantine &Node = Fleet.anyNode();
+        std::vector<PartKey> Parts = Sound();
+        if (Culprit)
+          Parts.push_back(*Culprit);
+        if (!Node.quarantinedUntil(Parts, Fleet.Now)) {
+          Node.onRequest(Parts, Fleet.Now);
+          Node.onCrash(Run, Parts, Fleet.Now);
+          ++Crashes;
+        }
+      }
+      Fleet.runUntil(Fleet.Now + std::chrono::milliseconds(200));
+    }
+    return Crashes;
+  }
+
+  void fleetWhenCrashesHaveOtherCausesQuarantinesNothing() {
+    for (uint64_t Seed = 1; Seed <= 40; ++Seed) {
+      VirtualFleet Fleet(6, Seed);
+      Fleet.Loss = 0.05;
+      CPPUNIT_ASSERT(play(Fleet, 60, std::nullopt) > 5);
+      CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(Seed),
+                             !Fleet.isAnyQuarantined());
+    }
+  }
+
+  void fleetWhenAPartCrashesServersFindsItInFiveCrashes() {
+    for (uint64_t Seed = 1; Seed <= 40; ++Seed) {
+      VirtualFleet Fleet(6, Seed);
+      Fleet.Loss = 0.05;
+      size_t Crashes = play(Fleet, 60, Dead);
+      std::string Message = "seed " + std::to_string(Seed) + ", crashes " +
+                            std::to_string(Crashes);
+      CPPUNIT_ASSERT_MESSAGE(Message, Crashes <= 5);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Message, size_t(6),
+                                   Fleet.quarantining(Dead));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+          Message, size_t(1), Fleet.Nodes[0]->quarantined(Fleet.Now).size());
+    }
+  }
+
+  void memoryWhenManyPartsCrashIsBounded() {
+    PromptQuarantine Q(1, at(0));
+    for (uint64_t I = 0; I < 5000; ++I) {
+      std::vector<PartKey> Parts = {I, I + 1, I + 2};
+      Q.onRequest(Parts, at(10));
+      Q.onCrash(run(I), Parts, at(10));
+      Q.update(at(10));
+    }
+    CPPUNIT_ASSERT(Q.suspectCount() <= PromptQuarantine::MaxSuspects);
+    CPPUNIT_ASSERT(Q.quarantined(at(10)).size() <=
+                   PromptQuarantine::MaxQuarantined);
+    for (const std::string &Bytes : encodeQuarantine(Q.takeDigest(at(10))))
+      CPPUNIT_ASSERT(Bytes.size() <= 1400);
+  }
+
+  void digestWhenTruncatedOrCorruptNeverThrows() {
+    QuarantineDigest Digest;
+    Digest.Witnesses = {{1, 2}, {3, 4}};
+    Digest.Testimonies = {{5, 6, 7, true}};
+    Digest.Quarantined = {{8, 9, 2}};
+    std::mt19937_64 Random(7);
+    for (const std::string &Bytes : encodeQuarantine(Digest)) {
+      CPPUNIT_ASSERT(decodeQuarantine(Bytes).ok());
+      for (size_t Size = 0; Size < Bytes.size(); ++Size)
+        CPPUNIT_ASSERT(!decodeQuarantine(Bytes.substr(0, Size)).ok());
+      for (int I = 0; I < 500; ++I) {
+        std::string Changed = Bytes;
+        Changed[Random() % Changed.size()] = static_cast<char>(Random());
+        (void)decodeQuarantine(Changed);
+      }
+    }
+  }
+
+  void partsWhenListedOmitTheLast() {
+    CPPUNIT_ASSERT(sharedPartsOf("5c1e07a2:800,91bd3f06:410,e4402b7d:250") ==
+                   std::vector<PartKey>({0x5c1e07a2, 0x91bd3f06}));
+    CPPUNIT_ASSERT(sharedPartsOf("5c:1, 5C:2,e4:250") ==
+                   std::vector<PartKey>({0x5c}));
+    CPPUNIT_ASSERT(sharedPartsOf("e4402b7d:250").empty());
+    CPPUNIT_ASSERT(sharedPartsOf("").empty());
+    CPPUNIT_ASSERT_EQUAL(std::string("5c1e07a2"), toString(0x5c1e07a2));
+  }
+
+  void partsWhenMalformedAreSkipped() {
+    CPPUNIT_ASSERT(sharedPartsOf(",,:5,7,8:1").size() == 1);
+    CPPUNIT_ASSERT(sharedPartsOf("not a number:1,8:1").size() == 1);
+    std::string Long;
+    for (int I = 0; I < 500; ++I)
+      Long += std::to_string(I) + ":1,";
+    CPPUNIT_ASSERT_EQUAL(MaxPromptParts, sharedPartsOf(Long).size());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PromptQuarantineTest);
+
+} // namespace ragwort::gateway
--- a/libs/platform/include/ragwort/platform/Table.h
+++ b/libs/platform/include/ragwort/platform/Table.h
@@ -36,6 +36,8 @@
 struct Transaction {
   std::vector<Condition> Conditions;
   std::vector<Write> Writes;
+  /// Keys of rows to remove.
+  std::vector<std::string> Removals;
 };
 
 /// Result of a transaction that the store answered.
