Test streams that end with their connection, and refused and withdrawn prompts

A stream may come with neither a length nor chunks: it is complete if its connection ends after an event, broken off inside one.

--- a/libs/gateway/src/GatewayTest.cpp
+++ b/libs/gateway/src/GatewayTest.cpp
@@ -45,6 +45,10 @@
   CPPUNIT_TEST(answerWhenExtraBytesFollowClosesTheServersConnection);
   CPPUNIT_TEST(streamWhenServerFailsWithinAnEventResumesOnAnotherServer);
   CPPUNIT_TEST(streamWhenItCannotResumeEndsIncomplete);
+  CPPUNIT_TEST(streamWhenItEndsWithItsConnectionIsForwardedCompletely);
+  CPPUNIT_TEST(streamWhenItsConnectionEndsInsideAnEventIsBrokenOff);
+  CPPUNIT_TEST(requestWhenItsPromptIsQuarantinedIsRefusedWithoutASend);
+  CPPUNIT_TEST(requestWhenItsPromptIsQuarantinedAtAServerIsWithdrawn);
   CPPUNIT_TEST(streamWhenSilentWithoutAnotherServerKeepsWaiting);
   CPPUNIT_TEST(streamWhenBytesTrickleWithoutEventsResumesOnAnotherServer);
   CPPUNIT_TEST(streamWhenItsServerStragglesResumesOnAnotherServer);
@@ -458,6 +462,11 @@
     std::snprintf(Size, sizeof(Size), "%zx\r\n", Data.size());
     return Size + Data + "\r\n";
   }
+  /// Head of a stream that ends with its connection.
+  static std::string unframedStreamHead(const std::string &Id) {
+    return "HTTP/1.1 200 OK\r\nRagwort-Request-Id: " + Id + "\r\n" + Stamp +
+           "Content-Type: text/event-stream\r\n\r\n";
+  }
   static std::string streamHead(const std::string &Id) {
     return "HTTP/1.1 200 OK\r\nRagwort-Request-Id: " + Id + "\r\n" + Stamp +
            "Content-Type: text/event-stream\r\n"
@@ -499,6 +508,67 @@
     CPPUNIT_ASSERT_EQUAL(size_t(2), requestsSeen().size());
   }
 
+  void streamWhenItEndsWithItsConnectionIsForwardedCompletely() {
+    scriptBoth([](const std::string &R) {
+      return unframedStreamHead(idOf(R)) + event(1) + event(2) +
+             ScriptedServer::Close;
+    });
+    auto C = call(request("/stream/", "r1"));
+    runUntil([&C] { return C->Received.ends_with("0\r\n\r\n"); });
+    CPPUNIT_ASSERT(C->Received.find(event(1) + event(2)) != std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(size_t(1), requestsSeen().size());
+  }
+
+  void streamWhenItsConnectionEndsInsideAnEventIsBrokenOff() {
+    scriptBoth(
+        [](const std::string &R) {
+          return unframedStreamHead(idOf(R)) +
+                 event(R.find("Last-Event-Id") == std::string::npos ? 1 : 2) +
+                 "id: 3\nda" + ScriptedServer::Close;
+        },
+        2);
+    auto C = call(request("/stream/", "r1"));
+    runUntil([&C] { return C->IsEnded; });
+    CPPUNIT_ASSERT(!C->Received.ends_with("0\r\n\r\n"));
+    CPPUNIT_ASSERT(C->Received.find("id: 3") == std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(size_t(2), requestsSeen().size());
+  }
+
+  void requestWhenItsPromptIsQuarantinedIsRefusedWithoutASend() {
+    scriptBoth(served("x"), 2);
+    QuarantinedPart Part{0xdead, 600, 1};
+    Node->promptQuarantine().restore(std::span(&Part, 1), "peer",
+                                     SteadyClock().now());
+    std::string Got = exchange(
+        request("/safe/", "r1", "Ragwort-Prompt-Parts: 5afe:4,dead:3,1:9\r\n"));
+    CPPUNIT_ASSERT(Got.starts_with("HTTP/1.1 503 "));
+    CPPUNIT_ASSERT(Got.find("Retry-After: 6") != std::string::npos);
+    CPPUNIT_ASSERT(requestsSeen().empty());
+    // The last part belongs to the request itself.
+    for (const char *Parts : {"5afe:4,1:9", "5afe:4,dead:9"})
+      CPPUNIT_ASSERT(exchange(request("/safe/", "r2",
+                                      "Ragwort-Prompt-Parts: " +
+                                          std::string(Parts) + "\r\n"))
+                         .starts_with("HTTP/1.1 200 "));
+  }
+
+  void requestWhenItsPromptIsQuarantinedAtAServerIsWithdrawn() {
+    scriptBoth(literal(ScriptedServer::Silence));
+    auto C =
+        call(request("/slow/", "r1", "Ragwort-Prompt-Parts: dead:3,1:9\r\n"));
+    runUntil([this] { return requestsSeen().size() == 1; });
+    QuarantinedPart Part{0xdead, 600, 1};
+    Node->promptQuarantine().restore(std::span(&Part, 1), "peer",
+                                     SteadyClock().now());
+    runUntil([&C] { return !C->Received.empty(); });
+    // The server may have begun to run it.
+    CPPUNIT_ASSERT(C->Received.starts_with("HTTP/1.1 502 "));
+    runUntil([this] {
+      return Servers[0]->ClosedByGateway + Servers[1]->ClosedByGateway == 1;
+    });
+    CPPUNIT_ASSERT_EQUAL(size_t(1), requestsSeen().size());
+  }
+
   void streamWhenSilentWithoutAnotherServerKeepsWaiting() {
     // The only server answers after more than half of the time that a caller
     // waits for a stream's next event. From then on the stream would move to
