Bound chunk framing, events and foreign answers that never end

Bytes that are no answer may come without end until the caller closes. Heads and plain bodies were bounded; a chunk's extension, size or trailers, an event without a blank line and the body of another request's answer were buffered or read for as long as they came. The first also held for what callers send.

--- a/libs/gateway/include/ragwort/gateway/EventStream.h
+++ b/libs/gateway/include/ragwort/gateway/EventStream.h
@@ -8,6 +8,7 @@
 #ifndef RAGWORT_GATEWAY_EVENTSTREAM_H
 #define RAGWORT_GATEWAY_EVENTSTREAM_H
 
+#include "ragwort/base/Bytes.h"
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -24,9 +25,12 @@
 /// \endcode
 class EventStream {
 public:
-  /// Adds bytes of the current response. \returns false if an event's id is not
-  /// one above the last id, so that the response cannot be joined to the events
-  /// already forwarded.
+  /// Larger events are rejected.
+  static constexpr size_t MaxEventBytes = 1 * MiB;
+
+  /// Adds bytes of the current response. \returns false if an event is too
+  /// large or its id is not one above the last id, so that the response cannot
+  /// be joined to the events already forwarded.
   bool push(std::string_view Bytes);
   /// \returns the complete events received since the last call, in order.
   std::string takeCompleteEvents();
--- a/libs/gateway/include/ragwort/gateway/Forwarding.h
+++ b/libs/gateway/include/ragwort/gateway/Forwarding.h
@@ -163,6 +163,8 @@
   std::shared_ptr<StreamSocket> Socket;
   ResponseParser Parser;
   std::string Unparsed;
+  // Bytes of answers to other requests that were received on this send.
+  size_t SkippedBytes = 0;
   // Whether a byte was received on this send.
   bool HasBytes = false;
   // Whether a complete event was received on this send.
--- a/libs/gateway/src/EventStream.cpp
+++ b/libs/gateway/src/EventStream.cpp
@@ -67,7 +67,7 @@
     Begin = End;
   }
   Partial.erase(0, Begin);
-  return true;
+  return Partial.size() <= MaxEventBytes;
 }
 
 std::string EventStream::takeCompleteEvents() {
--- a/libs/gateway/src/EventStreamTest.cpp
+++ b/libs/gateway/src/EventStreamTest.cpp
@@ -12,6 +12,7 @@
   CPPUNIT_TEST(eventWhenRepeatedIsRejected);
   CPPUNIT_TEST(eventsWhenWithoutIdsAreAccepted);
   CPPUNIT_TEST(streamWhenResumedStartsAfterTheCallersId);
+  CPPUNIT_TEST(eventWhenItNeverEndsIsRejected);
   CPPUNIT_TEST_SUITE_END();
 
   static std::string event(uint64_t Id) {
@@ -72,6 +73,15 @@
     Other.resumeAfter(12);
     CPPUNIT_ASSERT(!Other.push(event(1)));
   }
+
+  void eventWhenItNeverEndsIsRejected() {
+    EventStream Events;
+    const std::string Piece(64 * 1024, 'x');
+    size_t Pieces = 0;
+    while (Pieces < 1000 && Events.push(Piece))
+      ++Pieces;
+    CPPUNIT_ASSERT(Pieces < 1000);
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(EventStreamTest);
 
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -36,7 +36,8 @@
 constexpr Duration SurvivalTime = std::chrono::milliseconds(1000);
 // Retry-After time if no better estimate is available.
 constexpr Duration DefaultRetryAfter = std::chrono::milliseconds(500);
-// Maximum size of an answer that is not an event stream.
+// Maximum size of an answer that is not an event stream, and of what may come
+// before the answer to a request.
 constexpr size_t MaxWholeAnswerBytes = 8 * MiB;
 // Bytes buffered for a slow caller above which reading from the server pauses.
 constexpr size_t MaxUnsentBytes = 256 * KiB;
@@ -301,6 +302,7 @@
   HasHead = false;
   Pause.reset();
   IsEventStream = false;
+  SkippedBytes = 0;
   HasBytes = false;
   HasEvent = false;
   HasSurvived = false;
@@ -330,9 +332,10 @@
 
 void Forwarding::parse() {
   while (CurrentPhase == Phase::Sent) {
-    Unparsed.erase(0, Parser.feed(Unparsed));
+    size_t Taken = Parser.feed(Unparsed);
+    Unparsed.erase(0, Taken);
     ParseStage Stage = Parser.stage();
-    if (Stage == ParseStage::Failed) {
+    if (Stage == ParseStage::Failed || SkippedBytes > MaxWholeAnswerBytes) {
       onServerFault(ServerFault::Malformed, "malformed-response");
       return;
     }
@@ -341,6 +344,7 @@
     if (Parser.isInterim() || isOtherRequestsAnswer()) {
       // A late answer to an earlier request may precede the answer to this one.
       Parser.takeBody();
+      SkippedBytes += Taken;
       if (Stage != ParseStage::Done)
         return;
       Parser = ResponseParser();
@@ -417,7 +421,7 @@
     return;
   }
   if (!Events.push(Bytes)) {
-    onServerFault(ServerFault::Malformed, "event-out-of-order");
+    onServerFault(ServerFault::Malformed, "malformed-event");
     return;
   }
   std::string Complete = Events.takeCompleteEvents();
--- a/libs/gateway/src/GatewayTest.cpp
+++ b/libs/gateway/src/GatewayTest.cpp
@@ -47,6 +47,7 @@
   CPPUNIT_TEST(streamWhenItCannotResumeEndsIncomplete);
   CPPUNIT_TEST(streamWhenItEndsWithItsConnectionIsForwardedCompletely);
   CPPUNIT_TEST(streamWhenItsConnectionEndsInsideAnEventIsBrokenOff);
+  CPPUNIT_TEST(answerWhenAnotherOneBeforeItNeverEndsIsGivenUp);
   CPPUNIT_TEST(requestWhenItsPromptIsQuarantinedIsRefusedWithoutASend);
   CPPUNIT_TEST(requestWhenItsPromptIsQuarantinedAtAServerIsWithdrawn);
   CPPUNIT_TEST(streamWhenSilentWithoutAnotherServerKeepsWaiting);
@@ -534,6 +535,26 @@
     CPPUNIT_ASSERT_EQUAL(size_t(2), requestsSeen().size());
   }
 
+  void answerWhenAnotherOneBeforeItNeverEndsIsGivenUp() {
+    constexpr size_t Pieces = 200;
+    const std::string Piece(64 * 1024, 'x');
+    scriptBoth([&](const std::string &) {
+      std::string Text = "HTTP/1.1 200 OK\r\nRagwort-Request-Id: other\r\n" +
+                         Stamp + "Content-Length: 100000000\r\n\r\n";
+      for (size_t I = 0; I < Pieces; ++I)
+        Text += Piece;
+      return Text;
+    });
+    auto C = call(request("/slow/", "r1"));
+    runUntil([this] {
+      return Servers[0]->ClosedByGateway + Servers[1]->ClosedByGateway > 0;
+    });
+    CPPUNIT_ASSERT(Metrics
+                       ->counter("ragwort_failed_sends_total",
+                                 "fault=\"malformed-response\"")
+                       .value() > 0);
+  }
+
   void requestWhenItsPromptIsQuarantinedIsRefusedWithoutASend() {
     scriptBoth(served("x"), 2);
     QuarantinedPart Part{0xdead, 600, 1};
--- a/libs/gateway/src/MessageParser.cpp
+++ b/libs/gateway/src/MessageParser.cpp
@@ -14,6 +14,9 @@
 // Responses come from the deployment's own backend servers; their heads are
 // small.
 constexpr uint32_t MaxResponseHeadBytes = 65536;
+// Largest chunk header and trailer section. Beast waits for the end of either
+// and limits only the length of heads.
+constexpr size_t MaxUnfinishedFramingBytes = 65536;
 
 // Collects header fields and body bytes. Shared by requests and responses.
 template <bool IsRequest>
@@ -43,6 +46,9 @@
       if (Now == 0)
         break;
     }
+    if (IsHeadDone && !this->is_done() &&
+        Bytes.size() - Taken > MaxUnfinishedFramingBytes)
+      Failed = true;
     return Taken;
   }
 
--- a/libs/gateway/src/MessageParserTest.cpp
+++ b/libs/gateway/src/MessageParserTest.cpp
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(responseWhenBytesFollowDoesNotConsumeThem);
   CPPUNIT_TEST(responseWhenNotHttpFails);
   CPPUNIT_TEST(responseWhenInterimIsReportedAsInterim);
+  CPPUNIT_TEST(messageWhenItsFramingNeverEndsFails);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr uint32_t MaxHead = 1024;
@@ -122,6 +123,42 @@
     CPPUNIT_ASSERT(P.isInterim());
     CPPUNIT_ASSERT(P.stage() == ParseStage::Done);
   }
+
+  /// Feeds \p Piece again and again until the parser fails. \returns the most
+  /// bytes that were buffered for it.
+  template <class Parser>
+  static size_t feedWithoutEnd(Parser &P, std::string Buffer,
+                               const std::string &Piece) {
+    constexpr size_t GiveUpBytes = 1 << 20;
+    size_t Most = 0;
+    while (P.stage() != ParseStage::Failed && Most < GiveUpBytes) {
+      Buffer += Piece;
+      Buffer.erase(0, P.feed(Buffer));
+      Most = std::max(Most, Buffer.size());
+    }
+    return Most;
+  }
+
+  void messageWhenItsFramingNeverEndsFails() {
+    constexpr size_t MostBuffered = 100'000;
+    const std::string Chunked = "Transfer-Encoding: chunked\r\n\r\n";
+    const std::pair<std::string, std::string> Endings[] = {
+        {"5;a=", std::string(1000, 'x')}, // Extension of a chunk.
+        {"", std::string(1000, '0')},     // Size of a chunk.
+        {"0\r\n", "A: b\r\n"},            // Trailers.
+    };
+    for (const auto &[Begin, Piece] : Endings) {
+      ResponseParser Response;
+      CPPUNIT_ASSERT(feedWithoutEnd(Response,
+                                    "HTTP/1.1 200 OK\r\n" + Chunked + Begin,
+                                    Piece) < MostBuffered);
+      RequestParser Request(MaxHead);
+      CPPUNIT_ASSERT(
+          feedWithoutEnd(Request,
+                         "POST / HTTP/1.1\r\nHost: h\r\n" + Chunked + Begin,
+                         Piece) < MostBuffered);
+    }
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(MessageParserTest);
 
