--- a/libs/gateway/include/ragwort/gateway/Forwarding.h
+++ b/libs/gateway/include/ragwort/gateway/Forwarding.h
@@ -117,7 +117,8 @@
   std::string requestHead() const;
   void parse();
   bool acceptHead();
-  void noteServerFields();
+  void noteLeaving();
+  void noteRateLimit();
   std::optional<Duration> requestedPause();
   bool isOtherRequestsAnswer() const;
   /// Whether another instance answered that it now has the server's address.
--- a/libs/gateway/include/ragwort/gateway/LoadTracker.h
+++ b/libs/gateway/include/ragwort/gateway/LoadTracker.h
@@ -97,6 +97,7 @@
   size_t Draining = 0;
   size_t Leaving = 0;
   size_t Paused = 0;
+  size_t RateLimited = 0;
   size_t Unavailable = 0;
   size_t Ejected = 0;
   size_t Stragglers = 0;
@@ -162,6 +163,10 @@
   /// The run \p Instance of a server asked this node to send it nothing for
   /// \p Pause.
   void onPaused(const BackendInstance &Instance, Duration Pause, TimePoint Now);
+  /// The run \p Instance of a server named in an answer how many requests a
+  /// second it takes from all nodes together, or no longer names a limit.
+  void onRateLimit(const BackendInstance &Instance,
+                   std::optional<double> PerSecond, TimePoint Now);
   /// A peer forwarded which servers told it that they are leaving.
   void onPeerLeaving(std::span<const ServerRun> Leaving, TimePoint Now);
   /// A server sent a header field that cannot be understood. Logged once for
@@ -234,6 +239,7 @@
     // It has been paused and has not answered successfully since.
     bool IsReturning = false;
     bool HasMalformedField = false;
+    std::optional<double> RateLimit;
 
     ServerRun run() const { return {Key, Entry.BornMillis}; }
     bool isUsable() const {
--- a/libs/gateway/include/ragwort/gateway/ProtocolNames.h
+++ b/libs/gateway/include/ragwort/gateway/ProtocolNames.h
@@ -36,6 +36,9 @@
   std::string AnswerStamp = "Ragwort-Answer-Stamp";
   /// "1" in each response of a server that is leaving.
   std::string Leaving = "Ragwort-Leaving";
+  /// The requests per second that a server takes from all nodes together, in
+  /// each of its responses while it needs the limit.
+  std::string RateLimit = "Ragwort-Rate-Limit";
   /// Id of the last event that the caller of a resumed stream has received.
   std::string LastEventId = "Last-Event-Id";
   /// The parts of the request's prompt in order, as a comma-separated list.
--- a/libs/gateway/include/ragwort/gateway/SelfReports.h
+++ b/libs/gateway/include/ragwort/gateway/SelfReports.h
@@ -74,6 +74,8 @@
   std::unordered_map<uint64_t, Report> Reports;
 };
 
+/// A finite decimal number of at least zero; nothing for any other text.
+std::optional<double> parseDecimal(std::string_view Text);
 /// The pause in a `Retry-After` header field in seconds, which may have a
 /// fraction; at most MaxPause. Nothing for dates and for numbers below zero.
 std::optional<Duration> parsePause(std::string_view Seconds);
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -363,7 +363,24 @@
   }
 }
 
-void Forwarding::noteServerFields() {
+void Forwarding::noteRateLimit() {
+  const http::ResponseHead &H = Parser.head();
+  std::string_view Value = H.header(Context.Names.RateLimit);
+  LoadTracker &Tracker = Context.Dispatch.loadTracker();
+  if (Value.empty()) {
+    // Only an answer to a request that it ran shows that the server has lifted
+    // its limit.
+    if (isSuccess(H.Status) && !H.header(Context.Names.AnswerStamp).empty())
+      Tracker.onRateLimit(Server, std::nullopt, now());
+  } else if (std::optional<double> PerSecond = parseDecimal(Value)) {
+    if (!isAnswerOfReplacement())
+      Tracker.onRateLimit(Server, PerSecond, now());
+  } else {
+    Tracker.onMalformedField(Server.Id, Context.Names.RateLimit, Value);
+  }
+}
+
+void Forwarding::noteLeaving() {
   std::string_view Value = Parser.head().header(Context.Names.Leaving);
   if (Value.empty())
     return;
@@ -396,7 +413,8 @@
 bool Forwarding::acceptHead() {
   HasHead = true;
   const http::ResponseHead &H = Parser.head();
-  noteServerFields();
+  noteLeaving();
+  noteRateLimit();
   Pause = requestedPause();
   if (Pause)
     Context.Dispatch.loadTracker().onPaused(Server, *Pause, now());
--- a/libs/gateway/src/Gateway.cpp
+++ b/libs/gateway/src/Gateway.cpp
@@ -260,6 +260,7 @@
   Set("ragwort_servers", Counts.Draining, "state=\"draining\"");
   Set("ragwort_servers", Counts.Leaving, "state=\"leaving\"");
   Set("ragwort_servers", Counts.Paused, "state=\"paused\"");
+  Set("ragwort_servers", Counts.RateLimited, "state=\"rate-limited\"");
   Set("ragwort_servers", Counts.Unavailable, "state=\"unavailable\"");
   Set("ragwort_servers", Counts.Ejected, "state=\"ejected\"");
   Set("ragwort_servers", Counts.Stragglers, "state=\"straggler\"");
--- a/libs/gateway/src/LoadTracker.cpp
+++ b/libs/gateway/src/LoadTracker.cpp
@@ -138,6 +138,20 @@
   S->NextTrial = S->PausedUntil;
 }
 
+void LoadTracker::onRateLimit(const BackendInstance &Instance,
+                              std::optional<double> PerSecond, TimePoint) {
+  Server *S = find(Instance.Id);
+  if (!S || S->Entry.BornMillis != Instance.BornMillis ||
+      S->RateLimit == PerSecond)
+    return;
+  S->RateLimit = PerSecond;
+  logEvent(LogLevel::Info, "server-rate-limit",
+           {{"instance", Instance.Id},
+            {"per_second", PerSecond ? std::to_string(*PerSecond) : "none"},
+            {"own", S->OwnInFlight},
+            {"peers", S->PeerInFlight}});
+}
+
 void LoadTracker::onMalformedField(std::string_view Id, std::string_view Field,
                                    std::string_view Value) {
   Server *S = find(Id);
@@ -582,6 +596,7 @@
     Result.Draining += S.Entry.IsDraining;
     Result.Leaving += S.IsLeaving;
     Result.Paused += Now < S.PausedUntil;
+    Result.RateLimited += S.RateLimit.has_value();
     Result.Unavailable += S.IsUnavailable;
     Result.Ejected += Now < S.EjectedUntil;
     Result.Stragglers += Now < S.StragglerUntil;
@@ -602,6 +617,7 @@
             (S.Entry.IsDraining ? " draining" : "") +
             (S.IsLeaving ? " leaving" : "") +
             (Now < S.PausedUntil ? " paused" : "") +
+            (S.RateLimit ? " limit=" + std::to_string(*S.RateLimit) : "") +
             (S.IsUnavailable ? " unavailable" : "") +
             (Now < S.StragglerUntil ? " straggler" : "") +
             (Now < S.EjectedUntil ? " ejected" : "") + "\n";
--- a/libs/gateway/src/SelfReports.cpp
+++ b/libs/gateway/src/SelfReports.cpp
@@ -79,18 +79,25 @@
   return Result;
 }
 
-std::optional<Duration> parsePause(std::string_view Seconds) {
+std::optional<double> parseDecimal(std::string_view Text) {
   double Value = 0;
-  const char *End = Seconds.data() + Seconds.size();
+  const char *End = Text.data() + Text.size();
   auto Parsed =
-      std::from_chars(Seconds.data(), End, Value, std::chars_format::fixed);
+      std::from_chars(Text.data(), End, Value, std::chars_format::fixed);
   if (Parsed.ec != std::errc() || Parsed.ptr != End || !std::isfinite(Value) ||
       std::signbit(Value))
     return std::nullopt;
+  return Value;
+}
+
+std::optional<Duration> parsePause(std::string_view Seconds) {
+  std::optional<double> Value = parseDecimal(Seconds);
+  if (!Value)
+    return std::nullopt;
   using FractionalSeconds = std::chrono::duration<double>;
-  if (Value >= FractionalSeconds(MaxPause).count())
+  if (*Value >= FractionalSeconds(MaxPause).count())
     return MaxPause;
-  return std::chrono::duration_cast<Duration>(FractionalSeconds(Value));
+  return std::chrono::duration_cast<Duration>(FractionalSeconds(*Value));
 }
 
 } // namespace ragwort::gateway
