--- a/libs/gateway/src/CrashingPromptTest.cpp
+++ b/libs/gateway/src/CrashingPromptTest.cpp
@@ -1,12 +1,11 @@
 //===- CrashingPromptTest.cpp - A fleet under prompts that crash servers --===//
 //
-// Three nodes that exchange what they know, and backend servers that end as
+// Nodes that exchange what they know, and backend servers that end as
 // soon as they begin to answer a prompt with a certain part. An ended server is
 // replaced by a new one.
 //
 //===----------------------------------------------------------------------===//
-#include "LoopbackPeers.h"
-#include "ragwort/gateway/PeerExchange.h"
+#include "LoopbackFleet.h"
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace ragwort::gateway {
@@ -18,84 +17,30 @@
 
   static constexpr size_t Nodes = 3;
   static constexpr size_t RunningServers = 4;
-  static inline const std::string Served = "HTTP/1.1 200 OK";
+  static inline const std::string Served = LoopbackFleet::Served;
   static constexpr const char *CrashingPart = "dead";
   static constexpr const char *SharedPart = "5c1e07a2";
 
-  struct Node {
-    Node(asio::io_context &Io, const Address &Listen)
-        : Front(Io, frontOptions(), ProtocolNames(), Metrics),
-          Peers(Io, {Listen.Ip, 1, Listen}, Front, [](ConfigDocument) {}) {}
-    static GatewayOptions frontOptions() {
-      GatewayOptions Options;
-      Options.Listen = {"127.0.0.1", 0};
-      Options.DataCentre = "here";
-      Options.RetryLimits = {0.2, 1000, std::chrono::seconds(10)};
-      return Options;
-    }
-    MetricsRegistry Metrics;
-    Gateway Front;
-    PeerExchange Peers;
-  };
-
   std::unique_ptr<asio::io_context> Io;
-  std::vector<std::unique_ptr<Node>> Fleet;
+  std::unique_ptr<LoopbackFleet> Fleet;
   std::vector<std::unique_ptr<ScriptedServer>> Servers;
-  uint64_t DirectoryVersion = 0;
   size_t CrashingArrivals = 0;
-  uint64_t NextRequest = 0;
 
 public:
   void setUp() override {
     Io = std::make_unique<asio::io_context>(1);
-    uint16_t Port = freePort();
-    for (size_t I = 0; I < Nodes; ++I)
-      startNode(Port);
+    Fleet = std::make_unique<LoopbackFleet>(*Io, Nodes);
     CrashingArrivals = 0;
     replaceEndedServers();
   }
 
   void tearDown() override {
     Servers.clear();
-    Fleet.clear();
+    Fleet.reset();
     Io.reset();
   }
 
 private:
-  static uint16_t freePort() {
-    asio::io_context Unused;
-    asio::ip::udp::socket Probe(
-        Unused,
-        asio::ip::udp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-    return Probe.local_endpoint().port();
-  }
-
-  /// Each node has an address of its own, since peers use the same port.
-  static std::string ipOf(size_t Index) {
-    return "127.0.0." + std::to_string(11 + Index);
-  }
-
-  void startNode(uint16_t Port) {
-    auto N = std::make_unique<Node>(*Io, Address{ipOf(Fleet.size()), Port});
-    CPPUNIT_ASSERT(N->Front.listen().ok());
-    CPPUNIT_ASSERT(N->Peers.listen().ok());
-    for (size_t I = 0; I < Nodes; ++I)
-      N->Peers.addPeer(ipOf(I));
-    auto Config = std::make_shared<TrafficConfig>();
-    Config->Version = 1;
-    Route R;
-    R.Name = "drafts";
-    R.Host = "h";
-    R.PathPrefix = "/";
-    R.Repeat = Repeatability::Resumable;
-    R.IsStream = true;
-    R.MaxAttempts = 2;
-    R.Split.push_back({"s", 1});
-    Config->addRoute(R);
-    N->Front.applyConfig(std::move(Config));
-    Fleet.push_back(std::move(N));
-  }
-
   std::string respond(const std::string &Request) {
     std::string Head =
         "HTTP/1.1 200 OK\r\nRagwort-Request-Id: " + idOf(Request) + "\r\n" +
@@ -119,44 +64,17 @@
         return respond(Request);
       };
     }
-    std::vector<BackendInstance> List;
-    for (size_t I = 0; I < Servers.size(); ++I)
-      if (Servers[I]->isRunning()) {
-        BackendInstance B;
-        B.Id = "i" + std::to_string(I);
-        B.Service = "s";
-        B.Address = Servers[I]->address();
-        B.DataCentre = "here";
-        B.Slots = 4;
-        B.BornMillis = I + 1;
-        List.push_back(B);
-      }
-    ++DirectoryVersion;
-    for (auto &N : Fleet) {
-      N->Front.directory().replaceAll(List, {0, DirectoryVersion},
-                                      std::nullopt);
-      N->Front.onDirectoryChanged();
-    }
+    Fleet->list(Servers);
   }
 
-  /// Sends a request to a node. \returns the status line of its answer.
   std::string statusOf(size_t NodeIndex, const std::string &Parts) {
-    Caller C(*Io);
-    C.ToSend = "POST /x HTTP/1.1\r\nHost: h\r\nRagwort-Request-Id: r" +
-               std::to_string(++NextRequest) +
-               "\r\nRagwort-Prompt-Parts: " + Parts +
-               "\r\nContent-Length: 0\r\n\r\n";
-    C.Socket->connect(endpointOf<asio::ip::tcp>(
-                          {"127.0.0.1", Fleet[NodeIndex]->Front.port()}),
-                      std::chrono::seconds(5));
-    auto End = std::chrono::steady_clock::now() + std::chrono::seconds(5);
-    while (C.Received.find("\r\n\r\n") == std::string::npos && !C.IsEnded &&
-           std::chrono::steady_clock::now() < End)
-      Io->run_for(std::chrono::milliseconds(2));
-    return C.Received.substr(0, C.Received.find("\r\n"));
+    return Fleet->statusOf(NodeIndex,
+                           "Ragwort-Prompt-Parts: " + Parts + "\r\n");
   }
 
-  std::string ownPart() { return "f" + std::to_string(NextRequest) + ":9"; }
+  std::string ownPart() {
+    return "f" + std::to_string(Fleet->lastRequest()) + ":9";
+  }
   std::string soundPrompt() {
     return std::string(SharedPart) + ":40," + ownPart();
   }
@@ -164,18 +82,13 @@
     return std::string(SharedPart) + ":40," + CrashingPart + ":30," + ownPart();
   }
 
-  /// Time for the nodes to hear each other.
-  void exchangeHeartbeats() {
-    Io->run_for(2 * PeerExchange::HeartbeatInterval);
-  }
-
 public:
   void promptPartWhenItCrashedServersReachesNoMoreServers() {
     // The users' rule: five crashes to learn from, then no more than three
     // further requests at any server.
     constexpr size_t LearningCrashes = 5;
     constexpr size_t LaterArrivals = 3;
-    exchangeHeartbeats();
+    Fleet->exchangeHeartbeats();
     for (size_t I = 0; I < Nodes; ++I)
       CPPUNIT_ASSERT_EQUAL(Served, statusOf(I, soundPrompt()));
     constexpr size_t Rounds = 18;
@@ -183,7 +96,7 @@
     std::string LastStatus;
     for (size_t I = 0; I < Rounds; ++I) {
       LastStatus = statusOf(I % Nodes, crashingPrompt());
-      exchangeHeartbeats();
+      Fleet->exchangeHeartbeats();
       replaceEndedServers();
       SoundServed += statusOf((I + 1) % Nodes, soundPrompt()) == Served;
     }
--- /dev/null
+++ b/libs/gateway/src/LoopbackFleet.h
@@ -0,0 +1,135 @@
+//===- LoopbackFleet.h - Several gateway nodes for tests ------------------===//
+//
+// Nodes that exchange what they know over loopback, on one event loop, with one
+// streaming route to the service "s".
+//
+//===----------------------------------------------------------------------===//
+#ifndef RAGWORT_GATEWAY_LOOPBACKFLEET_H
+#define RAGWORT_GATEWAY_LOOPBACKFLEET_H
+
+#include "LoopbackPeers.h"
+#include "ragwort/gateway/PeerExchange.h"
+#include <cppunit/TestAssert.h>
+
+namespace ragwort::gateway {
+
+class LoopbackFleet {
+public:
+  static inline const std::string Served = "HTTP/1.1 200 OK";
+
+  LoopbackFleet(asio::io_context &Io, size_t Size) : Io(Io), Port(freePort()) {
+    for (size_t I = 0; I < Size; ++I)
+      start(I, Size);
+  }
+
+  size_t size() const { return Nodes.size(); }
+
+  /// Lists the running servers as instances `i0`, `i1`, ... at all nodes.
+  void list(std::span<const std::unique_ptr<ScriptedServer>> Servers) {
+    std::vector<BackendInstance> List;
+    for (size_t I = 0; I < Servers.size(); ++I)
+      if (Servers[I]->isRunning()) {
+        BackendInstance B;
+        B.Id = "i" + std::to_string(I);
+        B.Service = "s";
+        B.Address = Servers[I]->address();
+        B.DataCentre = "here";
+        B.Slots = 4;
+        B.BornMillis = I + 1;
+        List.push_back(B);
+      }
+    ++DirectoryVersion;
+    for (auto &N : Nodes) {
+      N->Front.directory().replaceAll(List, {0, DirectoryVersion},
+                                      std::nullopt);
+      N->Front.onDirectoryChanged();
+    }
+  }
+
+  /// Begins a request to a node.
+  std::unique_ptr<Caller> call(size_t NodeIndex, const std::string &Extra) {
+    auto C = std::make_unique<Caller>(Io);
+    C->ToSend = "POST /x HTTP/1.1\r\nHost: h\r\nRagwort-Request-Id: r" +
+                std::to_string(++LastRequest) + "\r\n" + Extra +
+                "Content-Length: 0\r\n\r\n";
+    C->Socket->connect(endpointOf<asio::ip::tcp>(
+                           {"127.0.0.1", Nodes[NodeIndex]->Front.port()}),
+                       std::chrono::seconds(5));
+    return C;
+  }
+
+  /// Sends a request to a node. \returns the status line of its answer.
+  std::string statusOf(size_t NodeIndex, const std::string &Extra) {
+    std::unique_ptr<Caller> C = call(NodeIndex, Extra);
+    auto End = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+    while (C->Received.find("\r\n\r\n") == std::string::npos && !C->IsEnded &&
+           std::chrono::steady_clock::now() < End)
+      Io.run_for(std::chrono::milliseconds(2));
+    return C->Received.substr(0, C->Received.find("\r\n"));
+  }
+
+  /// Time for the nodes to hear each other.
+  void exchangeHeartbeats() { Io.run_for(2 * PeerExchange::HeartbeatInterval); }
+  uint64_t lastRequest() const { return LastRequest; }
+
+private:
+  struct Node {
+    Node(asio::io_context &Io, const Address &Listen)
+        : Front(Io, frontOptions(), ProtocolNames(), Metrics),
+          Peers(Io, {Listen.Ip, 1, Listen}, Front, [](ConfigDocument) {}) {}
+    static GatewayOptions frontOptions() {
+      GatewayOptions Options;
+      Options.Listen = {"127.0.0.1", 0};
+      Options.DataCentre = "here";
+      Options.RetryLimits = {0.2, 1000, std::chrono::seconds(10)};
+      return Options;
+    }
+    MetricsRegistry Metrics;
+    Gateway Front;
+    PeerExchange Peers;
+  };
+
+  static uint16_t freePort() {
+    asio::io_context Unused;
+    asio::ip::udp::socket Probe(
+        Unused,
+        asio::ip::udp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    return Probe.local_endpoint().port();
+  }
+
+  /// Each node has an address of its own, since peers use the same port.
+  static std::string ipOf(size_t Index) {
+    return "127.0.0." + std::to_string(11 + Index);
+  }
+
+  void start(size_t Index, size_t Size) {
+    auto N = std::make_unique<Node>(Io, Address{ipOf(Index), Port});
+    CPPUNIT_ASSERT(N->Front.listen().ok());
+    CPPUNIT_ASSERT(N->Peers.listen().ok());
+    for (size_t I = 0; I < Size; ++I)
+      N->Peers.addPeer(ipOf(I));
+    auto Config = std::make_shared<TrafficConfig>();
+    Config->Version = 1;
+    Route R;
+    R.Name = "drafts";
+    R.Host = "h";
+    R.PathPrefix = "/";
+    R.Repeat = Repeatability::Resumable;
+    R.IsStream = true;
+    R.MaxAttempts = 2;
+    R.Split.push_back({"s", 1});
+    Config->addRoute(R);
+    N->Front.applyConfig(std::move(Config));
+    Nodes.push_back(std::move(N));
+  }
+
+  asio::io_context &Io;
+  const uint16_t Port;
+  std::vector<std::unique_ptr<Node>> Nodes;
+  uint64_t DirectoryVersion = 0;
+  uint64_t LastRequest = 0;
+};
+
+} // namespace ragwort::gateway
+
+#endif
