Keep to the rate limits that servers name

Cause: the field was not read. Each node judged servers by load and failures only, and no node knows what the others send.

A limit now has a few owners, found by rendezvous hashing among the live nodes, which share it in equal parts and send one request at a time. Nodes tell each other limits with their heartbeats. While all servers of a service are limited, requests wait for this node's turn or are refused at once.

--- a/libs/gateway/include/ragwort/gateway/Dispatcher.h
+++ b/libs/gateway/include/ragwort/gateway/Dispatcher.h
@@ -6,7 +6,8 @@
 // all slots are taken, it compares the length of this node's queue with the
 // rate at which this node's requests have been completing. While all servers
 // have asked this node to pause, it compares the end of the first pause with
-// the time for which the caller can wait.
+// the time for which the caller can wait; likewise this node's next turn while
+// all servers have named rate limits.
 //
 //===----------------------------------------------------------------------===//
 #ifndef RAGWORT_GATEWAY_DISPATCHER_H
@@ -39,6 +40,8 @@
   Recovering,
   /// All servers have asked this node to pause.
   Paused,
+  /// All servers have named rate limits that leave this node no turn in time.
+  RateLimited,
   Overloaded,
 };
 
@@ -145,6 +148,12 @@
   Placement wait(ServiceState &State, const PlacementRequest &R,
                  TimePoint GiveUpAt, TimePoint Now);
   Placement refuse(PlacementRefusal Refusal, Duration RetryAfter) const;
+  /// The earliest time at which a paused or rate-limited server may be sent a
+  /// further request, after those that wait.
+  std::optional<TimePoint> nextTurn(std::string_view Service,
+                                    const ServiceState &State,
+                                    std::span<const std::string> Excluded,
+                                    TimePoint Now) const;
 
   LoadTracker Tracker;
   const RetryBudgetLimits Budget;
--- a/libs/gateway/include/ragwort/gateway/LoadTracker.h
+++ b/libs/gateway/include/ragwort/gateway/LoadTracker.h
@@ -20,11 +20,15 @@
 // not told of a pause: servers ask each node by itself, and may have room for
 // the others.
 //
+// Servers that have named a rate limit receive requests only when it is this
+// node's turn, see RateLimits.h.
+//
 //===----------------------------------------------------------------------===//
 #ifndef RAGWORT_GATEWAY_LOADTRACKER_H
 #define RAGWORT_GATEWAY_LOADTRACKER_H
 
 #include "ragwort/gateway/BackendDirectory.h"
+#include "ragwort/gateway/RateLimits.h"
 #include "ragwort/gateway/SelfReports.h"
 #include <algorithm>
 #include <random>
@@ -142,12 +146,19 @@
   /// Since when isRecovering() has been true; nothing if it is not.
   std::optional<TimePoint> recoveringSince(std::string_view Service,
                                            TimePoint Now) const;
-  /// The earliest time at which a paused server of \p Service that is not in
-  /// \p Excluded may be tried; nothing if none is paused.
+  /// The earliest time at which a paused or rate-limited server of \p Service
+  /// that is not in \p Excluded may be sent a request; nothing if there is none
+  /// that this node may send to.
   std::optional<TimePoint> pauseEnd(std::string_view Service,
                                     std::span<const std::string> Excluded,
                                     TimePoint Now) const;
 
+  /// Whether a server of \p Service has a rate limit.
+  bool isRateLimited(std::string_view Service) const;
+  /// Requests per second that this node may send to the rate-limited servers of
+  /// \p Service.
+  double ownRate(std::string_view Service) const;
+
   void onStarted(std::string_view Id, TimePoint Now);
   void onEnded(std::string_view Id);
   /// The server answered successfully after \p Latency.
@@ -167,6 +178,13 @@
   /// second it takes from all nodes together, or no longer names a limit.
   void onRateLimit(const BackendInstance &Instance,
                    std::optional<double> PerSecond, TimePoint Now);
+  /// A peer forwarded what servers said about their rate limits.
+  void onPeerRateLimits(std::span<const RateLimitReport> Reports,
+                        TimePoint Now);
+  /// The nodes that share the rate limits, as hashes of their addresses.
+  void setNodes(uint64_t Self, std::vector<uint64_t> Peers, TimePoint Now) {
+    Limits.setNodes(Self, std::move(Peers), Now);
+  }
   /// A peer forwarded which servers told it that they are leaving.
   void onPeerLeaving(std::span<const ServerRun> Leaving, TimePoint Now);
   /// A server sent a header field that cannot be understood. Logged once for
@@ -191,6 +209,10 @@
   std::vector<ServerRun> ownLeaving(TimePoint Now) const {
     return Reports.toForward(Now);
   }
+  /// What servers told this node about their rate limits, for its peers.
+  std::vector<RateLimitReport> ownRateLimits(TimePoint Now) const {
+    return Limits.toForward(Now);
+  }
   bool isStraggler(std::string_view Id, TimePoint Now) const;
   /// Whether the server is expected to end: it drains, has said that it leaves,
   /// or is no longer listed.
@@ -239,7 +261,6 @@
     // It has been paused and has not answered successfully since.
     bool IsReturning = false;
     bool HasMalformedField = false;
-    std::optional<double> RateLimit;
 
     ServerRun run() const { return {Key, Entry.BornMillis}; }
     bool isUsable() const {
@@ -274,6 +295,8 @@
     double GapMillis = 0;
   };
 
+  std::string describeLimit(const Server &S) const;
+  void logRateLimit(const ServerRun &Run, std::string_view Source) const;
   void recountPeers(TimePoint Now);
   UsualTimes usualTimes(std::string_view Service, TimePoint Now) const;
   static double ownGapMillis(const Server &S, TimePoint Now);
@@ -292,6 +315,7 @@
   std::unordered_map<uint64_t, std::string> IdByKey;
   std::map<std::string, PeerReport, std::less<>> Peers;
   SelfReports Reports;
+  RateLimits Limits;
   // Service -> time of the next trial request while no server is available.
   std::map<std::string, TimePoint, std::less<>> NextTrials;
 };
--- a/libs/gateway/include/ragwort/gateway/PeerExchange.h
+++ b/libs/gateway/include/ragwort/gateway/PeerExchange.h
@@ -102,6 +102,8 @@
   asio::awaitable<void> serve(http::Exchange &X);
   http::Response serveEngines(std::string_view Target) const;
   void sendHeartbeats();
+  /// The nodes that share servers' rate limits, as hashes of their addresses.
+  std::vector<uint64_t> sharingPeers(TimePoint Now) const;
   void onHeartbeat(const PeerHeartbeat &Heartbeat, const std::string &Ip);
   void fetchNewerVersions(TimePoint Now);
   void removeSilentPeers(TimePoint Now);
--- a/libs/gateway/include/ragwort/gateway/PeerHeartbeat.h
+++ b/libs/gateway/include/ragwort/gateway/PeerHeartbeat.h
@@ -77,6 +77,17 @@
 std::vector<std::string> encodeLeaving(std::span<const ServerRun> Leaving);
 absl::StatusOr<LeavingDigest> decodeLeaving(std::string_view Datagram);
 
+/// What servers told a node about their rate limits, for its peers.
+struct RateLimitDigest {
+  static constexpr uint16_t Protocol = 1006;
+
+  std::vector<RateLimitReport> Limits;
+};
+/// \returns as many datagrams as \p Limits requires; none if it is empty.
+std::vector<std::string>
+encodeRateLimits(std::span<const RateLimitReport> Limits);
+absl::StatusOr<RateLimitDigest> decodeRateLimits(std::string_view Datagram);
+
 /// The directory of backend servers at one version.
 struct DirectorySnapshot {
   StoreVersion Version;
--- a/libs/gateway/src/Dispatcher.cpp
+++ b/libs/gateway/src/Dispatcher.cpp
@@ -12,6 +12,8 @@
     return "servers-recovering";
   case PlacementRefusal::Paused:
     return "servers-paused";
+  case PlacementRefusal::RateLimited:
+    return "servers-rate-limited";
   case PlacementRefusal::Overloaded:
     return "overloaded";
   }
@@ -76,8 +78,8 @@
   if (!Tracker.isRecovering(Service, Now)) {
     // A pause is stated by the servers, so its length is not limited here.
     if (!Tracker.choose(Service, Excluded, Now))
-      if (auto End = Tracker.pauseEnd(Service, Excluded, Now))
-        return spread(std::max(*End - Now, MinRetryAfter));
+      if (auto Turn = nextTurn(Service, State, Excluded, Now))
+        return spread(std::max(*Turn - Now, MinRetryAfter));
     Wait = State.Drain.timeToComplete(State.Queue.size() + 1, Now)
                .value_or(MaxRetryAfter);
   }
@@ -85,6 +87,18 @@
                   MaxRetryAfter);
 }
 
+std::optional<TimePoint>
+Dispatcher::nextTurn(std::string_view Service, const ServiceState &State,
+                     std::span<const std::string> Excluded,
+                     TimePoint Now) const {
+  std::optional<TimePoint> Turn = Tracker.pauseEnd(Service, Excluded, Now);
+  double Rate = Tracker.ownRate(Service);
+  if (Turn && Rate > 0)
+    *Turn += std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+        static_cast<double>(State.Queue.size()) / Rate));
+  return Turn;
+}
+
 Placement Dispatcher::refuse(PlacementRefusal Refusal,
                              Duration RetryAfter) const {
   Placement P;
@@ -129,17 +143,21 @@
   if (!Best)
     RecoveringSince = Tracker.recoveringSince(R.Service, Now);
   bool IsRecovering = RecoveringSince.has_value();
-  std::optional<TimePoint> PauseEnd;
+  std::optional<TimePoint> Turn;
+  bool IsRateLimited = false;
   if (!Best && !IsRecovering) {
-    PauseEnd = Tracker.pauseEnd(R.Service, R.Excluded, Now);
-    if (!PauseEnd)
+    Turn = nextTurn(R.Service, State, R.Excluded, Now);
+    IsRateLimited = Tracker.isRateLimited(R.Service);
+    if (!Turn && IsRateLimited)
+      return refuse(PlacementRefusal::RateLimited, spread(NoServerRetryAfter));
+    if (!Turn)
       return refuse(PlacementRefusal::NoServer, NoServerRetryAfter);
   }
   TimePoint GiveUpAt = giveUpAt(R, IsRecovering);
   bool IsRefused = State.Queue.size() >= MaxWaiting || Now >= GiveUpAt ||
-                   (PauseEnd && *PauseEnd >= GiveUpAt) ||
+                   (Turn && *Turn >= GiveUpAt) ||
                    (IsRecovering && Now - *RecoveringSince > MaxRecovery);
-  if (!IsRecovering && !PauseEnd) {
+  if (!IsRecovering && !Turn) {
     std::optional<Duration> Wait =
         State.Drain.timeToComplete(State.Queue.size() + 1, Now);
     IsRefused |= Wait && Now + *Wait >= GiveUpAt;
@@ -148,8 +166,9 @@
     PlacementRefusal Refusal = PlacementRefusal::Overloaded;
     if (IsRecovering)
       Refusal = PlacementRefusal::Recovering;
-    else if (PauseEnd)
-      Refusal = PlacementRefusal::Paused;
+    else if (Turn)
+      Refusal = IsRateLimited ? PlacementRefusal::RateLimited
+                              : PlacementRefusal::Paused;
     return refuse(Refusal, retryAfter(R.Service, State, R.Excluded, Now));
   }
   return wait(State, R, GiveUpAt, Now);
--- a/libs/gateway/src/DispatcherTest.cpp
+++ b/libs/gateway/src/DispatcherTest.cpp
@@ -193,6 +193,10 @@
   CPPUNIT_TEST(requestWhenAllServersPauseForLongIsRefusedAtOnce);
   CPPUNIT_TEST(requestsWhenAPauseEndsAreTriedOneAtATime);
   CPPUNIT_TEST(requestsWhenServersAreUnavailableForLongAreRefusedAtOnce);
+  CPPUNIT_TEST(requestWhenAServerHasALimitUsesAnotherOne);
+  CPPUNIT_TEST(requestsWhenAllServersHaveLimitsWaitForTheirTurn);
+  CPPUNIT_TEST(requestsWhenTurnsComeTooLateAreRefusedAtOnce);
+  CPPUNIT_TEST(requestWhenOtherNodesOwnAllLimitsIsRefusedAtOnce);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr int64_t SimulatedMillis = 30'000;
@@ -363,6 +367,89 @@
                    Placement::Decision::Wait);
   }
 
+  /// Sends a request if the dispatcher decides so. \returns the server.
+  static std::string send(Dispatcher &D, int64_t Millis) {
+    Placement Where = D.place(request(Millis), at(Millis));
+    if (Where.Result != Placement::Decision::Send)
+      return "";
+    D.onStarted(Where.Server.Id, at(Millis));
+    D.onEnded("s", Where.Server.Id, at(Millis));
+    return Where.Server.Id;
+  }
+
+  void requestWhenAServerHasALimitUsesAnotherOne() {
+    Dispatcher D("here", RetryBudgetLimits(), 1);
+    std::vector<BackendInstance> Servers = addTwoServers(D);
+    D.loadTracker().setNodes(1, {}, at(0));
+    D.loadTracker().onRateLimit(Servers[0], 2.0, at(0));
+    size_t SentToLimited = 0;
+    for (int64_t Millis = 0; Millis < 10'000; Millis += 50) {
+      std::string Id = send(D, Millis);
+      CPPUNIT_ASSERT(!Id.empty());
+      SentToLimited += Id == "a";
+    }
+    CPPUNIT_ASSERT(SentToLimited >= 10 && SentToLimited <= 21);
+    D.loadTracker().onRateLimit(Servers[0], std::nullopt, at(10'000));
+    SentToLimited = 0;
+    for (int64_t Millis = 10'000; Millis < 11'000; Millis += 50)
+      SentToLimited += send(D, Millis) == "a";
+    CPPUNIT_ASSERT(SentToLimited > 3);
+  }
+
+  void requestsWhenAllServersHaveLimitsWaitForTheirTurn() {
+    Dispatcher D("here", RetryBudgetLimits(), 1);
+    std::vector<BackendInstance> Servers = addTwoServers(D);
+    D.loadTracker().setNodes(1, {}, at(0));
+    for (const BackendInstance &Server : Servers)
+      D.loadTracker().onRateLimit(Server, 4.0, at(0));
+    // Both servers' first turns come within a quarter of a second.
+    CPPUNIT_ASSERT(!send(D, 300).empty());
+    CPPUNIT_ASSERT(!send(D, 300).empty());
+    CPPUNIT_ASSERT(D.place(request(301), at(301)).Result ==
+                   Placement::Decision::Wait);
+    CPPUNIT_ASSERT(D.takeReady(at(400)).empty());
+    std::vector<DequeuedRequest> Ready = D.takeReady(at(551));
+    CPPUNIT_ASSERT_EQUAL(size_t(1), Ready.size());
+    CPPUNIT_ASSERT(Ready.front().Server.has_value());
+  }
+
+  // Load: more requests than the limits of all servers allow.
+  void requestsWhenTurnsComeTooLateAreRefusedAtOnce() {
+    Dispatcher D("here", RetryBudgetLimits(), 1);
+    std::vector<BackendInstance> Servers = addTwoServers(D);
+    D.loadTracker().setNodes(1, {}, at(0));
+    for (const BackendInstance &Server : Servers)
+      D.loadTracker().onRateLimit(Server, 1.0, at(0));
+    size_t Waiting = 0;
+    Placement Where;
+    for (int I = 0; I < 40; ++I) {
+      Where = D.place(request(2000), at(2000));
+      if (Where.Result == Placement::Decision::Send)
+        D.onStarted(Where.Server.Id, at(2000));
+      Waiting += Where.Result == Placement::Decision::Wait;
+    }
+    // Two turns a second in the time that a request may wait.
+    CPPUNIT_ASSERT(Waiting >= 1 && Waiting <= 4);
+    CPPUNIT_ASSERT(Where.Result == Placement::Decision::Refuse);
+    CPPUNIT_ASSERT(Where.Refusal == PlacementRefusal::RateLimited);
+    CPPUNIT_ASSERT(Where.RetryAfter >= std::chrono::milliseconds(500));
+  }
+
+  void requestWhenOtherNodesOwnAllLimitsIsRefusedAtOnce() {
+    Dispatcher D("here", RetryBudgetLimits(), 1);
+    std::vector<BackendInstance> Servers = addTwoServers(D);
+    std::vector<uint64_t> Peers;
+    for (uint64_t I = 0; I < 3000; ++I)
+      Peers.push_back(I * 0x9e3779b97f4a7c15);
+    D.loadTracker().setNodes(1, Peers, at(0));
+    for (const BackendInstance &Server : Servers)
+      D.loadTracker().onRateLimit(Server, 1.0, at(0));
+    Placement Where = D.place(request(100), at(100));
+    CPPUNIT_ASSERT(Where.Result == Placement::Decision::Refuse);
+    CPPUNIT_ASSERT(Where.Refusal == PlacementRefusal::RateLimited);
+    CPPUNIT_ASSERT(Where.RetryAfter >= Dispatcher::NoServerRetryAfter);
+  }
+
   void requestWhenAllServersPauseBrieflyWaits() {
     Dispatcher D("here", RetryBudgetLimits(), 1);
     for (const BackendInstance &Server : addTwoServers(D))
--- a/libs/gateway/src/LoadTracker.cpp
+++ b/libs/gateway/src/LoadTracker.cpp
@@ -139,17 +139,43 @@
 }
 
 void LoadTracker::onRateLimit(const BackendInstance &Instance,
-                              std::optional<double> PerSecond, TimePoint) {
-  Server *S = find(Instance.Id);
-  if (!S || S->Entry.BornMillis != Instance.BornMillis ||
-      S->RateLimit == PerSecond)
-    return;
-  S->RateLimit = PerSecond;
+                              std::optional<double> PerSecond, TimePoint Now) {
+  ServerRun Run{hash64(Instance.Id), Instance.BornMillis};
+  if (Limits.onStated(Run, PerSecond, Now))
+    logRateLimit(Run, "answer");
+}
+
+void LoadTracker::onPeerRateLimits(std::span<const RateLimitReport> Reports,
+                                   TimePoint Now) {
+  for (const RateLimitReport &Report : Reports)
+    if (Limits.onPeerReport(Report, Now))
+      logRateLimit(Report.Run, "peer");
+}
+
+void LoadTracker::logRateLimit(const ServerRun &Run,
+                               std::string_view Source) const {
+  auto Id = IdByKey.find(Run.InstanceKey);
+  std::optional<double> Limit = Limits.limit(Run);
   logEvent(LogLevel::Info, "server-rate-limit",
-           {{"instance", Instance.Id},
-            {"per_second", PerSecond ? std::to_string(*PerSecond) : "none"},
-            {"own", S->OwnInFlight},
-            {"peers", S->PeerInFlight}});
+           {{"instance", Id == IdByKey.end() ? "" : Id->second},
+            {"per_second", Limit ? std::to_string(*Limit) : "none"},
+            {"own_rate", std::to_string(Limits.ownRate(Run).value_or(0))},
+            {"source", Source}});
+}
+
+bool LoadTracker::isRateLimited(std::string_view Service) const {
+  return std::any_of(Servers.begin(), Servers.end(), [&](const auto &Item) {
+    const Server &S = Item.second;
+    return S.Entry.Service == Service && S.isUsable() && Limits.limit(S.run());
+  });
+}
+
+double LoadTracker::ownRate(std::string_view Service) const {
+  double Sum = 0;
+  for (const auto &[Id, S] : Servers)
+    if (S.Entry.Service == Service && S.isUsable())
+      Sum += Limits.ownRate(S.run()).value_or(0);
+  return Sum;
 }
 
 void LoadTracker::onMalformedField(std::string_view Id, std::string_view Field,
@@ -194,6 +220,7 @@
   if (!S)
     return;
   ++S->OwnInFlight;
+  Limits.onSent(S->run(), Now);
   if (!S->IsUnavailable && !S->IsReturning)
     return;
   S->NextTrial = Now + TrialInterval;
@@ -474,10 +501,11 @@
                       TimePoint Now) const {
   std::optional<TimePoint> First;
   for (const auto &[Id, S] : Servers) {
-    if (S.Entry.Service != Service || !S.isUsable() || contains(Excluded, Id) ||
-        Now >= S.pauseEnd())
+    if (S.Entry.Service != Service || !S.isUsable() || contains(Excluded, Id))
       continue;
-    First = std::min(First.value_or(S.pauseEnd()), S.pauseEnd());
+    TimePoint End = std::max(S.pauseEnd(), Limits.nextSend(S.run()));
+    if (Now < End && End != TimePoint::max())
+      First = std::min(First.value_or(End), End);
   }
   return First;
 }
@@ -511,7 +539,8 @@
     if (S.Entry.Service != Service || !S.isUsable() || contains(Excluded, Id) ||
         (SkipsEjected && Now < S.EjectedUntil) ||
         (SkipsStragglers && Now < S.StragglerUntil) ||
-        (S.IsUnavailable && Now < S.NextTrial) || Now < S.pauseEnd())
+        (S.IsUnavailable && Now < S.NextTrial) || Now < S.pauseEnd() ||
+        !Limits.maySend(S.run(), Now))
       continue;
     Candidates.push_back(&S);
   }
@@ -596,7 +625,7 @@
     Result.Draining += S.Entry.IsDraining;
     Result.Leaving += S.IsLeaving;
     Result.Paused += Now < S.PausedUntil;
-    Result.RateLimited += S.RateLimit.has_value();
+    Result.RateLimited += Limits.limit(S.run()).has_value();
     Result.Unavailable += S.IsUnavailable;
     Result.Ejected += Now < S.EjectedUntil;
     Result.Stragglers += Now < S.StragglerUntil;
@@ -604,6 +633,13 @@
   return Result;
 }
 
+std::string LoadTracker::describeLimit(const Server &S) const {
+  std::optional<double> Limit = Limits.limit(S.run());
+  return Limit ? " limit=" + std::to_string(*Limit) +
+                     " own_rate=" + std::to_string(*Limits.ownRate(S.run()))
+               : "";
+}
+
 std::string LoadTracker::describe(TimePoint Now) const {
   std::string Text;
   for (const auto &[Id, S] : Servers) {
@@ -616,8 +652,7 @@
             " gap_ms=" + std::to_string(std::lround(gapMillis(S, Now))) +
             (S.Entry.IsDraining ? " draining" : "") +
             (S.IsLeaving ? " leaving" : "") +
-            (Now < S.PausedUntil ? " paused" : "") +
-            (S.RateLimit ? " limit=" + std::to_string(*S.RateLimit) : "") +
+            (Now < S.PausedUntil ? " paused" : "") + describeLimit(S) +
             (S.IsUnavailable ? " unavailable" : "") +
             (Now < S.StragglerUntil ? " straggler" : "") +
             (Now < S.EjectedUntil ? " ejected" : "") + "\n";
--- a/libs/gateway/src/PeerExchange.cpp
+++ b/libs/gateway/src/PeerExchange.cpp
@@ -96,6 +96,9 @@
   std::vector<std::string> Leaving =
       encodeLeaving(Node.dispatcher().loadTracker().ownLeaving(now()));
   Datagrams.insert(Datagrams.end(), Leaving.begin(), Leaving.end());
+  std::vector<std::string> Limits =
+      encodeRateLimits(Node.dispatcher().loadTracker().ownRateLimits(now()));
+  Datagrams.insert(Datagrams.end(), Limits.begin(), Limits.end());
   std::vector<std::string> Quarantine =
       encodeQuarantine(Node.promptQuarantine().takeDigest(now()));
   Datagrams.insert(Datagrams.end(), Quarantine.begin(), Quarantine.end());
@@ -111,6 +114,8 @@
     sendHeartbeats();
     TimePoint At = now();
     removeSilentPeers(At);
+    Node.dispatcher().loadTracker().setNodes(hash64(Options.Listen.Ip),
+                                             sharingPeers(At), At);
     fetchNewerVersions(At);
     co_await sleepFor(HeartbeatInterval);
   }
@@ -136,6 +141,10 @@
     if (auto Digest = decodeLeaving(Datagram); Digest.ok())
       Node.dispatcher().loadTracker().onPeerLeaving(Digest->Leaving, now());
     return;
+  case RateLimitDigest::Protocol:
+    if (auto Digest = decodeRateLimits(Datagram); Digest.ok())
+      Node.dispatcher().loadTracker().onPeerRateLimits(Digest->Limits, now());
+    return;
   case QuarantineDigest::Protocol:
     if (auto Digest = decodeQuarantine(Datagram); Digest.ok())
       Node.promptQuarantine().onPeerDigest(From.Ip, *Digest, now());
@@ -191,6 +200,21 @@
   return static_cast<size_t>(Before) < StoreWatchers;
 }
 
+std::vector<uint64_t> PeerExchange::sharingPeers(TimePoint Now) const {
+  auto HeardWithin = [&](Duration Time) {
+    std::vector<uint64_t> Result;
+    for (const auto &[Ip, P] : Peers)
+      if (P.LastHeardAt != TimePoint() && Now - P.LastHeardAt <= Time &&
+          !P.IsLeaving)
+        Result.push_back(hash64(Ip));
+    return Result;
+  };
+  std::vector<uint64_t> Live = HeardWithin(WatcherTimeout);
+  std::vector<uint64_t> Known = HeardWithin(LivePeerTimeout);
+  // A node that is cut off must not take over the parts of the others.
+  return Live.size() * 2 < Known.size() ? Known : Live;
+}
+
 void PeerExchange::removeSilentPeers(TimePoint Now) {
   std::erase_if(Peers, [Now](const auto &Item) {
     TimePoint Last = std::max(Item.second.LastHeardAt, Item.second.AddedAt);
--- a/libs/gateway/src/PeerHeartbeat.cpp
+++ b/libs/gateway/src/PeerHeartbeat.cpp
@@ -83,6 +83,17 @@
   wire::transferList(Ar, Digest.Leaving, MaxPeerDatagramBytes);
 }
 
+template <class Archive> void serialize(Archive &Ar, RateLimitReport &Report) {
+  Ar(Report.Run);
+  wire::transferOptional(Ar, Report.MilliPerSecond);
+  Ar(Report.AgeMillis);
+}
+
+template <class Archive> void serialize(Archive &Ar, RateLimitDigest &Digest) {
+  wire::transferProtocol(Ar, RateLimitDigest::Protocol);
+  wire::transferList(Ar, Digest.Limits, MaxPeerDatagramBytes);
+}
+
 /// Datagrams of type \p Digest with all of \p Entries, each of which takes
 /// \p EntryBytes.
 template <class Digest, class Entry>
@@ -148,6 +159,17 @@
   return wire::fromDatagram<LeavingDigest>(Datagram, MaxPeerDatagramBytes);
 }
 
+std::vector<std::string>
+encodeRateLimits(std::span<const RateLimitReport> Limits) {
+  // An entry takes a run, a limit with its flag, and an age.
+  return encodeInParts<RateLimitDigest>(
+      Limits, sizeof(ServerRun) + 1 + sizeof(uint32_t) + sizeof(uint16_t));
+}
+
+absl::StatusOr<RateLimitDigest> decodeRateLimits(std::string_view Datagram) {
+  return wire::fromDatagram<RateLimitDigest>(Datagram, MaxPeerDatagramBytes);
+}
+
 template <class Archive> void serialize(Archive &Ar, EngineList &List) {
   size_t Count = wire::transferLength(Ar, List.Ips.size(), wire::MaxListLength);
   List.Ips.resize(Count);
