--- a/libs/gateway/include/ragwort/gateway/StreamSocket.h
+++ b/libs/gateway/include/ragwort/gateway/StreamSocket.h
@@ -59,6 +59,9 @@
 
   /// Closes immediately and discards unsent bytes.
   void close();
+  /// Closes with a reset, so that bytes which the network still holds are not
+  /// delivered.
+  void abort();
   /// Closes once the unsent bytes are written.
   void closeAfterWrite();
   bool isOpen() const { return State == Stage::Open; }
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -682,8 +682,10 @@
     if (IsClean)
       Context.Pool.keep(Server.Id, std::move(Socket),
                         keepAliveOf(Parser.head()), now());
-    else
+    else if (Parser.stage() == ParseStage::Done)
       Socket->close();
+    else
+      Socket->abort();
     Socket.reset();
   }
   releaseServer();
--- a/libs/gateway/src/GatewayTest.cpp
+++ b/libs/gateway/src/GatewayTest.cpp
@@ -55,6 +55,7 @@
   CPPUNIT_TEST(streamWhenItsServerStragglesResumesOnAnotherServer);
   CPPUNIT_TEST(atMostOnceWhenItsServerStragglesIsNotMoved);
   CPPUNIT_TEST(callerWhenDisconnectedClosesTheServersConnection);
+  CPPUNIT_TEST(requestWhenGivenUpIsNotDeliveredLater);
   CPPUNIT_TEST(requestWhenRouteTimeoutExpiresIsAnsweredImmediately);
   CPPUNIT_TEST(requestsWhenPipelinedAreAnsweredInOrder);
   CPPUNIT_TEST(requestWhenMalformedClosesOnlyItsConnection);
@@ -686,6 +687,21 @@
     CPPUNIT_ASSERT_EQUAL(size_t(1), requestsSeen().size());
   }
 
+  // A reset makes the network drop bytes that it still holds.
+  void requestWhenGivenUpIsNotDeliveredLater() {
+    scriptBoth(literal(ScriptedServer::Silence), 2);
+    auto Gone = call(request("/safe/", "r1"));
+    runUntil([this] { return requestsSeen().size() == 1; });
+    Gone->Socket->close();
+    auto ResetCount = [this] {
+      return Servers[0]->ResetByGateway + Servers[1]->ResetByGateway;
+    };
+    runUntil([&] { return ResetCount() == 1; });
+    auto Late = call(request("/once/", "r2"));
+    runUntil([&] { return ResetCount() == 2; });
+    CPPUNIT_ASSERT(Late->Received.starts_with("HTTP/1.1 504 "));
+  }
+
   void requestWhenRouteTimeoutExpiresIsAnsweredImmediately() {
     scriptBoth(literal(ScriptedServer::Silence));
     auto Begun = std::chrono::steady_clock::now();
--- a/libs/gateway/src/LoopbackPeers.h
+++ b/libs/gateway/src/LoopbackPeers.h
@@ -75,6 +75,7 @@
   std::vector<std::string> Requests;
   int Connections = 0;
   int ClosedByGateway = 0;
+  int ResetByGateway = 0;
 
 private:
   struct Connection : SocketHandler {
@@ -97,7 +98,10 @@
       if (Next)
         send(Next(Request));
     }
-    void onEnd(SocketEnd) override { ++Owner.ClosedByGateway; }
+    void onEnd(SocketEnd End) override {
+      ++Owner.ClosedByGateway;
+      Owner.ResetByGateway += End == SocketEnd::Broken;
+    }
     void send(std::string Text) {
       if (Text == Silence)
         return;
--- a/libs/gateway/src/StreamSocket.cpp
+++ b/libs/gateway/src/StreamSocket.cpp
@@ -187,6 +187,13 @@
   Socket.close(Error);
 }
 
+void StreamSocket::abort() {
+  error_code Error; // Ignored: the socket is closed in any case.
+  if (State != Stage::Closed)
+    Socket.set_option(asio::socket_base::linger(true, 0), Error);
+  close();
+}
+
 void StreamSocket::closeAfterWrite() {
   Handler = nullptr;
   if (unsent() == 0)
