--- a/libs/gateway/src/EventStreamTest.cpp
+++ b/libs/gateway/src/EventStreamTest.cpp
@@ -76,7 +76,7 @@
 
   void eventWhenItNeverEndsIsRejected() {
     EventStream Events;
-    const std::string Piece(64 * 1024, 'x');
+    const std::string Piece(64 * KiB, 'x');
     size_t Pieces = 0;
     while (Pieces < 1000 && Events.push(Piece))
       ++Pieces;
--- a/libs/gateway/src/GatewayTest.cpp
+++ b/libs/gateway/src/GatewayTest.cpp
@@ -6,6 +6,7 @@
 //
 //===----------------------------------------------------------------------===//
 #include "LoopbackPeers.h"
+#include "ragwort/base/Bytes.h"
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace ragwort::gateway {
@@ -538,7 +539,7 @@
 
   void answerWhenAnotherOneBeforeItNeverEndsIsGivenUp() {
     constexpr size_t Pieces = 200;
-    const std::string Piece(64 * 1024, 'x');
+    const std::string Piece(64 * KiB, 'x');
     scriptBoth([&](const std::string &) {
       std::string Text = "HTTP/1.1 200 OK\r\nRagwort-Request-Id: other\r\n" +
                          Stamp + "Content-Length: 100000000\r\n\r\n";
--- a/libs/gateway/src/MessageParserTest.cpp
+++ b/libs/gateway/src/MessageParserTest.cpp
@@ -127,9 +127,12 @@
   /// Feeds \p Piece again and again until the parser fails. \returns the most
   /// bytes that were buffered for it.
   template <class Parser>
-  static size_t feedWithoutEnd(Parser &P, std::string Buffer,
-                               const std::string &Piece) {
+  static size_t feedWithoutEnd(Parser &P, std::string_view Head,
+                               std::string_view Begin, std::string_view Piece) {
     constexpr size_t GiveUpBytes = 1 << 20;
+    std::string Buffer(Head);
+    Buffer += "Transfer-Encoding: chunked\r\n\r\n";
+    Buffer += Begin;
     size_t Most = 0;
     while (P.stage() != ParseStage::Failed && Most < GiveUpBytes) {
       Buffer += Piece;
@@ -141,7 +144,6 @@
 
   void messageWhenItsFramingNeverEndsFails() {
     constexpr size_t MostBuffered = 100'000;
-    const std::string Chunked = "Transfer-Encoding: chunked\r\n\r\n";
     const std::pair<std::string, std::string> Endings[] = {
         {"5;a=", std::string(1000, 'x')}, // Extension of a chunk.
         {"", std::string(1000, '0')},     // Size of a chunk.
@@ -149,14 +151,11 @@
     };
     for (const auto &[Begin, Piece] : Endings) {
       ResponseParser Response;
-      CPPUNIT_ASSERT(feedWithoutEnd(Response,
-                                    "HTTP/1.1 200 OK\r\n" + Chunked + Begin,
+      CPPUNIT_ASSERT(feedWithoutEnd(Response, "HTTP/1.1 200 OK\r\n", Begin,
                                     Piece) < MostBuffered);
       RequestParser Request(MaxHead);
-      CPPUNIT_ASSERT(
-          feedWithoutEnd(Request,
-                         "POST / HTTP/1.1\r\nHost: h\r\n" + Chunked + Begin,
-                         Piece) < MostBuffered);
+      CPPUNIT_ASSERT(feedWithoutEnd(Request, "POST / HTTP/1.1\r\nHost: h\r\n",
+                                    Begin, Piece) < MostBuffered);
     }
   }
 };
