Make the new tests independent of the machine's speed and of slower ways out

The mutations 'prompt part not cleared by a later survivor' and 'request with a quarantined prompt left at its server' survived: the tests now ask for more crashes after the survivor, and give the request no other server. The given-up request has one server and more time, and must still be reset both times.

--- a/libs/gateway/src/CrashDetectorTest.cpp
+++ b/libs/gateway/src/CrashDetectorTest.cpp
@@ -38,49 +38,63 @@
   void onBroken() {
     Detector->onBroken(Instance, std::span(&Part, 1), SteadyClock().now());
   }
-  void settle() { Io.run_for(std::chrono::milliseconds(50)); }
+  /// Runs the loop until \p IsDone, for at most five seconds.
+  template <class Condition> void runUntil(Condition IsDone) {
+    auto End = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+    while (!IsDone() && std::chrono::steady_clock::now() < End)
+      Io.run_for(std::chrono::milliseconds(2));
+    CPPUNIT_ASSERT(IsDone());
+  }
+  /// Runs the loop until the server has seen the check's connection end, which
+  /// the detector closes after its result.
+  void runUntilChecked(int Connections) {
+    runUntil([&] {
+      return Server->Connections == Connections &&
+             Server->ClosedByGateway == Connections;
+    });
+  }
+  void runUntilCrashes(size_t Count) {
+    runUntil([&] { return Crashes.size() == Count; });
+  }
 
 public:
   void serverWhenItStillListensHasNotCrashed() {
     onBroken();
-    settle();
-    CPPUNIT_ASSERT_EQUAL(1, Server->Connections);
+    runUntilChecked(1);
     CPPUNIT_ASSERT(Crashes.empty());
   }
 
   void serverWhenNobodyListensHasCrashed() {
     Server->crash();
     onBroken();
-    settle();
-    CPPUNIT_ASSERT_EQUAL(size_t(1), Crashes.size());
+    runUntilCrashes(1);
     CPPUNIT_ASSERT_EQUAL(uint64_t(5), Crashes[0].first.BornMillis);
     CPPUNIT_ASSERT(Crashes[0].second == std::vector<PartKey>({Part}));
   }
 
   void connectionsWhenSeveralBreakAreCheckedOnce() {
-    onBroken();
-    onBroken();
-    settle();
-    onBroken();
-    settle();
+    TimePoint Now = SteadyClock().now();
+    Detector->onBroken(Instance, std::span(&Part, 1), Now);
+    Detector->onBroken(Instance, std::span(&Part, 1), Now);
+    runUntilChecked(1);
+    Detector->onBroken(Instance, std::span(&Part, 1), Now);
     CPPUNIT_ASSERT_EQUAL(1, Server->Connections);
     Server->crash();
     Instance.Id = "i1";
-    onBroken();
-    onBroken();
-    settle();
-    onBroken();
+    Detector->onBroken(Instance, std::span(&Part, 1), Now);
+    Detector->onBroken(Instance, std::span(&Part, 1), Now);
+    runUntilCrashes(2);
+    Detector->onBroken(Instance, std::span(&Part, 1), Now);
     CPPUNIT_ASSERT_EQUAL(size_t(3), Crashes.size());
   }
 
   void serverWhenStartedAnewIsCheckedAgain() {
     onBroken();
-    settle();
+    runUntilChecked(1);
     Server->crash();
     Instance.BornMillis = 6;
     onBroken();
-    settle();
-    CPPUNIT_ASSERT_EQUAL(size_t(1), Crashes.size());
+    runUntilCrashes(1);
     CPPUNIT_ASSERT_EQUAL(uint64_t(6), Crashes[0].first.BornMillis);
   }
 };
--- a/libs/gateway/src/GatewayTest.cpp
+++ b/libs/gateway/src/GatewayTest.cpp
@@ -576,7 +576,10 @@
   }
 
   void requestWhenItsPromptIsQuarantinedAtAServerIsWithdrawn() {
-    scriptBoth(literal(ScriptedServer::Silence));
+    // Without another server, the request would wait for its answer.
+    Servers.resize(1);
+    configure();
+    Servers[0]->Script.push_back(literal(ScriptedServer::Silence));
     auto C =
         call(request("/slow/", "r1", "Ragwort-Prompt-Parts: dead:3,1:9\r\n"));
     runUntil([this] { return requestsSeen().size() == 1; });
@@ -586,10 +589,7 @@
     runUntil([&C] { return !C->Received.empty(); });
     // The server may have begun to run it.
     CPPUNIT_ASSERT(C->Received.starts_with("HTTP/1.1 502 "));
-    runUntil([this] {
-      return Servers[0]->ClosedByGateway + Servers[1]->ClosedByGateway == 1;
-    });
-    CPPUNIT_ASSERT_EQUAL(size_t(1), requestsSeen().size());
+    runUntil([this] { return Servers[0]->ClosedByGateway == 1; });
   }
 
   void streamWhenSilentWithoutAnotherServerKeepsWaiting() {
@@ -690,16 +690,16 @@
 
   // A reset makes the network drop bytes that it still holds.
   void requestWhenGivenUpIsNotDeliveredLater() {
-    scriptBoth(literal(ScriptedServer::Silence), 2);
-    auto Gone = call(request("/safe/", "r1"));
+    Servers.resize(1);
+    configure();
+    Servers[0]->Script.assign(2, literal(ScriptedServer::Silence));
+    auto Gone = call(request("/slow/", "r1"));
     runUntil([this] { return requestsSeen().size() == 1; });
     Gone->Socket->close();
-    auto ResetCount = [this] {
-      return Servers[0]->ResetByGateway + Servers[1]->ResetByGateway;
-    };
-    runUntil([&] { return ResetCount() == 1; });
+    runUntil([this] { return Servers[0]->ResetByGateway == 1; });
     auto Late = call(request("/once/", "r2"));
-    runUntil([&] { return ResetCount() == 2; });
+    runUntil([this] { return Servers[0]->ResetByGateway == 2; });
+    runUntil([&Late] { return !Late->Received.empty(); });
     CPPUNIT_ASSERT(Late->Received.starts_with("HTTP/1.1 504 "));
   }
 
--- a/libs/gateway/src/PromptQuarantineTest.cpp
+++ b/libs/gateway/src/PromptQuarantineTest.cpp
@@ -155,8 +155,9 @@
     // Sent before the crashes: shows nothing about them.
     Q.onSurvived(Parts, at(9), at(12));
     Q.onSurvived(Parts, at(12), at(13));
-    crash(Q, {Dead}, 2, 14);
-    CPPUNIT_ASSERT(!isQuarantined(Q, Dead, at(17)));
+    // With the earlier two, these would be enough.
+    crash(Q, {Dead}, 4, 14);
+    CPPUNIT_ASSERT(!isQuarantined(Q, Dead, at(19)));
   }
 
   void partWhenItWasSoundAndTurnsDangerousIsQuarantinedLater() {
