--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -444,13 +444,16 @@
                 task.cancel()
             return invariants.find_violations(self)
         finally:
-            for node in self.nodes:
-                if node.popen and node.popen.poll() is None:
-                    node.send_signal(signal.SIGCONT)
-                    node.send_signal(signal.SIGKILL)
-                    node.popen.wait()
-            self.store.kill()
-            self.store.wait()
+            self.kill_all()
+
+    def kill_all(self):
+        for node in self.nodes:
+            if node.popen and node.popen.poll() is None:
+                node.send_signal(signal.SIGCONT)
+                node.send_signal(signal.SIGKILL)
+                node.popen.wait()
+        self.store.kill()
+        self.store.wait()
 
 
 def free_ports(ip, count):
