--- a/libs/gateway/include/ragwort/gateway/PromptQuarantine.h
+++ b/libs/gateway/include/ragwort/gateway/PromptQuarantine.h
@@ -56,10 +56,6 @@
   std::vector<CrashWitness> Witnesses;
   std::vector<PartTestimony> Testimonies;
   std::vector<QuarantinedPart> Quarantined;
-
-  bool isEmpty() const {
-    return Witnesses.empty() && Testimonies.empty() && Quarantined.empty();
-  }
 };
 
 /// \code
