--- a/libs/gateway/include/ragwort/gateway/Dispatcher.h
+++ b/libs/gateway/include/ragwort/gateway/Dispatcher.h
@@ -148,6 +148,21 @@
   Placement wait(ServiceState &State, const PlacementRequest &R,
                  TimePoint GiveUpAt, TimePoint Now);
   Placement refuse(PlacementRefusal Refusal, Duration RetryAfter) const;
+  /// Waits, or refuses for \p Refusal if \p IsRefused, if the queue is full or
+  /// if \p GiveUpAt has passed.
+  Placement waitUnless(bool IsRefused, PlacementRefusal Refusal,
+                       ServiceState &State, const PlacementRequest &R,
+                       TimePoint GiveUpAt, TimePoint Now);
+  /// All usable servers are full.
+  Placement waitForSlot(ServiceState &State, const PlacementRequest &R,
+                        TimePoint Now);
+  /// All usable servers have been unavailable since \p Since.
+  Placement waitForRecovery(ServiceState &State, const PlacementRequest &R,
+                            TimePoint Since, TimePoint Now);
+  /// No server may be sent a request now: all are paused or rate-limited, or
+  /// there is none.
+  Placement waitForTurn(ServiceState &State, const PlacementRequest &R,
+                        TimePoint Now);
   /// The earliest time at which a paused or rate-limited server may be sent a
   /// further request, after those that wait.
   std::optional<TimePoint> nextTurn(std::string_view Service,
--- a/libs/gateway/include/ragwort/gateway/Forwarding.h
+++ b/libs/gateway/include/ragwort/gateway/Forwarding.h
@@ -123,6 +123,8 @@
   bool isOtherRequestsAnswer() const;
   /// Whether another instance answered that it now has the server's address.
   bool isAnswerOfReplacement() const;
+  /// Complete events have arrived.
+  void noteEvents();
   void forwardBody();
   void finishAnswer();
   void finishStream();
--- a/libs/gateway/src/Dispatcher.cpp
+++ b/libs/gateway/src/Dispatcher.cpp
@@ -139,41 +139,52 @@
     P.InFlight = Best->InFlight;
     return P;
   }
-  std::optional<TimePoint> RecoveringSince;
-  if (!Best)
-    RecoveringSince = Tracker.recoveringSince(R.Service, Now);
-  bool IsRecovering = RecoveringSince.has_value();
-  std::optional<TimePoint> Turn;
-  bool IsRateLimited = false;
-  if (!Best && !IsRecovering) {
-    Turn = nextTurn(R.Service, State, R.Excluded, Now);
-    IsRateLimited = Tracker.isRateLimited(R.Service);
-    if (!Turn && IsRateLimited)
-      return refuse(PlacementRefusal::RateLimited, spread(NoServerRetryAfter));
-    if (!Turn)
-      return refuse(PlacementRefusal::NoServer, NoServerRetryAfter);
-  }
-  TimePoint GiveUpAt = giveUpAt(R, IsRecovering);
-  bool IsRefused = State.Queue.size() >= MaxWaiting || Now >= GiveUpAt ||
-                   (Turn && *Turn >= GiveUpAt) ||
-                   (IsRecovering && Now - *RecoveringSince > MaxRecovery);
-  if (!IsRecovering && !Turn) {
-    std::optional<Duration> Wait =
-        State.Drain.timeToComplete(State.Queue.size() + 1, Now);
-    IsRefused |= Wait && Now + *Wait >= GiveUpAt;
-  }
-  if (IsRefused) {
-    PlacementRefusal Refusal = PlacementRefusal::Overloaded;
-    if (IsRecovering)
-      Refusal = PlacementRefusal::Recovering;
-    else if (Turn)
-      Refusal = IsRateLimited ? PlacementRefusal::RateLimited
-                              : PlacementRefusal::Paused;
+  if (Best)
+    return waitForSlot(State, R, Now);
+  if (std::optional<TimePoint> Since = Tracker.recoveringSince(R.Service, Now))
+    return waitForRecovery(State, R, *Since, Now);
+  return waitForTurn(State, R, Now);
+}
+
+Placement Dispatcher::waitUnless(bool IsRefused, PlacementRefusal Refusal,
+                                 ServiceState &State, const PlacementRequest &R,
+                                 TimePoint GiveUpAt, TimePoint Now) {
+  if (IsRefused || State.Queue.size() >= MaxWaiting || Now >= GiveUpAt)
     return refuse(Refusal, retryAfter(R.Service, State, R.Excluded, Now));
-  }
   return wait(State, R, GiveUpAt, Now);
 }
 
+Placement Dispatcher::waitForSlot(ServiceState &State,
+                                  const PlacementRequest &R, TimePoint Now) {
+  TimePoint GiveUpAt = giveUpAt(R, /*IsRecovering=*/false);
+  std::optional<Duration> Wait =
+      State.Drain.timeToComplete(State.Queue.size() + 1, Now);
+  return waitUnless(Wait && Now + *Wait >= GiveUpAt,
+                    PlacementRefusal::Overloaded, State, R, GiveUpAt, Now);
+}
+
+Placement Dispatcher::waitForRecovery(ServiceState &State,
+                                      const PlacementRequest &R,
+                                      TimePoint Since, TimePoint Now) {
+  return waitUnless(Now - Since > MaxRecovery, PlacementRefusal::Recovering,
+                    State, R, giveUpAt(R, /*IsRecovering=*/true), Now);
+}
+
+Placement Dispatcher::waitForTurn(ServiceState &State,
+                                  const PlacementRequest &R, TimePoint Now) {
+  std::optional<TimePoint> Turn = nextTurn(R.Service, State, R.Excluded, Now);
+  bool IsRateLimited = Tracker.isRateLimited(R.Service);
+  if (!Turn && IsRateLimited)
+    return refuse(PlacementRefusal::RateLimited, spread(NoServerRetryAfter));
+  if (!Turn)
+    return refuse(PlacementRefusal::NoServer, NoServerRetryAfter);
+  TimePoint GiveUpAt = giveUpAt(R, /*IsRecovering=*/false);
+  return waitUnless(*Turn >= GiveUpAt,
+                    IsRateLimited ? PlacementRefusal::RateLimited
+                                  : PlacementRefusal::Paused,
+                    State, R, GiveUpAt, Now);
+}
+
 bool Dispatcher::hasFreeServer(std::string_view Service,
                                std::span<const std::string> Excluded,
                                TimePoint Now) {
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -1,6 +1,7 @@
 //===- Forwarding.cpp - Forwards one request to a backend server ----------===//
 #include "ragwort/gateway/Forwarding.h"
 #include "ragwort/base/Bytes.h"
+#include "ragwort/gateway/RequestHead.h"
 #include "ragwort/observe/Log.h"
 #include <algorithm>
 #include <charconv>
@@ -77,31 +78,6 @@
   return Number;
 }
 
-void appendField(std::string &Text, std::string_view Name,
-                 std::string_view Value) {
-  Text += Name;
-  Text += ": ";
-  Text += Value;
-  Text += "\r\n";
-}
-
-bool isListed(std::string_view List, std::string_view Name) {
-  while (!List.empty()) {
-    size_t Comma = List.find(',');
-    std::string_view Item = List.substr(0, Comma);
-    while (!Item.empty() && Item.front() == ' ')
-      Item.remove_prefix(1);
-    while (!Item.empty() && Item.back() == ' ')
-      Item.remove_suffix(1);
-    if (isSameHeaderName(Item, Name))
-      return true;
-    if (Comma == std::string_view::npos)
-      break;
-    List.remove_prefix(Comma + 1);
-  }
-  return false;
-}
-
 } // namespace
 
 Forwarding::Forwarding(ForwardingContext &Context, AcceptedRequest Given,
@@ -249,47 +225,15 @@
 }
 
 std::string Forwarding::requestHead() const {
-  const ProtocolNames &Names = Context.Names;
-  const http::Request &M = Accepted.Message;
-  std::string_view PerConnection = M.header("Connection");
-  std::string Text = M.Method + " " + M.Target + " HTTP/1.1\r\n";
-  bool IsBodyFramed = false;
-  for (const HeaderField &Field : M.Headers) {
-    std::string_view Name = Field.Name;
-    IsBodyFramed |= isSameHeaderName(Name, "Content-Length") ||
-                    isSameHeaderName(Name, "Transfer-Encoding");
-    // These fields identify the request and are forwarded even if the caller
-    // lists them in its Connection header.
-    bool IsEssential = isSameHeaderName(Name, "Host") ||
-                       isSameHeaderName(Name, Names.RequestId);
-    if ((!IsEssential &&
-         (http::isHopByHop(Name) || isListed(PerConnection, Name))) ||
-        isSameHeaderName(Name, "Authorization") ||
-        isSameHeaderName(Name, Names.TimeLeftMillis) ||
-        isSameHeaderName(Name, Names.ExpectedInstance) ||
-        isSameHeaderName(Name, Names.Organisation) ||
-        isSameHeaderName(Name, Names.Urgency) ||
-        isSameHeaderName(Name, Names.ExpectedWeights) ||
-        isSameHeaderName(Name, Names.LastEventId))
-      continue;
-    appendField(Text, Name, Field.Value);
-  }
-  if (IsBodyFramed || !M.Body.empty())
-    appendField(Text, "Content-Length", std::to_string(M.Body.size()));
-  int64_t Left = std::max<int64_t>(1, millis(Accepted.Deadline - now()));
-  appendField(Text, Names.TimeLeftMillis, std::to_string(Left));
-  appendField(Text, Names.ExpectedInstance, Server.Id);
-  if (!Accepted.Organisation.empty())
-    appendField(Text, Names.Organisation, Accepted.Organisation);
+  SystemFields Fields;
+  Fields.TimeLeft = Accepted.Deadline - now();
+  Fields.Instance = Server.Id;
+  Fields.Organisation = Accepted.Organisation;
   if (Accepted.Target->IsStream)
-    appendField(Text, Names.Urgency,
-                std::to_string(std::min<uint32_t>(Accepted.Priority, 9)));
-  if (Flow.hasAnswerBegun() && Events.lastId())
-    appendField(Text, Names.LastEventId, std::to_string(*Events.lastId()));
-  else if (std::string_view After = M.header(Names.LastEventId); !After.empty())
-    appendField(Text, Names.LastEventId, After);
-  Text += "\r\n";
-  return Text;
+    Fields.Priority = Accepted.Priority;
+  if (Flow.hasAnswerBegun())
+    Fields.LastEventId = Events.lastId();
+  return makeRequestHead(Accepted.Message, Context.Names, Fields);
 }
 
 void Forwarding::writeRequest() {
@@ -428,6 +372,19 @@
   return true;
 }
 
+void Forwarding::noteEvents() {
+  TimePoint Before = std::exchange(LastProgress, now());
+  if (!std::exchange(HasEvent, true)) {
+    FirstEventAt = LastProgress;
+    return;
+  }
+  Duration Gap = LastProgress - Before;
+  LongestGap = std::max(LongestGap, Gap);
+  Context.Dispatch.loadTracker().onEvent(Server.Id, Gap, LastProgress);
+  if (LastProgress - FirstEventAt >= SurvivalTime)
+    noteSurvival();
+}
+
 void Forwarding::forwardBody() {
   std::string Bytes = Parser.takeBody();
   if (Bytes.empty())
@@ -445,16 +402,7 @@
   std::string Complete = Events.takeCompleteEvents();
   if (Complete.empty())
     return;
-  TimePoint Before = std::exchange(LastProgress, now());
-  if (std::exchange(HasEvent, true)) {
-    Duration Gap = LastProgress - Before;
-    LongestGap = std::max(LongestGap, Gap);
-    Context.Dispatch.loadTracker().onEvent(Server.Id, Gap, LastProgress);
-    if (LastProgress - FirstEventAt >= SurvivalTime)
-      noteSurvival();
-  } else {
-    FirstEventAt = LastProgress;
-  }
+  noteEvents();
   if (!Flow.hasAnswerBegun()) {
     Head = Parser.head();
     TimeToFirstByte = LastProgress - Accepted.Arrived;
