--- a/libs/gateway/include/ragwort/gateway/Dispatcher.h
+++ b/libs/gateway/include/ragwort/gateway/Dispatcher.h
@@ -7,7 +7,7 @@
 // rate at which this node's requests have been completing. While all servers
 // have asked this node to pause, it compares the end of the first pause with
 // the time for which the caller can wait; likewise this node's next turn while
-// all servers have named rate limits.
+// all servers have stated rate limits.
 //
 //===----------------------------------------------------------------------===//
 #ifndef RAGWORT_GATEWAY_DISPATCHER_H
@@ -40,7 +40,7 @@
   Recovering,
   /// All servers have asked this node to pause.
   Paused,
-  /// All servers have named rate limits that leave this node no turn in time.
+  /// All servers have stated rate limits that leave this node no turn in time.
   RateLimited,
   Overloaded,
 };
--- a/libs/gateway/include/ragwort/gateway/Forwarding.h
+++ b/libs/gateway/include/ragwort/gateway/Forwarding.h
@@ -16,6 +16,7 @@
 #include "ragwort/gateway/PromptQuarantine.h"
 #include "ragwort/gateway/ProtocolNames.h"
 #include "ragwort/gateway/RequestFlow.h"
+#include "ragwort/gateway/ServerStatement.h"
 #include "ragwort/observe/Metrics.h"
 #include <functional>
 
@@ -117,12 +118,9 @@
   std::string requestHead() const;
   void parse();
   bool acceptHead();
-  void noteLeaving();
-  void noteRateLimit();
-  std::optional<Duration> requestedPause();
+  /// Tells the tracker what the response says of its server.
+  void noteStatement();
   bool isOtherRequestsAnswer() const;
-  /// Whether another instance answered that it now has the server's address.
-  bool isAnswerOfReplacement() const;
   /// Complete events have arrived.
   void noteEvents();
   void forwardBody();
@@ -176,8 +174,8 @@
   // Whether this send has counted as one that its server survived.
   bool HasSurvived = false;
   bool HasHead = false;
-  // How long the server asked this node to send it nothing, with this answer.
-  std::optional<Duration> Pause;
+  // What the response of this send says of its server.
+  ServerStatement Stated;
   bool IsEventStream = false;
   std::string Body;
   // Head of a stream that has begun, as sent by the first server.
--- a/libs/gateway/include/ragwort/gateway/LoadTracker.h
+++ b/libs/gateway/include/ragwort/gateway/LoadTracker.h
@@ -20,7 +20,7 @@
 // not told of a pause: servers ask each node by itself, and may have room for
 // the others.
 //
-// Servers that have named a rate limit receive requests only when it is this
+// Servers that have stated a rate limit receive requests only when it is this
 // node's turn, see RateLimits.h.
 //
 //===----------------------------------------------------------------------===//
@@ -30,6 +30,7 @@
 #include "ragwort/gateway/BackendDirectory.h"
 #include "ragwort/gateway/RateLimits.h"
 #include "ragwort/gateway/SelfReports.h"
+#include "ragwort/gateway/ServerSpeed.h"
 #include <algorithm>
 #include <random>
 #include <span>
@@ -111,8 +112,6 @@
 public:
   /// Load reports of peers are ignored after this time.
   static constexpr Duration ReportLifetime = std::chrono::milliseconds(1500);
-  /// Pauses between events are ignored after this time.
-  static constexpr Duration GapLifetime = std::chrono::milliseconds(1500);
   /// An agent's notice counts for this time; agents repeat it several times
   /// within it.
   static constexpr Duration NoticeLifetime = std::chrono::milliseconds(700);
@@ -174,8 +173,8 @@
   /// The run \p Instance of a server asked this node to send it nothing for
   /// \p Pause.
   void onPaused(const BackendInstance &Instance, Duration Pause, TimePoint Now);
-  /// The run \p Instance of a server named in an answer how many requests a
-  /// second it takes from all nodes together, or no longer names a limit.
+  /// The run \p Instance of a server stated in an answer how many requests a
+  /// second it takes from all nodes together, or no longer states a limit.
   void onRateLimit(const BackendInstance &Instance,
                    std::optional<double> PerSecond, TimePoint Now);
   /// A peer forwarded what servers said about their rate limits.
@@ -230,14 +229,7 @@
     uint32_t PeerInFlight = 0;
     // Moving average of failures among recent answers, between 0 and 1.
     double FailureRate = 0;
-    // Moving average of the latency in milliseconds, 0 before the first answer.
-    double LatencyMillis = 0;
-    // Moving average of the pauses between events of this node's streams, 0
-    // before the first.
-    double OwnGapMillis = 0;
-    TimePoint GapSeenAt{};
-    // Mean of the peers' pauses, weighted by their requests; 0 if unknown.
-    double PeerGapMillis = 0;
+    ServerSpeed Speed;
     TimePoint EjectedUntil{};
     Duration NextEjection = FirstEjection;
     // Reported unavailable; since then neither reported open nor successful.
@@ -289,20 +281,10 @@
   void markSuperseded();
   void eject(Server &S, TimePoint Now);
   static void setUnavailable(Server &S, TimePoint Now);
-  /// Latency and pause of the faster servers of a service; 0 if unknown.
-  struct UsualTimes {
-    double LatencyMillis = 0;
-    double GapMillis = 0;
-  };
-
   std::string describeLimit(const Server &S) const;
   void logRateLimit(const ServerRun &Run, std::string_view Source) const;
   void recountPeers(TimePoint Now);
-  UsualTimes usualTimes(std::string_view Service, TimePoint Now) const;
-  static double ownGapMillis(const Server &S, TimePoint Now);
-  static double gapMillis(const Server &S, TimePoint Now);
-  static double slowness(const Server &S, const UsualTimes &Usual,
-                         TimePoint Now);
+  UsualTimes usualTimesOf(std::string_view Service, TimePoint Now) const;
   const Server *bestOfSample(std::vector<const Server *> &Candidates,
                              const UsualTimes &Usual, TimePoint Now);
   const Server *lowestScore(std::span<const Server *const> Candidates,
--- a/libs/gateway/include/ragwort/gateway/RateLimits.h
+++ b/libs/gateway/include/ragwort/gateway/RateLimits.h
@@ -1,7 +1,7 @@
 //===- RateLimits.h - Rates that servers take from all nodes together -----===//
 //
-// A server may name how many requests a second it takes from the whole fleet. A
-// few nodes, the same ones from every node's point of view, share the rate in
+// A server may state how many requests a second it takes from the whole fleet.
+// A few nodes, the same ones from every node's point of view, share the rate in
 // equal parts; the others send the server nothing. So the fleet stays within
 // the limit without messages between the nodes for each request.
 //
--- a/libs/gateway/src/CrashDetectorTest.cpp
+++ b/libs/gateway/src/CrashDetectorTest.cpp
@@ -38,23 +38,16 @@
   void onBroken() {
     Detector->onBroken(Instance, std::span(&Part, 1), SteadyClock().now());
   }
-  /// Runs the loop until \p IsDone, for at most five seconds.
-  template <class Condition> void runUntil(Condition IsDone) {
-    auto End = std::chrono::steady_clock::now() + std::chrono::seconds(5);
-    while (!IsDone() && std::chrono::steady_clock::now() < End)
-      Io.run_for(std::chrono::milliseconds(2));
-    CPPUNIT_ASSERT(IsDone());
-  }
   /// Runs the loop until the server has seen the check's connection end, which
   /// the detector closes after its result.
   void runUntilChecked(int Connections) {
-    runUntil([&] {
+    runLoopUntil(Io, [&] {
       return Server->Connections == Connections &&
              Server->ClosedByGateway == Connections;
     });
   }
   void runUntilCrashes(size_t Count) {
-    runUntil([&] { return Crashes.size() == Count; });
+    runLoopUntil(Io, [&] { return Crashes.size() == Count; });
   }
 
 public:
--- a/libs/gateway/src/CrashingPromptTest.cpp
+++ b/libs/gateway/src/CrashingPromptTest.cpp
@@ -75,7 +75,7 @@
   std::string ownPart() {
     return "f" + std::to_string(Fleet->lastRequest()) + ":9";
   }
-  std::string soundPrompt() {
+  std::string harmlessPrompt() {
     return std::string(SharedPart) + ":40," + ownPart();
   }
   std::string crashingPrompt() {
@@ -90,20 +90,20 @@
     constexpr size_t LaterArrivals = 3;
     Fleet->exchangeHeartbeats();
     for (size_t I = 0; I < Nodes; ++I)
-      CPPUNIT_ASSERT_EQUAL(Served, statusOf(I, soundPrompt()));
+      CPPUNIT_ASSERT_EQUAL(Served, statusOf(I, harmlessPrompt()));
     constexpr size_t Rounds = 18;
-    size_t SoundServed = 0;
+    size_t HarmlessServed = 0;
     std::string LastStatus;
     for (size_t I = 0; I < Rounds; ++I) {
       LastStatus = statusOf(I % Nodes, crashingPrompt());
       Fleet->exchangeHeartbeats();
       replaceEndedServers();
-      SoundServed += statusOf((I + 1) % Nodes, soundPrompt()) == Served;
+      HarmlessServed += statusOf((I + 1) % Nodes, harmlessPrompt()) == Served;
     }
     CPPUNIT_ASSERT(CrashingArrivals <= LearningCrashes + LaterArrivals);
     CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 503 Service Unavailable"),
                          LastStatus);
-    CPPUNIT_ASSERT_EQUAL(Rounds, SoundServed);
+    CPPUNIT_ASSERT_EQUAL(Rounds, HarmlessServed);
   }
 };
 
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -45,10 +45,6 @@
 
 constexpr size_t MaxLoggedPartsBytes = 160;
 
-constexpr unsigned StatusMisdirected = 421;
-constexpr unsigned StatusUnavailable = 503;
-constexpr std::string_view RetryAfterField = "Retry-After";
-
 TimePoint now() { return SteadyClock().now(); }
 
 int64_t millis(Duration Length) { return Length.count() / 1000; }
@@ -56,19 +52,6 @@
 bool isSuccess(unsigned Status) { return Status >= 200 && Status < 300; }
 bool isServerFailure(unsigned Status) { return Status >= 500; }
 
-/// The timeout of a `Keep-Alive: timeout=N` header field, or zero.
-Duration keepAliveOf(const http::ResponseHead &Head) {
-  constexpr std::string_view Parameter = "timeout=";
-  std::string_view Value = Head.header("Keep-Alive");
-  size_t At = Value.find(Parameter);
-  if (At == std::string_view::npos)
-    return Duration(0);
-  Value.remove_prefix(At + Parameter.size());
-  uint32_t Seconds = 0;
-  std::from_chars(Value.data(), Value.data() + Value.size(), Seconds);
-  return std::chrono::seconds(Seconds);
-}
-
 std::optional<uint64_t> parseNumber(std::string_view Text) {
   uint64_t Number = 0;
   auto Parsed = std::from_chars(Text.data(), Text.data() + Text.size(), Number);
@@ -244,7 +227,7 @@
   Unparsed.clear();
   Body.clear();
   HasHead = false;
-  Pause.reset();
+  Stated = ServerStatement();
   IsEventStream = false;
   SkippedBytes = 0;
   HasBytes = false;
@@ -307,61 +290,23 @@
   }
 }
 
-void Forwarding::noteRateLimit() {
-  const http::ResponseHead &H = Parser.head();
-  std::string_view Value = H.header(Context.Names.RateLimit);
-  LoadTracker &Tracker = Context.Dispatch.loadTracker();
-  if (Value.empty()) {
-    // Only an answer to a request that it ran shows that the server has lifted
-    // its limit.
-    if (isSuccess(H.Status) && !H.header(Context.Names.AnswerStamp).empty())
-      Tracker.onRateLimit(Server, std::nullopt, now());
-  } else if (std::optional<double> PerSecond = parseDecimal(Value)) {
-    if (!isAnswerOfReplacement())
-      Tracker.onRateLimit(Server, PerSecond, now());
-  } else {
-    Tracker.onMalformedField(Server.Id, Context.Names.RateLimit, Value);
-  }
-}
-
-void Forwarding::noteLeaving() {
-  std::string_view Value = Parser.head().header(Context.Names.Leaving);
-  if (Value.empty())
-    return;
+void Forwarding::noteStatement() {
   LoadTracker &Tracker = Context.Dispatch.loadTracker();
-  if (Value != "1")
-    Tracker.onMalformedField(Server.Id, Context.Names.Leaving, Value);
-  else if (!isAnswerOfReplacement())
+  Stated = readStatement(Parser.head(), Context.Names, Server.Id);
+  for (const HeaderField &Field : Stated.Malformed)
+    Tracker.onMalformedField(Server.Id, Field.Name, Field.Value);
+  if (Stated.IsLeaving)
     Tracker.onLeaving(Server, now());
-}
-
-std::optional<Duration> Forwarding::requestedPause() {
-  const http::ResponseHead &H = Parser.head();
-  std::string_view Value = H.header(RetryAfterField);
-  if (H.Status != StatusUnavailable || Value.empty())
-    return std::nullopt;
-  std::optional<Duration> Pause = parsePause(Value);
-  if (!Pause)
-    Context.Dispatch.loadTracker().onMalformedField(Server.Id, RetryAfterField,
-                                                    Value);
-  return Pause;
-}
-
-bool Forwarding::isAnswerOfReplacement() const {
-  const http::ResponseHead &H = Parser.head();
-  std::string_view Answering = H.header(Context.Names.AnsweringInstance);
-  return H.Status == StatusMisdirected && !Answering.empty() &&
-         Answering != Server.Id;
+  if (Stated.IsRateLimitKnown)
+    Tracker.onRateLimit(Server, Stated.RateLimit, now());
+  if (Stated.Pause)
+    Tracker.onPaused(Server, *Stated.Pause, now());
 }
 
 bool Forwarding::acceptHead() {
   HasHead = true;
   const http::ResponseHead &H = Parser.head();
-  noteLeaving();
-  noteRateLimit();
-  Pause = requestedPause();
-  if (Pause)
-    Context.Dispatch.loadTracker().onPaused(Server, *Pause, now());
+  noteStatement();
   bool IsStamped = !H.header(Context.Names.AnswerStamp).empty();
   if (isSuccess(H.Status) && !IsStamped) {
     onServerFault(ServerFault::Malformed, "missing-answer-stamp");
@@ -478,28 +423,27 @@
 void Forwarding::onDeclined() {
   const http::ResponseHead &H = Parser.head();
   LoadTracker &Tracker = Context.Dispatch.loadTracker();
-  bool IsReplaced = isAnswerOfReplacement();
   // A server that declines a request although it has free slots is not full but
   // unavailable.
   bool IsUnavailable = H.Status == StatusMisdirected ||
                        !H.header(Context.Names.InstanceAtFault).empty() ||
                        Tracker.inFlight(Server.Id) < Server.Slots;
   LastFault = "declined-" + std::to_string(H.Status);
-  if (IsReplaced)
+  if (Stated.IsReplaced)
     Tracker.onReplaced(Server.Id);
-  else if (!Pause) // Otherwise, the server has stated when to come back.
+  else if (!Stated.Pause) // Otherwise, the server has stated when to come back.
     Tracker.onFault(
         Server.Id, IsUnavailable ? ServerFault::Unavailable : ServerFault::Full,
         now());
   Excluded.push_back(Server.Id);
-  leaveServer(!IsReplaced);
-  if (Pause)
-    RetryAfter = Context.Dispatch.spread(*Pause);
+  leaveServer(!Stated.IsReplaced);
+  if (Stated.Pause)
+    RetryAfter = Context.Dispatch.spread(*Stated.Pause);
   else
     RetryAfter =
         IsUnavailable ? Dispatcher::RecoveringRetryAfter : DefaultRetryAfter;
-  carryOut(IsReplaced ? Flow.onMisdirected(retryConditions())
-                      : Flow.onDeclined(retryConditions()));
+  carryOut(Stated.IsReplaced ? Flow.onMisdirected(retryConditions())
+                             : Flow.onDeclined(retryConditions()));
 }
 
 void Forwarding::onFailureAnswer() {
@@ -629,7 +573,7 @@
                    Socket->unsent() == 0 && Socket->isOpen();
     if (IsClean)
       Context.Pool.keep(Server.Id, std::move(Socket),
-                        keepAliveOf(Parser.head()), now());
+                        keepAliveTime(Parser.head()), now());
     else if (Parser.stage() == ParseStage::Done)
       Socket->close();
     else
--- a/libs/gateway/src/GatewayTest.cpp
+++ b/libs/gateway/src/GatewayTest.cpp
@@ -73,11 +73,9 @@
   void setUp() override {
     Io = std::make_unique<asio::io_context>(1);
     Metrics = std::make_unique<MetricsRegistry>();
-    GatewayOptions Options;
-    Options.Listen = {"127.0.0.1", 0};
-    Options.DataCentre = "here";
-    Options.RetryLimits = {0.2, 100, std::chrono::seconds(10)};
-    Node = std::make_unique<Gateway>(*Io, Options, ProtocolNames(), *Metrics);
+    constexpr double RetryAllowance = 100;
+    Node = std::make_unique<Gateway>(*Io, loopbackOptions(RetryAllowance),
+                                     ProtocolNames(), *Metrics);
     CPPUNIT_ASSERT(Node->listen().ok());
     Servers.clear();
     for (int I = 0; I < 2; ++I)
@@ -176,12 +174,8 @@
     return C;
   }
 
-  /// Runs the loop until \p IsDone, for at most five seconds.
   template <class Condition> void runUntil(Condition IsDone) {
-    auto End = std::chrono::steady_clock::now() + std::chrono::seconds(5);
-    while (!IsDone() && std::chrono::steady_clock::now() < End)
-      Io->run_for(std::chrono::milliseconds(2));
-    CPPUNIT_ASSERT(IsDone());
+    runLoopUntil(*Io, IsDone);
   }
   void runFor(Duration Time) { Io->run_for(Time); }
 
--- a/libs/gateway/src/LoadTracker.cpp
+++ b/libs/gateway/src/LoadTracker.cpp
@@ -10,27 +10,16 @@
 
 namespace {
 
-// Weight of the newest answer in the moving averages.
-constexpr double AverageWeight = 0.2;
 // A server is ejected when its failure rate exceeds this value. It lies above
 // the rate of failures that services report in normal operation.
 constexpr double EjectionFailureRate = 0.55;
 // A server in another data centre is preferred only if its load, as a fraction
 // of its slots, is lower by this value.
 constexpr double RemotePenalty = 0.03;
-// Upper bound of the factor by which the load of a slow server is multiplied.
-constexpr double MaxSlowness = 4.0;
 // A server is slow from this multiple of the usual time on, and is used only
 // when the others are full. Load alone makes a batching server about one and a
 // half times slower.
 constexpr double SlownessThreshold = 2.0;
-// A pause between events enters the moving average as at most this multiple of
-// the average.
-constexpr double MaxGapGrowth = 2.0;
-// The usual time of a service is the lower quartile (the value at 1/4 of the
-// sorted times), since a whole group of its servers can be slow at once.
-constexpr size_t UsualTimeDivisor = 4;
-
 // Number of random candidates that are compared for each request. Between two
 // heartbeats the fleet places about as many requests as there are servers; in
 // that range two to three choices are known to work best.
@@ -239,11 +228,7 @@
   Server *S = find(Id);
   if (!S)
     return;
-  double Millis = static_cast<double>(Latency.count()) / 1000.0;
-  S->LatencyMillis =
-      S->LatencyMillis == 0
-          ? Millis
-          : (1 - AverageWeight) * S->LatencyMillis + AverageWeight * Millis;
+  S->Speed.addLatency(Latency);
   S->FailureRate *= 1 - AverageWeight;
   // An answer to a request sent before the server was last reported unavailable
   // does not show that it is available again.
@@ -256,18 +241,8 @@
 }
 
 void LoadTracker::onEvent(std::string_view Id, Duration Gap, TimePoint Now) {
-  Server *S = find(Id);
-  if (!S)
-    return;
-  double Millis = static_cast<double>(Gap.count()) / 1000.0;
-  if (double Before = ownGapMillis(*S, Now); Before > 0) {
-    // A single long pause, for example while a group waits for a slow rank,
-    // must not shift load to the other servers; several long pauses do.
-    Millis = std::min(Millis, MaxGapGrowth * Before);
-    Millis = (1 - AverageWeight) * Before + AverageWeight * Millis;
-  }
-  S->OwnGapMillis = Millis;
-  S->GapSeenAt = Now;
+  if (Server *S = find(Id))
+    S->Speed.addGap(Gap, Now);
 }
 
 void LoadTracker::eject(Server &S, TimePoint Now) {
@@ -411,9 +386,8 @@
   });
   for (auto &[Id, S] : Servers) {
     S.PeerInFlight = 0;
-    S.PeerGapMillis = 0;
+    S.Speed.clearPeerGaps();
   }
-  std::unordered_map<uint64_t, uint32_t> Weights;
   for (const auto &[Peer, Report] : Peers)
     for (const InFlightReport &Part : Report.Counts) {
       auto Id = IdByKey.find(Part.InstanceKey);
@@ -421,55 +395,17 @@
         continue;
       Server &S = Servers[Id->second];
       S.PeerInFlight += Part.Count;
-      if (Part.GapMillis == 0 || Part.Count == 0)
-        continue;
-      uint32_t &Weight = Weights[Part.InstanceKey];
-      Weight += Part.Count;
-      S.PeerGapMillis +=
-          (Part.GapMillis - S.PeerGapMillis) * Part.Count / Weight;
+      S.Speed.addPeerGap(Part.GapMillis, Part.Count);
     }
 }
 
-double LoadTracker::ownGapMillis(const Server &S, TimePoint Now) {
-  return Now - S.GapSeenAt <= GapLifetime ? S.OwnGapMillis : 0;
-}
-
-double LoadTracker::gapMillis(const Server &S, TimePoint Now) {
-  return std::max(ownGapMillis(S, Now), S.PeerGapMillis);
-}
-
-double LoadTracker::slowness(const Server &S, const UsualTimes &Usual,
-                             TimePoint Now) {
-  double Gap = gapMillis(S, Now);
-  double Factor = 1;
-  if (Gap > 0 && Usual.GapMillis > 0)
-    Factor = Gap / Usual.GapMillis;
-  else if (S.LatencyMillis > 0 && Usual.LatencyMillis > 0)
-    Factor = S.LatencyMillis / Usual.LatencyMillis;
-  return std::clamp(Factor, 1.0, MaxSlowness);
-}
-
-LoadTracker::UsualTimes LoadTracker::usualTimes(std::string_view Service,
-                                                TimePoint Now) const {
-  std::vector<double> Latencies;
-  std::vector<double> Gaps;
-  for (const auto &[Id, S] : Servers) {
-    if (S.Entry.Service != Service)
-      continue;
-    if (S.LatencyMillis > 0)
-      Latencies.push_back(S.LatencyMillis);
-    if (double Gap = gapMillis(S, Now); Gap > 0)
-      Gaps.push_back(Gap);
-  }
-  auto Usual = [](std::vector<double> &Known) {
-    if (Known.empty())
-      return 0.0;
-    auto At =
-        Known.begin() + static_cast<ptrdiff_t>(Known.size() / UsualTimeDivisor);
-    std::nth_element(Known.begin(), At, Known.end());
-    return *At;
-  };
-  return {Usual(Latencies), Usual(Gaps)};
+UsualTimes LoadTracker::usualTimesOf(std::string_view Service,
+                                     TimePoint Now) const {
+  std::vector<const ServerSpeed *> Speeds;
+  for (const auto &[Id, S] : Servers)
+    if (S.Entry.Service == Service)
+      Speeds.push_back(&S.Speed);
+  return usualTimes(Speeds, Now);
 }
 
 double LoadTracker::score(const Server &S, const UsualTimes &Usual,
@@ -478,7 +414,7 @@
       (S.OwnInFlight + S.PeerInFlight + 1.0) / std::max(1u, S.Entry.Slots);
   double Remote = S.Entry.DataCentre == LocalDataCentre ? 0.0 : RemotePenalty;
   std::uniform_real_distribution<double> TieBreak(0, 0.01);
-  return Load * slowness(S, Usual, Now) + S.FailureRate + Remote +
+  return Load * S.Speed.slowness(Usual, Now) + S.FailureRate + Remote +
          TieBreak(Random);
 }
 
@@ -533,7 +469,7 @@
   // servers themselves, and excluding them would only overload the others.
   bool SkipsEjected = Ejected * 2 <= Usable;
   bool SkipsStragglers = Stragglers * 2 <= Usable;
-  UsualTimes Usual = usualTimes(Service, Now);
+  UsualTimes Usual = usualTimesOf(Service, Now);
   std::vector<const Server *> Candidates;
   for (const auto &[Id, S] : Servers) {
     if (S.Entry.Service != Service || !S.isUsable() || contains(Excluded, Id) ||
@@ -556,7 +492,7 @@
                           const UsualTimes &Usual, TimePoint Now) {
   auto FirstSlow = std::partition(
       Candidates.begin(), Candidates.end(), [&](const Server *S) {
-        return slowness(*S, Usual, Now) < SlownessThreshold;
+        return S->Speed.slowness(Usual, Now) < SlownessThreshold;
       });
   auto Fast = static_cast<size_t>(FirstSlow - Candidates.begin());
   size_t Pool = Fast > 0 ? Fast : Candidates.size();
@@ -604,7 +540,7 @@
   for (const auto &[Id, S] : Servers) {
     if (S.OwnInFlight == 0)
       continue;
-    double Gap = ownGapMillis(S, Now);
+    double Gap = S.Speed.ownGapMillis(Now);
     Result.push_back(
         {S.Key, S.OwnInFlight, static_cast<uint32_t>(std::lround(Gap))});
   }
@@ -643,19 +579,20 @@
 std::string LoadTracker::describe(TimePoint Now) const {
   std::string Text;
   for (const auto &[Id, S] : Servers) {
-    Text += Id + " service=" + S.Entry.Service +
-            " own=" + std::to_string(S.OwnInFlight) +
-            " peers=" + std::to_string(S.PeerInFlight) +
-            " slots=" + std::to_string(S.Entry.Slots) + " failure_percent=" +
-            std::to_string(std::lround(S.FailureRate * 100)) +
-            " latency_ms=" + std::to_string(std::lround(S.LatencyMillis)) +
-            " gap_ms=" + std::to_string(std::lround(gapMillis(S, Now))) +
-            (S.Entry.IsDraining ? " draining" : "") +
-            (S.IsLeaving ? " leaving" : "") +
-            (Now < S.PausedUntil ? " paused" : "") + describeLimit(S) +
-            (S.IsUnavailable ? " unavailable" : "") +
-            (Now < S.StragglerUntil ? " straggler" : "") +
-            (Now < S.EjectedUntil ? " ejected" : "") + "\n";
+    Text +=
+        Id + " service=" + S.Entry.Service +
+        " own=" + std::to_string(S.OwnInFlight) +
+        " peers=" + std::to_string(S.PeerInFlight) +
+        " slots=" + std::to_string(S.Entry.Slots) +
+        " failure_percent=" + std::to_string(std::lround(S.FailureRate * 100)) +
+        " latency_ms=" + std::to_string(std::lround(S.Speed.latencyMillis())) +
+        " gap_ms=" + std::to_string(std::lround(S.Speed.gapMillis(Now))) +
+        (S.Entry.IsDraining ? " draining" : "") +
+        (S.IsLeaving ? " leaving" : "") +
+        (Now < S.PausedUntil ? " paused" : "") + describeLimit(S) +
+        (S.IsUnavailable ? " unavailable" : "") +
+        (Now < S.StragglerUntil ? " straggler" : "") +
+        (Now < S.EjectedUntil ? " ejected" : "") + "\n";
   }
   return Text;
 }
--- a/libs/gateway/src/LoopbackFleet.h
+++ b/libs/gateway/src/LoopbackFleet.h
@@ -9,7 +9,6 @@
 
 #include "LoopbackPeers.h"
 #include "ragwort/gateway/PeerExchange.h"
-#include <cppunit/TestAssert.h>
 
 namespace ragwort::gateway {
 
@@ -61,10 +60,9 @@
   /// Sends a request to a node. \returns the status line of its answer.
   std::string statusOf(size_t NodeIndex, const std::string &Extra) {
     std::unique_ptr<Caller> C = call(NodeIndex, Extra);
-    auto End = std::chrono::steady_clock::now() + std::chrono::seconds(5);
-    while (C->Received.find("\r\n\r\n") == std::string::npos && !C->IsEnded &&
-           std::chrono::steady_clock::now() < End)
-      Io.run_for(std::chrono::milliseconds(2));
+    runLoopUntil(Io, [&C] {
+      return C->Received.find("\r\n\r\n") != std::string::npos || C->IsEnded;
+    });
     return C->Received.substr(0, C->Received.find("\r\n"));
   }
 
@@ -75,15 +73,9 @@
 private:
   struct Node {
     Node(asio::io_context &Io, const Address &Listen)
-        : Front(Io, frontOptions(), ProtocolNames(), Metrics),
+        : Front(Io, loopbackOptions(RetryAllowance), ProtocolNames(), Metrics),
           Peers(Io, {Listen.Ip, 1, Listen}, Front, [](ConfigDocument) {}) {}
-    static GatewayOptions frontOptions() {
-      GatewayOptions Options;
-      Options.Listen = {"127.0.0.1", 0};
-      Options.DataCentre = "here";
-      Options.RetryLimits = {0.2, 1000, std::chrono::seconds(10)};
-      return Options;
-    }
+    static constexpr double RetryAllowance = 1000;
     MetricsRegistry Metrics;
     Gateway Front;
     PeerExchange Peers;
--- a/libs/gateway/src/LoopbackPeers.h
+++ b/libs/gateway/src/LoopbackPeers.h
@@ -8,6 +8,7 @@
 #define RAGWORT_GATEWAY_LOOPBACKPEERS_H
 
 #include "ragwort/gateway/Gateway.h"
+#include <cppunit/TestAssert.h>
 #include <deque>
 
 namespace ragwort::gateway {
@@ -144,6 +145,25 @@
   bool IsRunning = true;
 };
 
+/// Options of a gateway on a free port of loopback.
+inline GatewayOptions loopbackOptions(double RetryAllowance) {
+  GatewayOptions Options;
+  Options.Listen = {"127.0.0.1", 0};
+  Options.DataCentre = "here";
+  Options.RetryLimits = {0.2, RetryAllowance, std::chrono::seconds(10)};
+  return Options;
+}
+
+/// Runs the loop until \p IsDone, for at most five seconds, and fails the test
+/// if it is not done then.
+template <class Condition>
+void runLoopUntil(asio::io_context &Io, Condition IsDone) {
+  auto End = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+  while (!IsDone() && std::chrono::steady_clock::now() < End)
+    Io.run_for(std::chrono::milliseconds(2));
+  CPPUNIT_ASSERT(IsDone());
+}
+
 /// A caller's connection.
 struct Caller : SocketHandler {
   explicit Caller(asio::io_context &Io)
--- a/libs/gateway/src/PromptQuarantineTest.cpp
+++ b/libs/gateway/src/PromptQuarantineTest.cpp
@@ -138,10 +138,10 @@
 
   void partWhenItHasSurvivorsIsNotBlamedForAnothersCrashes() {
     PromptQuarantine Q(1, at(0));
-    PartKey Sound[] = {Shared};
+    PartKey Harmless[] = {Shared};
     for (int I = 0; I < 20; ++I) {
-      Q.onRequest(Sound, at(5));
-      Q.onSurvived(Sound, at(5), at(6));
+      Q.onRequest(Harmless, at(5));
+      Q.onSurvived(Harmless, at(5), at(6));
     }
     crash(Q, {Shared, Dead}, 12, 10);
     CPPUNIT_ASSERT(isQuarantined(Q, Dead, at(25)));
@@ -175,8 +175,8 @@
     PromptQuarantine Q(1, at(0));
     crash(Q, {Shared, Dead}, 4, 10);
     CPPUNIT_ASSERT(Q.quarantined(at(14)).empty());
-    PartKey Sound[] = {Shared};
-    Q.onRequest(Sound, at(14));
+    PartKey Harmless[] = {Shared};
+    Q.onRequest(Harmless, at(14));
     Q.update(at(14.9));
     CPPUNIT_ASSERT(isQuarantined(Q, Dead, at(15)));
     CPPUNIT_ASSERT(!isQuarantined(Q, Shared, at(15)));
@@ -236,8 +236,8 @@
                    PromptQuarantine::EndSpread);
   }
 
-  /// Sound requests with parts of different popularity, and servers that crash
-  /// with some requests that have just begun. \returns the crashes until
+  /// Harmless requests with parts of different popularity, and servers that
+  /// crash with some requests that have just begun. \returns the crashes until
   /// \p Culprit was quarantined everywhere.
   static size_t play(VirtualFleet &Fleet, double Seconds,
                      std::optional<PartKey> Culprit) {
@@ -245,14 +245,14 @@
     std::bernoulli_distribution IsCrash(0.1);
     uint64_t NextRun = 1;
     size_t Crashes = 0;
-    auto Sound = [&] {
+    auto Harmless = [&] {
       return std::vector<PartKey>{Shared, 0x1000 + AnyPart(Fleet.Random)};
     };
     for (TimePoint End =
              Fleet.Now + std::chrono::milliseconds(int64_t(Seconds * 1000));
          Fleet.Now < End;) {
       for (int I = 0; I < 10; ++I) {
-        std::vector<PartKey> Parts = Sound();
+        std::vector<PartKey> Parts = Harmless();
         PromptQuarantine &Node = Fleet.anyNode();
         Node.onRequest(Parts, Fleet.Now);
         Node.onSurvived(Parts, Fleet.Now, Fleet.Now);
@@ -260,13 +260,13 @@
       if (IsCrash(Fleet.Random)) {
         ServerRun Run = run(NextRun++);
         for (int I = 0; I < 4; ++I) {
-          std::vector<PartKey> Bystander = Sound();
+          std::vector<PartKey> Bystander = Harmless();
           PromptQuarantine &Node = Fleet.anyNode();
           Node.onRequest(Bystander, Fleet.Now);
           Node.onCrash(Run, Bystander, Fleet.Now);
         }
         PromptQuarantine &Node = Fleet.anyNode();
-        std::vector<PartKey> Parts = Sound();
+        std::vector<PartKey> Parts = Harmless();
         if (Culprit)
           Parts.push_back(*Culprit);
         if (!Node.quarantinedUntil(Parts, Fleet.Now)) {
--- a/libs/gateway/src/NamedLimitTest.cpp
+++ b/libs/gateway/src/RateLimitedServerTest.cpp
@@ -1,6 +1,7 @@
-//===- NamedLimitTest.cpp - A fleet and servers that name a rate limit ---===//
+//===- RateLimitedServerTest.cpp - A fleet and servers that state a rate limit
+//--===//
 //
-// Three nodes that exchange what they know, and servers that name in their
+// Three nodes that exchange what they know, and servers that state in their
 // answers how many requests a second they take from all nodes together.
 //
 //===----------------------------------------------------------------------===//
@@ -9,9 +10,9 @@
 
 namespace ragwort::gateway {
 
-class NamedLimitTest : public CppUnit::TestFixture {
-  CPPUNIT_TEST_SUITE(NamedLimitTest);
-  CPPUNIT_TEST(serverWhenItNamesALimitGetsNoMoreFromAllNodes);
+class RateLimitedServerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RateLimitedServerTest);
+  CPPUNIT_TEST(serverWhenItStatesARateLimitGetsNoMoreFromAllNodes);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr size_t Nodes = 3;
@@ -62,7 +63,7 @@
   }
 
 public:
-  void serverWhenItNamesALimitGetsNoMoreFromAllNodes() {
+  void serverWhenItStatesARateLimitGetsNoMoreFromAllNodes() {
     // The users' rule: in four seconds one and a half times what the limit
     // allows, and five requests.
     constexpr auto Allowed =
@@ -81,6 +82,6 @@
   }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(NamedLimitTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(RateLimitedServerTest);
 
 } // namespace ragwort::gateway
--- a/libs/gateway/src/RateLimitsTest.cpp
+++ b/libs/gateway/src/RateLimitsTest.cpp
@@ -15,7 +15,7 @@
   CPPUNIT_TEST(limitWhenUsedByItsOwnersIsReached);
   CPPUNIT_TEST(limitWhenNoLongerNamedIsLifted);
   CPPUNIT_TEST(limitWhenTheServerStartsAnewIsForgotten);
-  CPPUNIT_TEST(limitWhenAnOlderWordArrivesLaterIsKept);
+  CPPUNIT_TEST(limitWhenAnOlderStatementArrivesLaterIsKept);
   CPPUNIT_TEST(limitWhenToldByAPeerIsNotForwarded);
   CPPUNIT_TEST(limitWhenZeroStillAllowsARequestNowAndThen);
   CPPUNIT_TEST(limitsWhenTooManyDropTheOldest);
@@ -146,7 +146,7 @@
     CPPUNIT_ASSERT_EQUAL(3.0, *Limits.limit(Next));
   }
 
-  void limitWhenAnOlderWordArrivesLaterIsKept() {
+  void limitWhenAnOlderStatementArrivesLaterIsKept() {
     RateLimits Limits;
     Limits.onStated(Run, 2.0, at(1000));
     CPPUNIT_ASSERT(!Limits.onPeerReport({Run, std::nullopt, 500}, at(1200)));
