--- a/testing/soak/crashing_prompts.py
+++ b/testing/soak/crashing_prompts.py
@@ -4,10 +4,10 @@
 usage: crashing_prompts.py BUILD-FOLDER [--seeds A-B]
 
 Servers end when they begin to answer a prompt with a certain part, and are
-replaced. Requests with that part reach all entry nodes, beside sound ones that
+replaced. Requests with that part reach all entry nodes, beside harmless ones that
 share their first part, while nodes are killed and restarted. In the end all nodes
-are killed at once. Checks the users' rules: after the fifth crash and the stable
-window at most three requests with the part reach servers, and sound requests are
+are killed at once. Checks the users' rules: after the fifth crash and the settling
+window at most three requests with the part reach servers, and harmless requests are
 served at the first attempt at least half as often as before.
 """
 
@@ -22,7 +22,7 @@
 from soak import Run
 
 PART = "dead"
-STABLE_WINDOW_S = 3.0
+SETTLING_TIME_S = 3.0
 LEARNING_CRASHES = 5
 LATER_ARRIVALS = 3
 QUIET_PHASE_S = 4.0
@@ -53,8 +53,8 @@
     def __init__(self, build, seed, slot):
         super().__init__(build, seed, slot)
         self.crashes = []
-        # (time, served) of sound requests.
-        self.sound = []
+        # (time, served) of harmless requests.
+        self.harmless = []
         self.sent = 0
 
     async def add_backend(self, service, port=0, link=None):
@@ -77,10 +77,10 @@
         await self.remove_server_row(backend)
         await self.add_backend("draft")
 
-    async def send(self, is_sound):
+    async def send(self, is_harmless):
         self.sent += 1
-        parts = "5afe:40," + ("" if is_sound else f"{PART}:30,") + f"{self.sent:x}:9"
-        name = f"{'sound' if is_sound else 'crashing'}-{self.sent}"
+        parts = "5afe:40," + ("" if is_harmless else f"{PART}:30,") + f"{self.sent:x}:9"
+        name = f"{'harmless' if is_harmless else 'crashing'}-{self.sent}"
         node = self.random.choice(self.nodes)
         served = False
         try:
@@ -97,13 +97,13 @@
             writer.transport.abort()
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
             served = False  # Counted as not served.
-        if is_sound:
-            self.sound.append((time.monotonic(), served))
+        if is_harmless:
+            self.harmless.append((time.monotonic(), served))
 
-    async def send_each(self, interval_s, is_sound, until):
+    async def send_each(self, interval_s, is_harmless, until):
         tasks = []
         while time.monotonic() < until:
-            tasks.append(asyncio.create_task(self.send(is_sound)))
+            tasks.append(asyncio.create_task(self.send(is_harmless)))
             await asyncio.sleep(interval_s)
         await asyncio.gather(*tasks)
 
@@ -113,7 +113,7 @@
             await self.fault_kill()
 
     def served_share(self, begin, end):
-        served = [s for at, s in self.sound if begin <= at < end]
+        served = [s for at, s in self.harmless if begin <= at < end]
         return sum(served) / max(1, len(served))
 
     def crashing_arrivals(self, begin):
@@ -128,7 +128,7 @@
             crash_from = begin + QUIET_PHASE_S
             all_killed_at = crash_from + CRASH_PHASE_S
             until = all_killed_at + 8
-            sound = asyncio.create_task(self.send_each(0.05, True, until))
+            harmless = asyncio.create_task(self.send_each(0.05, True, until))
             await asyncio.sleep(QUIET_PHASE_S)
             crashing = asyncio.create_task(self.send_each(0.25, False, until))
             await self.restart_nodes(all_killed_at - 4)
@@ -138,7 +138,7 @@
             for node in self.nodes:
                 await node.wait_for_exit(5)
                 node.start()
-            await asyncio.gather(sound, crashing)
+            await asyncio.gather(harmless, crashing)
             return self.violations(begin, crash_from, all_killed_at, until)
         finally:
             self.kill_all()
@@ -147,18 +147,18 @@
         found = []
         learnt_at = until
         if len(self.crashes) >= LEARNING_CRASHES:
-            learnt_at = self.crashes[LEARNING_CRASHES - 1] + STABLE_WINDOW_S
+            learnt_at = self.crashes[LEARNING_CRASHES - 1] + SETTLING_TIME_S
         later = self.crashing_arrivals(learnt_at)
         if later > LATER_ARRIVALS:
             found.append(f"{later} crashing requests reached servers after the fifth "
-                         f"crash and the stable window; {len(self.crashes)} crashes")
+                         f"crash and the settling time; {len(self.crashes)} crashes")
         before = self.served_share(begin, crash_from)
         for name, since, end in [
-                ("crashing requests", crash_from + 2 * STABLE_WINDOW_S, all_killed_at),
+                ("crashing requests", crash_from + 2 * SETTLING_TIME_S, all_killed_at),
                 ("the loss of all nodes", all_killed_at + 4, until)]:
             after = self.served_share(since, end)
             if after < before / 2:
-                found.append(f"served {after:.2f} of the sound requests after {name}, "
+                found.append(f"served {after:.2f} of the harmless requests after {name}, "
                              f"{before:.2f} before")
         return found
 
@@ -167,7 +167,7 @@
     run = CrashingRun(build, seed, slot=11)
     failures = await run.execute()
     print(f"seed {seed}: {len(run.crashes)} crashes, {run.crashing_arrivals(0)} crashing "
-          f"requests at servers, {len(run.sound)} sound ones, "
+          f"requests at servers, {len(run.harmless)} harmless ones, "
           f"{len(failures)} rules violated", flush=True)
     for failure in failures:
         print(f"  seed {seed}: {failure}, logs in {run.dir}")
