--- a/libs/gateway/include/ragwort/gateway/PeerExchange.h
+++ b/libs/gateway/include/ragwort/gateway/PeerExchange.h
@@ -93,6 +93,10 @@
     uint64_t ConfigVersion = 0;
     StoreVersion DirectoryVersion;
     bool IsLeaving = false;
+
+    bool wasHeardWithin(Duration Time, TimePoint Now) const {
+      return LastHeardAt != TimePoint() && Now - LastHeardAt <= Time;
+    }
   };
 
   void onDatagram(std::string_view Datagram, const Address &From);
--- a/libs/gateway/src/PeerExchange.cpp
+++ b/libs/gateway/src/PeerExchange.cpp
@@ -183,8 +183,7 @@
   TimePoint At = now();
   size_t Live = 0;
   for (const auto &[Ip, P] : Peers)
-    Live +=
-        P.LastHeardAt != TimePoint() && At - P.LastHeardAt < LivePeerTimeout;
+    Live += P.wasHeardWithin(LivePeerTimeout, At);
   return Live;
 }
 
@@ -193,8 +192,7 @@
   uint64_t Own = hash64(Options.Listen.Ip);
   auto Before = std::count_if(Peers.begin(), Peers.end(), [&](const auto &P) {
     const Peer &Each = P.second;
-    return Each.LastHeardAt != TimePoint() &&
-           At - Each.LastHeardAt <= WatcherTimeout && !Each.IsLeaving &&
+    return Each.wasHeardWithin(WatcherTimeout, At) && !Each.IsLeaving &&
            hash64(P.first) < Own;
   });
   return static_cast<size_t>(Before) < StoreWatchers;
@@ -204,8 +202,7 @@
   auto HeardWithin = [&](Duration Time) {
     std::vector<uint64_t> Result;
     for (const auto &[Ip, P] : Peers)
-      if (P.LastHeardAt != TimePoint() && Now - P.LastHeardAt <= Time &&
-          !P.IsLeaving)
+      if (P.wasHeardWithin(Time, Now) && !P.IsLeaving)
         Result.push_back(hash64(Ip));
     return Result;
   };
@@ -231,7 +228,7 @@
   std::string ConfigIp;
   std::string DirectoryIp;
   for (const auto &[Ip, P] : Peers) {
-    if (P.LastHeardAt == TimePoint() || Now - P.LastHeardAt > MaxHeartbeatAge)
+    if (!P.wasHeardWithin(MaxHeartbeatAge, Now))
       continue;
     if (P.ConfigVersion > PublishedConfig.Version &&
         (!Config || P.ConfigVersion > Config->ConfigVersion)) {
