--- a/testing/soak/crashing_prompts.py
+++ b/testing/soak/crashing_prompts.py
@@ -7,7 +7,7 @@
 replaced. Requests with that part reach all entry nodes, beside harmless ones that
 share their first part, while nodes are killed and restarted. In the end all nodes
 are killed at once. Checks the users' rules: after the fifth crash and the settling
-window at most three requests with the part reach servers, and harmless requests are
+time at most three requests with the part reach servers, and harmless requests are
 served at the first attempt at least half as often as before.
 """
 
