--- a/libs/gateway/include/ragwort/gateway/Forwarding.h
+++ b/libs/gateway/include/ragwort/gateway/Forwarding.h
@@ -72,6 +72,8 @@
   std::string Organisation;
   /// The parts of its prompt that other requests may have too.
   std::vector<PartKey> SharedParts;
+  /// Equal for repeats of the request.
+  uint64_t Fingerprint = 0;
   uint32_t Priority = 0;
   TimePoint Arrived;
   /// The earlier of the caller's and the route's deadline.
--- a/libs/gateway/src/Gateway.cpp
+++ b/libs/gateway/src/Gateway.cpp
@@ -1,5 +1,6 @@
 //===- Gateway.cpp - Accepts callers and owns their shared state ----------===//
 #include "ragwort/gateway/Gateway.h"
+#include "ragwort/gateway/RequestFingerprint.h"
 #include "ragwort/observe/Log.h"
 #include "ragwort/transport/Listen.h"
 #include <algorithm>
@@ -227,6 +228,7 @@
     Result.Organisation = Owner->Name;
     Result.Priority = Owner->Priority.value_or(Target->Priority);
   }
+  Result.Fingerprint = fingerprintOf(Message, Result.Organisation);
   Result.SharedParts = sharedPartsOf(Message.header(Names.PromptParts));
   if (std::optional<TimePoint> Until =
           Quarantine.quarantinedUntil(Result.SharedParts, Arrived))
--- /dev/null
+++ b/libs/gateway/src/RequestFingerprint.cpp
@@ -0,0 +1,18 @@
+//===- RequestFingerprint.cpp - Recognises a request that comes again -----===//
+#include "ragwort/gateway/RequestFingerprint.h"
+#include "ragwort/base/Hash.h"
+
+namespace ragwort::gateway {
+
+uint64_t fingerprintOf(const http::Request &Message,
+                       std::string_view Organisation) {
+  uint64_t Result = 0;
+  for (std::string_view Field :
+       {std::string_view(Message.Method), Message.header("Host"),
+        std::string_view(Message.Target), Organisation,
+        std::string_view(Message.Body)})
+    Result = hash64(Field, Result);
+  return Result;
+}
+
+} // namespace ragwort::gateway
