--- a/libs/gateway/src/CrashingPromptTest.cpp
+++ b/libs/gateway/src/CrashingPromptTest.cpp
@@ -68,8 +68,10 @@
   }
 
   std::string statusOf(size_t NodeIndex, const std::string &Parts) {
-    return Fleet->statusOf(NodeIndex,
-                           "Ragwort-Prompt-Parts: " + Parts + "\r\n");
+    FleetRequest Request;
+    Request.Headers = "Ragwort-Prompt-Parts: " + Parts + "\r\n";
+    Request.Body = "prompt of " + Parts;
+    return Fleet->statusOf(NodeIndex, Request);
   }
 
   std::string ownPart() {
--- a/libs/gateway/src/LoopbackFleet.h
+++ b/libs/gateway/src/LoopbackFleet.h
@@ -1,7 +1,8 @@
 //===- LoopbackFleet.h - Several gateway nodes for tests ------------------===//
 //
-// Nodes that exchange what they know over loopback, on one event loop, with one
-// streaming route to the service "s".
+// Nodes that exchange what they know over loopback, on one event loop, with two
+// routes to the service "s": one of streams, and one of lookups that may be
+// repeated.
 //
 //===----------------------------------------------------------------------===//
 #ifndef RAGWORT_GATEWAY_LOOPBACKFLEET_H
@@ -12,8 +13,16 @@
 
 namespace ragwort::gateway {
 
+/// What a caller asks for.
+struct FleetRequest {
+  std::string Target = "/x";
+  std::string Headers;
+  std::string Body;
+};
+
 class LoopbackFleet {
 public:
+  static inline const std::string LookupPrefix = "/lookups/";
   static inline const std::string Served = "HTTP/1.1 200 OK";
 
   LoopbackFleet(asio::io_context &Io, size_t Size) : Io(Io), Port(freePort()) {
@@ -46,11 +55,13 @@
   }
 
   /// Begins a request to a node.
-  std::unique_ptr<Caller> call(size_t NodeIndex, const std::string &Extra) {
+  std::unique_ptr<Caller> call(size_t NodeIndex, const FleetRequest &Request) {
     auto C = std::make_unique<Caller>(Io);
-    C->ToSend = "POST /x HTTP/1.1\r\nHost: h\r\nRagwort-Request-Id: r" +
-                std::to_string(++LastRequest) + "\r\n" + Extra +
-                "Content-Length: 0\r\n\r\n";
+    C->ToSend = "POST " + Request.Target +
+                " HTTP/1.1\r\nHost: h\r\nRagwort-Request-Id: r" +
+                std::to_string(++LastRequest) + "\r\n" + Request.Headers +
+                "Content-Length: " + std::to_string(Request.Body.size()) +
+                "\r\n\r\n" + Request.Body;
     C->Socket->connect(endpointOf<asio::ip::tcp>(
                            {"127.0.0.1", Nodes[NodeIndex]->Front.port()}),
                        std::chrono::seconds(5));
@@ -58,8 +69,8 @@
   }
 
   /// Sends a request to a node. \returns the status line of its answer.
-  std::string statusOf(size_t NodeIndex, const std::string &Extra) {
-    std::unique_ptr<Caller> C = call(NodeIndex, Extra);
+  std::string statusOf(size_t NodeIndex, const FleetRequest &Request) {
+    std::unique_ptr<Caller> C = call(NodeIndex, Request);
     runLoopUntil(Io, [&C] {
       return C->Received.find("\r\n\r\n") != std::string::npos || C->IsEnded;
     });
@@ -111,6 +122,11 @@
     R.MaxAttempts = 2;
     R.Split.push_back({"s", 1});
     Config->addRoute(R);
+    R.Name = "lookups";
+    R.PathPrefix = LookupPrefix;
+    R.Repeat = Repeatability::Idempotent;
+    R.IsStream = false;
+    Config->addRoute(R);
     N->Front.applyConfig(std::move(Config));
     Nodes.push_back(std::move(N));
   }
--- a/libs/gateway/src/RateLimitedServerTest.cpp
+++ b/libs/gateway/src/RateLimitedServerTest.cpp
@@ -52,7 +52,7 @@
     std::vector<std::unique_ptr<Caller>> Callers;
     auto End = std::chrono::steady_clock::now() + Time;
     while (std::chrono::steady_clock::now() < End) {
-      Callers.push_back(Fleet->call(Callers.size() % Nodes, ""));
+      Callers.push_back(Fleet->call(Callers.size() % Nodes, {}));
       Io->run_for(Pause);
     }
     Io->run_for(std::chrono::milliseconds(200));
