Move the quarantine of prompt parts to a library of its own

libs/quarantine holds what decides without a network: parts, fingerprints, history, quarantine and its encoding. The gateway turns its servers into run keys. Names are widened for what follows: PromptQuarantine is RequestQuarantine, PartHistory TraitHistory.

--- a/libs/gateway/include/ragwort/gateway/CrashDetector.h
+++ b/libs/gateway/include/ragwort/gateway/CrashDetector.h
@@ -9,22 +9,22 @@
 #define RAGWORT_GATEWAY_CRASHDETECTOR_H
 
 #include "ragwort/gateway/BackendDirectory.h"
-#include "ragwort/gateway/PromptParts.h"
 #include "ragwort/gateway/SelfReports.h"
 #include "ragwort/gateway/StreamSocket.h"
+#include "ragwort/quarantine/PromptParts.h"
 #include <functional>
 #include <map>
 
 namespace ragwort::gateway {
 
 /// \code
-///   CrashDetector Detector(Io, [](const ServerRun &Run, PartKeys Parts) {});
-///   Detector.onBroken(Server, Parts, Now);
+///   CrashDetector Detector(Io, [](const ServerRun &Run, quarantine::PartKeys
+///   Parts) {}); Detector.onBroken(Server, Parts, Now);
 /// \endcode
 class CrashDetector {
 public:
   /// Receives the parts of a request that was at a server when it ended.
-  using Listener = std::function<void(const ServerRun &, PartKeys)>;
+  using Listener = std::function<void(const ServerRun &, quarantine::PartKeys)>;
 
   static constexpr Duration ConnectTimeout = std::chrono::milliseconds(400);
   /// Time for which the result of a check holds for further connections of the
@@ -39,7 +39,8 @@
   ~CrashDetector();
 
   /// The connection of a request with \p Parts to \p Server has broken.
-  void onBroken(const BackendInstance &Server, PartKeys Parts, TimePoint Now);
+  void onBroken(const BackendInstance &Server, quarantine::PartKeys Parts,
+                TimePoint Now);
 
 private:
   class Check;
--- a/libs/gateway/include/ragwort/gateway/Forwarding.h
+++ b/libs/gateway/include/ragwort/gateway/Forwarding.h
@@ -13,11 +13,11 @@
 #include "ragwort/gateway/Dispatcher.h"
 #include "ragwort/gateway/EventStream.h"
 #include "ragwort/gateway/MessageParser.h"
-#include "ragwort/gateway/PromptQuarantine.h"
 #include "ragwort/gateway/ProtocolNames.h"
 #include "ragwort/gateway/RequestFlow.h"
 #include "ragwort/gateway/ServerStatement.h"
 #include "ragwort/observe/Metrics.h"
+#include "ragwort/quarantine/RequestQuarantine.h"
 #include <functional>
 
 namespace ragwort::gateway {
@@ -53,7 +53,7 @@
   const ProtocolNames &Names;
   Dispatcher &Dispatch;
   BackendPool &Pool;
-  PromptQuarantine &Quarantine;
+  quarantine::RequestQuarantine &Quarantine;
   CrashDetector &Crashes;
   MetricsRegistry &Metrics;
   /// Registers a waiting request by its ticket, until it is dequeued.
@@ -71,7 +71,7 @@
   /// The organisation of the caller's API key; empty on public routes.
   std::string Organisation;
   /// The parts of its prompt that other requests may have too.
-  std::vector<PartKey> SharedParts;
+  std::vector<quarantine::PartKey> SharedParts;
   /// Equal for repeats of the request.
   uint64_t Fingerprint = 0;
   uint32_t Priority = 0;
--- a/libs/gateway/include/ragwort/gateway/Gateway.h
+++ b/libs/gateway/include/ragwort/gateway/Gateway.h
@@ -57,7 +57,7 @@
   /// Records the load that \p Peer reported.
   void onPeerReport(std::string_view Peer, std::vector<InFlightReport> Report);
   Dispatcher &dispatcher() { return Dispatch; }
-  PromptQuarantine &promptQuarantine() { return Quarantine; }
+  quarantine::RequestQuarantine &requestQuarantine() { return Quarantine; }
 
   /// Whether a load balancer may send callers to this node: it has a
   /// configuration and a directory, and is not draining.
@@ -99,7 +99,7 @@
   asio::steady_timer Ticker;
   Dispatcher Dispatch;
   BackendPool Pool;
-  PromptQuarantine Quarantine;
+  quarantine::RequestQuarantine Quarantine;
   CrashDetector Crashes;
   BackendDirectory Directory;
   std::shared_ptr<const TrafficConfig> Config;
--- a/libs/gateway/src/CrashDetector.cpp
+++ b/libs/gateway/src/CrashDetector.cpp
@@ -31,7 +31,7 @@
   // Unset while the connect is in progress.
   std::optional<bool> HasRunEnded;
   // The parts of each request that waits for the result.
-  std::vector<std::vector<PartKey>> Waiting;
+  std::vector<std::vector<quarantine::PartKey>> Waiting;
 
 private:
   void finish(bool HasEnded) {
@@ -46,8 +46,8 @@
 
 CrashDetector::~CrashDetector() = default;
 
-void CrashDetector::onBroken(const BackendInstance &Server, PartKeys Parts,
-                             TimePoint Now) {
+void CrashDetector::onBroken(const BackendInstance &Server,
+                             quarantine::PartKeys Parts, TimePoint Now) {
   std::erase_if(Checks, [Now](const auto &Item) {
     return Item.second->HasRunEnded &&
            Now - Item.second->BegunAt > VerdictLifetime;
@@ -79,7 +79,7 @@
     return;
   logEvent(LogLevel::Warning, "server-crashed",
            {{"instance", Done.Id}, {"requests", Done.Waiting.size()}});
-  for (const std::vector<PartKey> &Parts : Done.Waiting)
+  for (const std::vector<quarantine::PartKey> &Parts : Done.Waiting)
     OnCrash(Done.Run, Parts);
 }
 
--- a/libs/gateway/src/CrashDetectorTest.cpp
+++ b/libs/gateway/src/CrashDetectorTest.cpp
@@ -14,20 +14,20 @@
   CPPUNIT_TEST_SUITE_END();
 
   asio::io_context Io{1};
-  std::vector<std::pair<ServerRun, std::vector<PartKey>>> Crashes;
+  std::vector<std::pair<ServerRun, std::vector<quarantine::PartKey>>> Crashes;
   std::unique_ptr<CrashDetector> Detector;
   std::unique_ptr<ScriptedServer> Server;
   BackendInstance Instance;
-  static constexpr PartKey Part = 7;
+  static constexpr quarantine::PartKey Part = 7;
 
 public:
   void setUp() override {
     Crashes.clear();
-    Detector = std::make_unique<CrashDetector>(Io, [this](const ServerRun &Run,
-                                                          PartKeys Parts) {
-      Crashes.emplace_back(Run,
-                           std::vector<PartKey>(Parts.begin(), Parts.end()));
-    });
+    Detector = std::make_unique<CrashDetector>(
+        Io, [this](const ServerRun &Run, quarantine::PartKeys Parts) {
+          Crashes.emplace_back(Run, std::vector<quarantine::PartKey>(
+                                        Parts.begin(), Parts.end()));
+        });
     Server = std::make_unique<ScriptedServer>(Io);
     Instance.Id = "i0";
     Instance.Address = Server->address();
@@ -62,7 +62,8 @@
     onBroken();
     runUntilCrashes(1);
     CPPUNIT_ASSERT_EQUAL(uint64_t(5), Crashes[0].first.BornMillis);
-    CPPUNIT_ASSERT(Crashes[0].second == std::vector<PartKey>({Part}));
+    CPPUNIT_ASSERT(Crashes[0].second ==
+                   std::vector<quarantine::PartKey>({Part}));
   }
 
   void connectionsWhenSeveralBreakAreCheckedOnce() {
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -475,7 +475,7 @@
             {"sent_ms", millis(now() - SentAt)},
             {"silent_ms", millis(now() - LastProgress)},
             {"organisation", Accepted.Organisation},
-            {"fingerprint", toString(Accepted.Fingerprint)},
+            {"fingerprint", quarantine::toString(Accepted.Fingerprint)},
             {"parts", Parts.substr(0, MaxLoggedPartsBytes)}});
 }
 
@@ -693,7 +693,7 @@
             {"status", Status},
             {"route", Accepted.Target->Name},
             {"organisation", Accepted.Organisation},
-            {"fingerprint", toString(Accepted.Fingerprint)},
+            {"fingerprint", quarantine::toString(Accepted.Fingerprint)},
             {"service", Service},
             {"instance", Server.Id},
             {"sends", Flow.sends()},
--- a/libs/gateway/src/Gateway.cpp
+++ b/libs/gateway/src/Gateway.cpp
@@ -1,7 +1,8 @@
 //===- Gateway.cpp - Accepts callers and owns their shared state ----------===//
 #include "ragwort/gateway/Gateway.h"
-#include "ragwort/gateway/RequestFingerprint.h"
+#include "ragwort/base/Hash.h"
 #include "ragwort/observe/Log.h"
+#include "ragwort/quarantine/RequestFingerprint.h"
 #include "ragwort/transport/Listen.h"
 #include <algorithm>
 #include <charconv>
@@ -28,6 +29,12 @@
   return std::chrono::milliseconds(Millis);
 }
 
+quarantine::RunKey keyOf(const ServerRun &Run) {
+  return Run.InstanceKey ^
+         hash64({reinterpret_cast<const char *>(&Run.BornMillis),
+                 sizeof(Run.BornMillis)});
+}
+
 size_t count(const HeaderFields &Fields, std::string_view Name) {
   return static_cast<size_t>(std::count_if(
       Fields.begin(), Fields.end(), [Name](const HeaderField &Field) {
@@ -44,8 +51,8 @@
       Dispatch(Options.DataCentre, Options.RetryLimits, Options.Seed),
       Quarantine(Options.Seed, SteadyClock().now()),
       Crashes(Io,
-              [this](const ServerRun &Run, PartKeys Parts) {
-                Quarantine.onCrash(Run, Parts, SteadyClock().now());
+              [this](const ServerRun &Run, quarantine::PartKeys Parts) {
+                Quarantine.onCrash(keyOf(Run), Parts, SteadyClock().now());
               }),
       Context{Io,
               Names,
@@ -228,8 +235,9 @@
     Result.Organisation = Owner->Name;
     Result.Priority = Owner->Priority.value_or(Target->Priority);
   }
-  Result.Fingerprint = fingerprintOf(Message, Result.Organisation);
-  Result.SharedParts = sharedPartsOf(Message.header(Names.PromptParts));
+  Result.Fingerprint = quarantine::fingerprintOf(Message, Result.Organisation);
+  Result.SharedParts =
+      quarantine::sharedPartsOf(Message.header(Names.PromptParts));
   if (std::optional<TimePoint> Until =
           Quarantine.quarantinedUntil(Result.SharedParts, Arrived))
     return LocalReply{503, "prompt-quarantined", *Until - Arrived};
--- a/libs/gateway/src/GatewayTest.cpp
+++ b/libs/gateway/src/GatewayTest.cpp
@@ -553,9 +553,9 @@
 
   void requestWhenItsPromptIsQuarantinedIsRefusedWithoutASend() {
     scriptBoth(served("x"), 2);
-    QuarantinedPart Part{0xdead, 600, 1};
-    Node->promptQuarantine().restore(std::span(&Part, 1), "peer",
-                                     SteadyClock().now());
+    quarantine::QuarantinedPart Part{0xdead, 600, 1};
+    Node->requestQuarantine().restore(std::span(&Part, 1), "peer",
+                                      SteadyClock().now());
     std::string Got = exchange(
         request("/safe/", "r1", "Ragwort-Prompt-Parts: 5afe:4,dead:3,1:9\r\n"));
     CPPUNIT_ASSERT(Got.starts_with("HTTP/1.1 503 "));
@@ -577,9 +577,9 @@
     auto C =
         call(request("/slow/", "r1", "Ragwort-Prompt-Parts: dead:3,1:9\r\n"));
     runUntil([this] { return requestsSeen().size() == 1; });
-    QuarantinedPart Part{0xdead, 600, 1};
-    Node->promptQuarantine().restore(std::span(&Part, 1), "peer",
-                                     SteadyClock().now());
+    quarantine::QuarantinedPart Part{0xdead, 600, 1};
+    Node->requestQuarantine().restore(std::span(&Part, 1), "peer",
+                                      SteadyClock().now());
     runUntil([&C] { return !C->Received.empty(); });
     // The server may have begun to run it.
     CPPUNIT_ASSERT(C->Received.starts_with("HTTP/1.1 502 "));
--- a/libs/gateway/src/PeerExchange.cpp
+++ b/libs/gateway/src/PeerExchange.cpp
@@ -1,9 +1,9 @@
 //===- PeerExchange.cpp - Exchanges load and versions with peer nodes -----===//
 #include "ragwort/gateway/PeerExchange.h"
 #include "ragwort/base/Hash.h"
-#include "ragwort/gateway/QuarantineWire.h"
 #include "ragwort/http/HttpClient.h"
 #include "ragwort/observe/Log.h"
+#include "ragwort/quarantine/QuarantineWire.h"
 #include "ragwort/wire/Archived.h"
 #include <algorithm>
 #include <utility>
@@ -100,7 +100,7 @@
       encodeRateLimits(Node.dispatcher().loadTracker().ownRateLimits(now()));
   Datagrams.insert(Datagrams.end(), Limits.begin(), Limits.end());
   std::vector<std::string> Quarantine =
-      encodeQuarantine(Node.promptQuarantine().takeDigest(now()));
+      quarantine::encodeQuarantine(Node.requestQuarantine().takeDigest(now()));
   Datagrams.insert(Datagrams.end(), Quarantine.begin(), Quarantine.end());
   Datagrams.push_back(encodeHeartbeat(std::move(Heartbeat)));
   // Lost datagrams are not resent; the next heartbeat replaces them.
@@ -145,9 +145,11 @@
     if (auto Digest = decodeRateLimits(Datagram); Digest.ok())
       Node.dispatcher().loadTracker().onPeerRateLimits(Digest->Limits, now());
     return;
-  case QuarantineDigest::Protocol:
-    if (auto Digest = decodeQuarantine(Datagram); Digest.ok())
-      Node.promptQuarantine().onPeerDigest(From.Ip, *Digest, now());
+  case quarantine::QuarantineDigest::Protocol:
+    if (auto Digest =
+            quarantine::decodeQuarantine(Datagram, MaxPeerDatagramBytes);
+        Digest.ok())
+      Node.requestQuarantine().onPeerDigest(From.Ip, *Digest, now());
     return;
   }
 }
--- a/libs/gateway/include/ragwort/gateway/PromptParts.h
+++ b/libs/quarantine/include/ragwort/quarantine/PromptParts.h
@@ -4,8 +4,8 @@
 // last one belongs to a single request or session.
 //
 //===----------------------------------------------------------------------===//
-#ifndef RAGWORT_GATEWAY_PROMPTPARTS_H
-#define RAGWORT_GATEWAY_PROMPTPARTS_H
+#ifndef RAGWORT_QUARANTINE_PROMPTPARTS_H
+#define RAGWORT_QUARANTINE_PROMPTPARTS_H
 
 #include <cstddef>
 #include <cstdint>
@@ -14,7 +14,7 @@
 #include <string_view>
 #include <vector>
 
-namespace ragwort::gateway {
+namespace ragwort::quarantine {
 
 /// Identifies a part: its id if that is a hexadecimal number of at most 64
 /// bits, otherwise the id's hash.
@@ -35,6 +35,6 @@
 /// The key in hexadecimal, as callers write numeric ids.
 std::string toString(PartKey Part);
 
-} // namespace ragwort::gateway
+} // namespace ragwort::quarantine
 
 #endif
--- a/libs/gateway/include/ragwort/gateway/QuarantineWire.h
+++ b/libs/quarantine/include/ragwort/quarantine/QuarantineWire.h
@@ -1,18 +1,19 @@
 //===- QuarantineWire.h - Encoding of what nodes tell of quarantines ------===//
-#ifndef RAGWORT_GATEWAY_QUARANTINEWIRE_H
-#define RAGWORT_GATEWAY_QUARANTINEWIRE_H
+#ifndef RAGWORT_QUARANTINE_QUARANTINEWIRE_H
+#define RAGWORT_QUARANTINE_QUARANTINEWIRE_H
 
-#include "ragwort/gateway/PromptQuarantine.h"
+#include "ragwort/quarantine/RequestQuarantine.h"
 #include <absl/status/statusor.h>
 
-namespace ragwort::gateway {
+namespace ragwort::quarantine {
 
 /// \returns one datagram for each kind of entry that \p Digest has, each of at
-/// most MaxPeerDatagramBytes.
+/// most 1,400 bytes.
 std::vector<std::string> encodeQuarantine(const QuarantineDigest &Digest);
 /// Never throws. Fails on truncated, oversized and unrelated datagrams.
-absl::StatusOr<QuarantineDigest> decodeQuarantine(std::string_view Datagram);
+absl::StatusOr<QuarantineDigest> decodeQuarantine(std::string_view Datagram,
+                                                  size_t MaxDatagramBytes);
 
-} // namespace ragwort::gateway
+} // namespace ragwort::quarantine
 
 #endif
--- a/libs/gateway/include/ragwort/gateway/RequestFingerprint.h
+++ b/libs/quarantine/include/ragwort/quarantine/RequestFingerprint.h
@@ -1,12 +1,12 @@
 //===- RequestFingerprint.h - Recognises a request that comes again -------===//
-#ifndef RAGWORT_GATEWAY_REQUESTFINGERPRINT_H
-#define RAGWORT_GATEWAY_REQUESTFINGERPRINT_H
+#ifndef RAGWORT_QUARANTINE_REQUESTFINGERPRINT_H
+#define RAGWORT_QUARANTINE_REQUESTFINGERPRINT_H
 
 #include "ragwort/http/HttpTypes.h"
 #include <cstdint>
 #include <string_view>
 
-namespace ragwort::gateway {
+namespace ragwort::quarantine {
 
 /// A hash of what \p Message asks for: method, host, target and body, and the
 /// organisation that asks. A repeat has the same fingerprint under another
@@ -14,6 +14,6 @@
 uint64_t fingerprintOf(const http::Request &Message,
                        std::string_view Organisation);
 
-} // namespace ragwort::gateway
+} // namespace ragwort::quarantine
 
 #endif
--- a/libs/gateway/include/ragwort/gateway/PromptQuarantine.h
+++ b/libs/quarantine/include/ragwort/quarantine/RequestQuarantine.h
@@ -1,4 +1,5 @@
-//===- PromptQuarantine.h - Finds and refuses parts that crash servers ----===//
+//===- RequestQuarantine.h - Finds and refuses parts that crash servers
+//----===//
 //
 // A part of a prompt may crash every server that begins to answer it. Such a
 // part is found by the crashes at which it was present, and requests with it
@@ -14,23 +15,24 @@
 // Pure: without sockets, clocks and threads.
 //
 //===----------------------------------------------------------------------===//
-#ifndef RAGWORT_GATEWAY_PROMPTQUARANTINE_H
-#define RAGWORT_GATEWAY_PROMPTQUARANTINE_H
+#ifndef RAGWORT_QUARANTINE_REQUESTQUARANTINE_H
+#define RAGWORT_QUARANTINE_REQUESTQUARANTINE_H
 
-#include "ragwort/gateway/PartHistory.h"
-#include "ragwort/gateway/SelfReports.h"
+#include "ragwort/quarantine/TraitHistory.h"
 #include <deque>
 #include <map>
 #include <optional>
 #include <string>
 
-namespace ragwort::gateway {
+namespace ragwort::quarantine {
+
+/// Identifies one run of a server: a hash of the server's id and start.
+using RunKey = uint64_t;
 
 /// A request with the part was at a server when that run of it ended.
 struct CrashWitness {
   PartKey Part = 0;
-  /// Hash of the server's id and start.
-  uint64_t Run = 0;
+  RunKey Run = 0;
 };
 
 /// What one node has seen of a suspected part.
@@ -66,7 +68,7 @@
 ///   Quarantine.onCrash(Run, Parts, Now);  // or onSurvived()
 ///   Quarantine.update(Now);               // some times a second
 /// \endcode
-class PromptQuarantine {
+class RequestQuarantine {
 public:
   /// Crashes that quarantine a part no request has survived.
   static constexpr size_t MinCrashes = 3;
@@ -97,14 +99,15 @@
   /// Maximum number of entries of each kind in a digest.
   static constexpr size_t MaxDigestEntries = 64;
 
-  PromptQuarantine(uint64_t Seed, TimePoint Start) : Seed(Seed), Start(Start) {}
+  RequestQuarantine(uint64_t Seed, TimePoint Start)
+      : Seed(Seed), Start(Start) {}
 
   /// A request arrived that will be sent to a server.
   void onRequest(PartKeys Parts, TimePoint Now);
   /// A server survived a request that was sent to it at \p SentAt.
   void onSurvived(PartKeys Parts, TimePoint SentAt, TimePoint Now);
   /// \p Run of a server ended while a request with \p Parts was there.
-  void onCrash(const ServerRun &Run, PartKeys Parts, TimePoint Now);
+  void onCrash(RunKey Run, PartKeys Parts, TimePoint Now);
   void onPeerDigest(std::string_view Peer, const QuarantineDigest &Digest,
                     TimePoint Now);
   /// Takes over quarantines of another node or from the store.
@@ -126,7 +129,7 @@
 
 private:
   struct Crash {
-    uint64_t Run = 0;
+    RunKey Run = 0;
     TimePoint At;
   };
   struct Suspect {
@@ -135,7 +138,7 @@
     // Crashes until this time do not count.
     TimePoint ClearedAt{};
     // By the hash of the peer's name.
-    std::map<uint64_t, PartCounts> PeerCounts;
+    std::map<uint64_t, TraitCounts> PeerCounts;
     // While set, peers are told that the part is cleared.
     TimePoint TellClearedUntil{};
     TimePoint LastCrashAt{};
@@ -149,13 +152,13 @@
     size_t Crashes = 0;
     // Crashes beyond the number that is needed.
     size_t Excess = 0;
-    PartCounts Counts;
+    TraitCounts Counts;
   };
 
   void addWitness(const CrashWitness &Witness, TimePoint Now);
   void addTestimony(uint64_t Peer, const PartTestimony &Testimony,
                     TimePoint Now);
-  void explain(uint64_t Run, TimePoint Now);
+  void explain(RunKey Run, TimePoint Now);
   void clear(PartKey Part, Suspect &S, TimePoint Now);
   /// Refuses \p Part until \p Until and explains its crashes by it.
   void setQuarantine(PartKey Part, TimePoint Until, uint8_t Times,
@@ -164,8 +167,8 @@
   Suspect &suspectOf(PartKey Part);
   void expire(TimePoint Now);
   bool isQuarantined(PartKey Part, TimePoint Now) const;
-  bool isExplained(uint64_t Run) const;
-  PartCounts fleetCounts(PartKey Part, const Suspect &S) const;
+  bool isExplained(RunKey Run) const;
+  TraitCounts fleetCounts(PartKey Part, const Suspect &S) const;
   std::vector<Candidate> candidates(TimePoint Now) const;
   static size_t crashes(const Suspect &S);
   size_t neededCrashes(PartKey Part, uint32_t Survivals) const;
@@ -174,7 +177,7 @@
 
   const uint64_t Seed;
   const TimePoint Start;
-  PartHistory History;
+  TraitHistory History;
   std::map<PartKey, Suspect> Suspects;
   // Includes ended quarantines until they are forgotten.
   std::map<PartKey, Quarantine> Quarantines;
@@ -187,6 +190,6 @@
   size_t NextQuarantined = 0;
 };
 
-} // namespace ragwort::gateway
+} // namespace ragwort::quarantine
 
 #endif
--- a/libs/gateway/include/ragwort/gateway/PartHistory.h
+++ b/libs/quarantine/include/ragwort/quarantine/TraitHistory.h
@@ -1,4 +1,5 @@
-//===- PartHistory.h - What happened to requests with a part --------------===//
+//===- TraitHistory.h - What happened to requests with a part
+//--------------===//
 //
 // Counts, for each part of a prompt, the requests of the last minutes and those
 // that a server was writing for long enough to show that the part does it no
@@ -6,16 +7,16 @@
 // searched for when one must make room.
 //
 //===----------------------------------------------------------------------===//
-#ifndef RAGWORT_GATEWAY_PARTHISTORY_H
-#define RAGWORT_GATEWAY_PARTHISTORY_H
+#ifndef RAGWORT_QUARANTINE_TRAITHISTORY_H
+#define RAGWORT_QUARANTINE_TRAITHISTORY_H
 
 #include "ragwort/base/Time.h"
-#include "ragwort/gateway/PromptParts.h"
+#include "ragwort/quarantine/PromptParts.h"
 #include <unordered_map>
 
-namespace ragwort::gateway {
+namespace ragwort::quarantine {
 
-struct PartCounts {
+struct TraitCounts {
   uint32_t Requests = 0;
   /// Requests whose server survived them.
   uint32_t Survivals = 0;
@@ -25,7 +26,7 @@
 ///   History.addRequest(Parts, Now);
 ///   if (History.counts(Part).Survivals == 0) ...
 /// \endcode
-class PartHistory {
+class TraitHistory {
 public:
   /// A generation ends when it has this many parts or this age.
   static constexpr size_t MaxGenerationParts = 2048;
@@ -33,17 +34,17 @@
 
   void addRequest(PartKeys Parts, TimePoint Now);
   void addSurvival(PartKeys Parts, TimePoint Now);
-  PartCounts counts(PartKey Part) const;
+  TraitCounts counts(PartKey Part) const;
 
 private:
-  using Generation = std::unordered_map<PartKey, PartCounts>;
-  PartCounts &entry(PartKey Part, TimePoint Now);
+  using Generation = std::unordered_map<PartKey, TraitCounts>;
+  TraitCounts &entry(PartKey Part, TimePoint Now);
 
   Generation Current;
   Generation Previous;
   TimePoint CurrentSince{};
 };
 
-} // namespace ragwort::gateway
+} // namespace ragwort::quarantine
 
 #endif
--- a/libs/gateway/src/PromptParts.cpp
+++ b/libs/quarantine/src/PromptParts.cpp
@@ -1,10 +1,10 @@
 //===- PromptParts.cpp - The parts of a request's prompt ------------------===//
-#include "ragwort/gateway/PromptParts.h"
+#include "ragwort/quarantine/PromptParts.h"
 #include "ragwort/base/Hash.h"
 #include <algorithm>
 #include <charconv>
 
-namespace ragwort::gateway {
+namespace ragwort::quarantine {
 
 namespace {
 
@@ -50,4 +50,4 @@
   return {Digits, End.ptr};
 }
 
-} // namespace ragwort::gateway
+} // namespace ragwort::quarantine
--- a/libs/gateway/src/QuarantineWire.cpp
+++ b/libs/quarantine/src/QuarantineWire.cpp
@@ -1,10 +1,9 @@
 //===- QuarantineWire.cpp - Encoding of what nodes tell of quarantines ----===//
-#include "ragwort/gateway/QuarantineWire.h"
-#include "ragwort/gateway/PeerHeartbeat.h"
+#include "ragwort/quarantine/QuarantineWire.h"
 #include "ragwort/wire/Archived.h"
 #include "ragwort/wire/Bounded.h"
 
-namespace ragwort::gateway {
+namespace ragwort::quarantine {
 
 template <class Archive> void serialize(Archive &Ar, CrashWitness &Witness) {
   Ar(Witness.Part, Witness.Run);
@@ -20,7 +19,7 @@
 }
 
 template <class Archive> void serialize(Archive &Ar, QuarantineDigest &Digest) {
-  constexpr size_t Most = PromptQuarantine::MaxDigestEntries;
+  constexpr size_t Most = RequestQuarantine::MaxDigestEntries;
   wire::transferProtocol(Ar, QuarantineDigest::Protocol);
   wire::transferList(Ar, Digest.Witnesses, Most);
   wire::transferList(Ar, Digest.Testimonies, Most);
@@ -41,8 +40,9 @@
   return Result;
 }
 
-absl::StatusOr<QuarantineDigest> decodeQuarantine(std::string_view Datagram) {
-  return wire::fromDatagram<QuarantineDigest>(Datagram, MaxPeerDatagramBytes);
+absl::StatusOr<QuarantineDigest> decodeQuarantine(std::string_view Datagram,
+                                                  size_t MaxDatagramBytes) {
+  return wire::fromDatagram<QuarantineDigest>(Datagram, MaxDatagramBytes);
 }
 
-} // namespace ragwort::gateway
+} // namespace ragwort::quarantine
--- a/libs/gateway/src/RequestFingerprint.cpp
+++ b/libs/quarantine/src/RequestFingerprint.cpp
@@ -1,8 +1,8 @@
 //===- RequestFingerprint.cpp - Recognises a request that comes again -----===//
-#include "ragwort/gateway/RequestFingerprint.h"
+#include "ragwort/quarantine/RequestFingerprint.h"
 #include "ragwort/base/Hash.h"
 
-namespace ragwort::gateway {
+namespace ragwort::quarantine {
 
 uint64_t fingerprintOf(const http::Request &Message,
                        std::string_view Organisation) {
@@ -15,4 +15,4 @@
   return Result;
 }
 
-} // namespace ragwort::gateway
+} // namespace ragwort::quarantine
--- a/libs/gateway/src/RequestFingerprintTest.cpp
+++ b/libs/quarantine/src/RequestFingerprintTest.cpp
@@ -1,9 +1,9 @@
 //===- RequestFingerprintTest.cpp - Tests of RequestFingerprint.h ---------===//
-#include "ragwort/gateway/RequestFingerprint.h"
+#include "ragwort/quarantine/RequestFingerprint.h"
 #include <cppunit/extensions/HelperMacros.h>
 #include <set>
 
-namespace ragwort::gateway {
+namespace ragwort::quarantine {
 
 class RequestFingerprintTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(RequestFingerprintTest);
@@ -50,4 +50,4 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RequestFingerprintTest);
 
-} // namespace ragwort::gateway
+} // namespace ragwort::quarantine
--- a/libs/gateway/src/PromptQuarantine.cpp
+++ b/libs/quarantine/src/RequestQuarantine.cpp
@@ -1,5 +1,6 @@
-//===- PromptQuarantine.cpp - Finds and refuses parts that crash servers --===//
-#include "ragwort/gateway/PromptQuarantine.h"
+//===- RequestQuarantine.cpp - Finds and refuses parts that crash servers
+//--===//
+#include "ragwort/quarantine/RequestQuarantine.h"
 #include "ragwort/base/Hash.h"
 #include "ragwort/observe/Log.h"
 #include <algorithm>
@@ -7,19 +8,13 @@
 #include <limits>
 #include <utility>
 
-namespace ragwort::gateway {
+namespace ragwort::quarantine {
 
 namespace {
 
 // Crashes of a part from which on nodes tell each other its counts.
 constexpr size_t CrashesForTestimony = 2;
 
-uint64_t keyOf(const ServerRun &Run) {
-  return Run.InstanceKey ^
-         hash64({reinterpret_cast<const char *>(&Run.BornMillis),
-                 sizeof(Run.BornMillis)});
-}
-
 uint16_t saturated(uint32_t Count) {
   constexpr uint32_t Most = std::numeric_limits<uint16_t>::max();
   return static_cast<uint16_t>(std::min(Count, Most));
@@ -31,12 +26,12 @@
 
 } // namespace
 
-void PromptQuarantine::onRequest(PartKeys Parts, TimePoint Now) {
+void RequestQuarantine::onRequest(PartKeys Parts, TimePoint Now) {
   History.addRequest(Parts, Now);
 }
 
-void PromptQuarantine::onSurvived(PartKeys Parts, TimePoint SentAt,
-                                  TimePoint Now) {
+void RequestQuarantine::onSurvived(PartKeys Parts, TimePoint SentAt,
+                                   TimePoint Now) {
   History.addSurvival(Parts, Now);
   for (PartKey Part : Parts) {
     auto Found = Suspects.find(Part);
@@ -53,23 +48,21 @@
   }
 }
 
-void PromptQuarantine::clear(PartKey Part, Suspect &S, TimePoint Now) {
+void RequestQuarantine::clear(PartKey Part, Suspect &S, TimePoint Now) {
   if (size_t Count = crashes(S); Count >= CrashesForTestimony)
     logEvent(LogLevel::Info, "prompt-part-cleared",
              {{"part", toString(Part)}, {"crashes", Count}});
   S.ClearedAt = Now;
 }
 
-void PromptQuarantine::onCrash(const ServerRun &Run, PartKeys Parts,
-                               TimePoint Now) {
-  uint64_t Key = keyOf(Run);
+void RequestQuarantine::onCrash(RunKey Run, PartKeys Parts, TimePoint Now) {
   auto Explanation =
       std::find_if(Parts.begin(), Parts.end(),
                    [&](PartKey Part) { return isQuarantined(Part, Now); });
   if (Explanation != Parts.end())
     Parts = Parts.subspan(static_cast<size_t>(Explanation - Parts.begin()), 1);
   for (PartKey Part : Parts) {
-    CrashWitness Witness{Part, Key};
+    CrashWitness Witness{Part, Run};
     addWitness(Witness, Now);
     OwnWitnesses.emplace_back(Witness, Now + ForwardTime);
   }
@@ -77,7 +70,7 @@
     OwnWitnesses.pop_front();
 }
 
-void PromptQuarantine::addWitness(const CrashWitness &Witness, TimePoint Now) {
+void RequestQuarantine::addWitness(const CrashWitness &Witness, TimePoint Now) {
   if (isQuarantined(Witness.Part, Now)) {
     explain(Witness.Run, Now);
     return;
@@ -94,7 +87,7 @@
   S.LastCrashAt = Now;
 }
 
-PromptQuarantine::Suspect &PromptQuarantine::suspectOf(PartKey Part) {
+RequestQuarantine::Suspect &RequestQuarantine::suspectOf(PartKey Part) {
   if (!Suspects.contains(Part) && Suspects.size() >= MaxSuspects) {
     auto Least = std::min_element(
         Suspects.begin(), Suspects.end(), [](const auto &A, const auto &B) {
@@ -106,15 +99,15 @@
   return Suspects[Part];
 }
 
-size_t PromptQuarantine::crashes(const Suspect &S) {
+size_t RequestQuarantine::crashes(const Suspect &S) {
   return static_cast<size_t>(
       std::count_if(S.Crashes.begin(), S.Crashes.end(),
                     [&S](const Crash &Each) { return Each.At > S.ClearedAt; }));
 }
 
-void PromptQuarantine::addTestimony(uint64_t Peer,
-                                    const PartTestimony &Testimony,
-                                    TimePoint Now) {
+void RequestQuarantine::addTestimony(uint64_t Peer,
+                                     const PartTestimony &Testimony,
+                                     TimePoint Now) {
   auto Found = Suspects.find(Testimony.Part);
   if (Found == Suspects.end())
     return;
@@ -126,9 +119,9 @@
     clear(Testimony.Part, S, Now);
 }
 
-void PromptQuarantine::onPeerDigest(std::string_view Peer,
-                                    const QuarantineDigest &Digest,
-                                    TimePoint Now) {
+void RequestQuarantine::onPeerDigest(std::string_view Peer,
+                                     const QuarantineDigest &Digest,
+                                     TimePoint Now) {
   restore(Digest.Quarantined, Peer, Now);
   for (const CrashWitness &Witness : Digest.Witnesses)
     addWitness(Witness, Now);
@@ -137,8 +130,8 @@
     addTestimony(PeerKey, Testimony, Now);
 }
 
-void PromptQuarantine::restore(std::span<const QuarantinedPart> Parts,
-                               std::string_view Source, TimePoint Now) {
+void RequestQuarantine::restore(std::span<const QuarantinedPart> Parts,
+                                std::string_view Source, TimePoint Now) {
   for (const QuarantinedPart &Each : Parts) {
     auto Known = Quarantines.find(Each.Part);
     if (Each.RemainingSeconds == 0 ||
@@ -155,8 +148,8 @@
   }
 }
 
-void PromptQuarantine::setQuarantine(PartKey Part, TimePoint Until,
-                                     uint8_t Times, TimePoint Now) {
+void RequestQuarantine::setQuarantine(PartKey Part, TimePoint Until,
+                                      uint8_t Times, TimePoint Now) {
   if (!Quarantines.contains(Part) && Quarantines.size() >= MaxQuarantined)
     Quarantines.erase(std::min_element(Quarantines.begin(), Quarantines.end(),
                                        [](const auto &A, const auto &B) {
@@ -171,7 +164,7 @@
   }
 }
 
-void PromptQuarantine::explain(uint64_t Run, TimePoint Now) {
+void RequestQuarantine::explain(RunKey Run, TimePoint Now) {
   if (isExplained(Run))
     return;
   if (Explained.size() >= MaxExplainedRuns)
@@ -182,18 +175,19 @@
                   [Run](const Crash &Each) { return Each.Run == Run; });
 }
 
-bool PromptQuarantine::isExplained(uint64_t Run) const {
+bool RequestQuarantine::isExplained(RunKey Run) const {
   return std::any_of(Explained.begin(), Explained.end(),
                      [Run](const Crash &Each) { return Each.Run == Run; });
 }
 
-bool PromptQuarantine::isQuarantined(PartKey Part, TimePoint Now) const {
+bool RequestQuarantine::isQuarantined(PartKey Part, TimePoint Now) const {
   auto Found = Quarantines.find(Part);
   return Found != Quarantines.end() && Now < Found->second.Until;
 }
 
-PartCounts PromptQuarantine::fleetCounts(PartKey Part, const Suspect &S) const {
-  PartCounts Sum = History.counts(Part);
+TraitCounts RequestQuarantine::fleetCounts(PartKey Part,
+                                           const Suspect &S) const {
+  TraitCounts Sum = History.counts(Part);
   for (const auto &[Peer, Counts] : S.PeerCounts) {
     Sum.Requests += Counts.Requests;
     Sum.Survivals += Counts.Survivals;
@@ -201,15 +195,16 @@
   return Sum;
 }
 
-size_t PromptQuarantine::neededCrashes(PartKey Part, uint32_t Survivals) const {
+size_t RequestQuarantine::neededCrashes(PartKey Part,
+                                        uint32_t Survivals) const {
   // The part was quarantined before and is being tried again.
   if (Quarantines.contains(Part))
     return 1;
   return MinCrashes + static_cast<size_t>(std::bit_width(Survivals));
 }
 
-std::vector<PromptQuarantine::Candidate>
-PromptQuarantine::candidates(TimePoint Now) const {
+std::vector<RequestQuarantine::Candidate>
+RequestQuarantine::candidates(TimePoint Now) const {
   std::vector<Candidate> Result;
   for (const auto &[Part, S] : Suspects) {
     Candidate C;
@@ -232,7 +227,7 @@
   return Result;
 }
 
-void PromptQuarantine::update(TimePoint Now) {
+void RequestQuarantine::update(TimePoint Now) {
   expire(Now);
   if (Now - Start < LearningTime)
     return;
@@ -253,7 +248,7 @@
   }
 }
 
-void PromptQuarantine::quarantine(const Candidate &C, TimePoint Now) {
+void RequestQuarantine::quarantine(const Candidate &C, TimePoint Now) {
   auto Before = Quarantines.find(C.Part);
   uint8_t Times = 1;
   if (Before != Quarantines.end())
@@ -270,19 +265,19 @@
   setQuarantine(C.Part, Now + length(Times), Times, Now);
 }
 
-Duration PromptQuarantine::length(uint8_t Times) {
+Duration RequestQuarantine::length(uint8_t Times) {
   Duration Result = FirstQuarantine;
   for (uint8_t I = 1; I < Times && Result < MaxQuarantine; ++I)
     Result *= 2;
   return std::min(Result, MaxQuarantine);
 }
 
-Duration PromptQuarantine::endDelay(PartKey Part) const {
+Duration RequestQuarantine::endDelay(PartKey Part) const {
   return Duration(static_cast<int64_t>(
       (Seed ^ Part) % static_cast<uint64_t>(EndSpread.count())));
 }
 
-void PromptQuarantine::expire(TimePoint Now) {
+void RequestQuarantine::expire(TimePoint Now) {
   std::erase_if(Suspects, [Now](const auto &Item) {
     return Now - Item.second.LastCrashAt > EvidenceLifetime;
   });
@@ -296,7 +291,7 @@
 }
 
 std::optional<TimePoint>
-PromptQuarantine::quarantinedUntil(PartKeys Parts, TimePoint Now) const {
+RequestQuarantine::quarantinedUntil(PartKeys Parts, TimePoint Now) const {
   if (Quarantines.empty())
     return std::nullopt;
   for (PartKey Part : Parts)
@@ -307,7 +302,7 @@
 }
 
 std::vector<QuarantinedPart>
-PromptQuarantine::quarantined(TimePoint Now) const {
+RequestQuarantine::quarantined(TimePoint Now) const {
   std::vector<QuarantinedPart> Result;
   for (const auto &[Part, Q] : Quarantines)
     if (int64_t Left = seconds(Q.Until - Now); Left > 0)
@@ -315,13 +310,13 @@
   return Result;
 }
 
-QuarantineDigest PromptQuarantine::takeDigest(TimePoint Now) {
+QuarantineDigest RequestQuarantine::takeDigest(TimePoint Now) {
   QuarantineDigest Result;
   for (const auto &[Witness, Until] : OwnWitnesses)
     if (Now < Until)
       Result.Witnesses.push_back(Witness);
   for (const auto &[Part, S] : Suspects) {
-    PartCounts Own = History.counts(Part);
+    TraitCounts Own = History.counts(Part);
     bool IsCleared = Now < S.TellClearedUntil;
     bool IsAsked = Own.Requests > 0 && crashes(S) >= CrashesForTestimony;
     if ((IsCleared || IsAsked) && Result.Testimonies.size() < MaxDigestEntries)
@@ -344,10 +339,10 @@
   return Result;
 }
 
-std::string PromptQuarantine::describe(TimePoint Now) const {
+std::string RequestQuarantine::describe(TimePoint Now) const {
   std::string Text;
   for (const auto &[Part, S] : Suspects) {
-    PartCounts Counts = fleetCounts(Part, S);
+    TraitCounts Counts = fleetCounts(Part, S);
     Text += "part " + toString(Part) +
             " suspected crashes=" + std::to_string(crashes(S)) +
             " requests=" + std::to_string(Counts.Requests) +
@@ -360,4 +355,4 @@
   return Text;
 }
 
-} // namespace ragwort::gateway
+} // namespace ragwort::quarantine
--- a/libs/gateway/src/PromptQuarantineTest.cpp
+++ b/libs/quarantine/src/RequestQuarantineTest.cpp
@@ -1,15 +1,17 @@
-//===- PromptQuarantineTest.cpp - Tests of PromptQuarantine.h -------------===//
-#include "ragwort/gateway/PromptQuarantine.h"
-#include "ragwort/gateway/QuarantineWire.h"
+//===- RequestQuarantineTest.cpp - Tests of RequestQuarantine.h
+//-------------===//
+#include "ragwort/quarantine/RequestQuarantine.h"
+#include "ragwort/quarantine/QuarantineWire.h"
 #include <cppunit/extensions/HelperMacros.h>
 #include <cstdlib>
 #include <random>
 #include <set>
 
-namespace ragwort::gateway {
+namespace ragwort::quarantine {
 
 namespace {
 
+constexpr size_t MaxDatagramBytes = 1400;
 constexpr PartKey Dead = 0xdead;
 constexpr PartKey Shared = 0x5afe;
 
@@ -25,8 +27,8 @@
       add(at(0));
   }
 
-  PromptQuarantine &add(TimePoint Start) {
-    Nodes.push_back(std::make_unique<PromptQuarantine>(Nodes.size(), Start));
+  RequestQuarantine &add(TimePoint Start) {
+    Nodes.push_back(std::make_unique<RequestQuarantine>(Nodes.size(), Start));
     return *Nodes.back();
   }
 
@@ -51,12 +53,12 @@
       return !N->quarantined(Now).empty();
     });
   }
-  PromptQuarantine &anyNode() {
+  RequestQuarantine &anyNode() {
     return *Nodes[std::uniform_int_distribution<size_t>(0, Nodes.size() -
                                                                1)(Random)];
   }
 
-  std::vector<std::unique_ptr<PromptQuarantine>> Nodes;
+  std::vector<std::unique_ptr<RequestQuarantine>> Nodes;
   std::mt19937_64 Random;
   TimePoint Now = at(10);
   double Loss = 0;
@@ -69,14 +71,15 @@
       for (size_t To = 0; To < Nodes.size(); ++To)
         if (To != From && !IsLost(Random))
           Nodes[To]->onPeerDigest("n" + std::to_string(From),
-                                  *decodeQuarantine(Bytes), Now);
+                                  *decodeQuarantine(Bytes, MaxDatagramBytes),
+                                  Now);
   }
 };
 
 } // namespace
 
-class PromptQuarantineTest : public CppUnit::TestFixture {
-  CPPUNIT_TEST_SUITE(PromptQuarantineTest);
+class RequestQuarantineTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RequestQuarantineTest);
   CPPUNIT_TEST(partWhenThreeServersCrashedIsQuarantined);
   CPPUNIT_TEST(partWhenOneServerCrashedUnderManyRequestsIsNotQuarantined);
   CPPUNIT_TEST(partWhenItHasSurvivorsIsNotBlamedForAnothersCrashes);
@@ -96,16 +99,16 @@
   CPPUNIT_TEST(partsWhenMalformedAreSkipped);
   CPPUNIT_TEST_SUITE_END();
 
-  static ServerRun run(uint64_t Number) { return {Number, 1000 + Number}; }
+  static RunKey run(uint64_t Number) { return Number; }
 
-  static bool isQuarantined(const PromptQuarantine &Q, PartKey Part,
+  static bool isQuarantined(const RequestQuarantine &Q, PartKey Part,
                             TimePoint Now) {
     return Q.quarantinedUntil(std::span(&Part, 1), Now).has_value();
   }
 
   /// \p Count crashes of different servers a second apart, beginning at
   /// \p From, each decided before the next.
-  static void crash(PromptQuarantine &Q, std::vector<PartKey> Parts,
+  static void crash(RequestQuarantine &Q, std::vector<PartKey> Parts,
                     uint64_t Count, double From) {
     for (uint64_t I = 0; I < Count; ++I) {
       double Time = From + static_cast<double>(I);
@@ -117,7 +120,7 @@
 
 public:
   void partWhenThreeServersCrashedIsQuarantined() {
-    PromptQuarantine Q(1, at(0));
+    RequestQuarantine Q(1, at(0));
     crash(Q, {Dead}, 2, 10);
     CPPUNIT_ASSERT(!isQuarantined(Q, Dead, at(12)));
     crash(Q, {Dead}, 1, 12);
@@ -126,7 +129,7 @@
   }
 
   void partWhenOneServerCrashedUnderManyRequestsIsNotQuarantined() {
-    PromptQuarantine Q(1, at(0));
+    RequestQuarantine Q(1, at(0));
     PartKey Parts[] = {Dead};
     for (int I = 0; I < 20; ++I) {
       Q.onRequest(Parts, at(10));
@@ -137,7 +140,7 @@
   }
 
   void partWhenItHasSurvivorsIsNotBlamedForAnothersCrashes() {
-    PromptQuarantine Q(1, at(0));
+    RequestQuarantine Q(1, at(0));
     PartKey Harmless[] = {Shared};
     for (int I = 0; I < 20; ++I) {
       Q.onRequest(Harmless, at(5));
@@ -149,7 +152,7 @@
   }
 
   void partWhenARequestSurvivesLaterIsCleared() {
-    PromptQuarantine Q(1, at(0));
+    RequestQuarantine Q(1, at(0));
     PartKey Parts[] = {Dead};
     crash(Q, {Dead}, 2, 10);
     // Sent before the crashes: shows nothing about them.
@@ -161,7 +164,7 @@
   }
 
   void partWhenItWasSoundAndTurnsDangerousIsQuarantinedLater() {
-    PromptQuarantine Q(1, at(0));
+    RequestQuarantine Q(1, at(0));
     PartKey Parts[] = {Dead};
     for (int I = 0; I < 10; ++I)
       Q.onSurvived(Parts, at(5), at(6));
@@ -172,7 +175,7 @@
   }
 
   void partsWhenIndistinguishableWaitForMoreCrashes() {
-    PromptQuarantine Q(1, at(0));
+    RequestQuarantine Q(1, at(0));
     crash(Q, {Shared, Dead}, 4, 10);
     CPPUNIT_ASSERT(Q.quarantined(at(14)).empty());
     PartKey Harmless[] = {Shared};
@@ -203,7 +206,7 @@
   }
 
   void nodeWhenJustStartedDecidesNothing() {
-    PromptQuarantine Q(1, at(10));
+    RequestQuarantine Q(1, at(10));
     PartKey Parts[] = {Shared};
     for (uint64_t I = 0; I < 6; ++I)
       Q.onCrash(run(I), Parts, at(10.1));
@@ -212,7 +215,7 @@
   }
 
   void quarantineWhenEndedIsRenewedByOneCrash() {
-    PromptQuarantine Q(1, at(0));
+    RequestQuarantine Q(1, at(0));
     crash(Q, {Dead}, 3, 10);
     double End = 13 + 660; // The quarantine and its spread.
     CPPUNIT_ASSERT(!isQuarantined(Q, Dead, at(End)));
@@ -224,7 +227,8 @@
   void quarantineWhenItEndsStaysLongerAtSomeNodes() {
     VirtualFleet Fleet(10, 1);
     for (uint64_t I = 0; I < 10; ++I)
-      Fleet.Nodes[I] = std::make_unique<PromptQuarantine>(I * 7'654'321, at(0));
+      Fleet.Nodes[I] =
+          std::make_unique<RequestQuarantine>(I * 7'654'321, at(0));
     QuarantinedPart Known{Dead, 600, 1};
     for (auto &N : Fleet.Nodes)
       N->restore(std::span(&Known, 1), "peer", at(10));
@@ -233,7 +237,7 @@
       Ends.insert(*N->quarantinedUntil(std::span(&Dead, 1), at(10)));
     CPPUNIT_ASSERT_EQUAL(size_t(10), Ends.size());
     CPPUNIT_ASSERT(*Ends.rbegin() - *Ends.begin() <=
-                   PromptQuarantine::EndSpread);
+                   RequestQuarantine::EndSpread);
   }
 
   /// Harmless requests with parts of different popularity, and servers that
@@ -253,19 +257,19 @@
          Fleet.Now < End;) {
       for (int I = 0; I < 10; ++I) {
         std::vector<PartKey> Parts = Harmless();
-        PromptQuarantine &Node = Fleet.anyNode();
+        RequestQuarantine &Node = Fleet.anyNode();
         Node.onRequest(Parts, Fleet.Now);
         Node.onSurvived(Parts, Fleet.Now, Fleet.Now);
       }
       if (IsCrash(Fleet.Random)) {
-        ServerRun Run = run(NextRun++);
+        RunKey Run = run(NextRun++);
         for (int I = 0; I < 4; ++I) {
           std::vector<PartKey> Bystander = Harmless();
-          PromptQuarantine &Node = Fleet.anyNode();
+          RequestQuarantine &Node = Fleet.anyNode();
           Node.onRequest(Bystander, Fleet.Now);
           Node.onCrash(Run, Bystander, Fleet.Now);
         }
-        PromptQuarantine &Node = Fleet.anyNode();
+        RequestQuarantine &Node = Fleet.anyNode();
         std::vector<PartKey> Parts = Harmless();
         if (Culprit)
           Parts.push_back(*Culprit);
@@ -306,18 +310,18 @@
   }
 
   void memoryWhenManyPartsCrashIsBounded() {
-    PromptQuarantine Q(1, at(0));
+    RequestQuarantine Q(1, at(0));
     for (uint64_t I = 0; I < 5000; ++I) {
       std::vector<PartKey> Parts = {I, I + 1, I + 2};
       Q.onRequest(Parts, at(10));
       Q.onCrash(run(I), Parts, at(10));
       Q.update(at(10));
     }
-    CPPUNIT_ASSERT(Q.suspectCount() <= PromptQuarantine::MaxSuspects);
+    CPPUNIT_ASSERT(Q.suspectCount() <= RequestQuarantine::MaxSuspects);
     CPPUNIT_ASSERT(Q.quarantined(at(10)).size() <=
-                   PromptQuarantine::MaxQuarantined);
+                   RequestQuarantine::MaxQuarantined);
     for (const std::string &Bytes : encodeQuarantine(Q.takeDigest(at(10))))
-      CPPUNIT_ASSERT(Bytes.size() <= 1400);
+      CPPUNIT_ASSERT(Bytes.size() <= MaxDatagramBytes);
   }
 
   void digestWhenTruncatedOrCorruptNeverThrows() {
@@ -327,13 +331,14 @@
     Digest.Quarantined = {{8, 9, 2}};
     std::mt19937_64 Random(7);
     for (const std::string &Bytes : encodeQuarantine(Digest)) {
-      CPPUNIT_ASSERT(decodeQuarantine(Bytes).ok());
+      CPPUNIT_ASSERT(decodeQuarantine(Bytes, MaxDatagramBytes).ok());
       for (size_t Size = 0; Size < Bytes.size(); ++Size)
-        CPPUNIT_ASSERT(!decodeQuarantine(Bytes.substr(0, Size)).ok());
+        CPPUNIT_ASSERT(
+            !decodeQuarantine(Bytes.substr(0, Size), MaxDatagramBytes).ok());
       for (int I = 0; I < 500; ++I) {
         std::string Changed = Bytes;
         Changed[Random() % Changed.size()] = static_cast<char>(Random());
-        (void)decodeQuarantine(Changed);
+        (void)decodeQuarantine(Changed, MaxDatagramBytes);
       }
     }
   }
@@ -358,6 +363,6 @@
   }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(PromptQuarantineTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(RequestQuarantineTest);
 
-} // namespace ragwort::gateway
+} // namespace ragwort::quarantine
--- a/libs/gateway/src/PartHistory.cpp
+++ b/libs/quarantine/src/TraitHistory.cpp
@@ -1,10 +1,11 @@
-//===- PartHistory.cpp - What happened to requests with a part ------------===//
-#include "ragwort/gateway/PartHistory.h"
+//===- TraitHistory.cpp - What happened to requests with a part
+//------------===//
+#include "ragwort/quarantine/TraitHistory.h"
 #include <utility>
 
-namespace ragwort::gateway {
+namespace ragwort::quarantine {
 
-PartCounts &PartHistory::entry(PartKey Part, TimePoint Now) {
+TraitCounts &TraitHistory::entry(PartKey Part, TimePoint Now) {
   bool IsFull = Current.size() >= MaxGenerationParts && !Current.contains(Part);
   if (IsFull || Now - CurrentSince >= GenerationTime) {
     Previous = std::exchange(Current, Generation());
@@ -13,18 +14,18 @@
   return Current[Part];
 }
 
-void PartHistory::addRequest(PartKeys Parts, TimePoint Now) {
+void TraitHistory::addRequest(PartKeys Parts, TimePoint Now) {
   for (PartKey Part : Parts)
     ++entry(Part, Now).Requests;
 }
 
-void PartHistory::addSurvival(PartKeys Parts, TimePoint Now) {
+void TraitHistory::addSurvival(PartKeys Parts, TimePoint Now) {
   for (PartKey Part : Parts)
     ++entry(Part, Now).Survivals;
 }
 
-PartCounts PartHistory::counts(PartKey Part) const {
-  PartCounts Result;
+TraitCounts TraitHistory::counts(PartKey Part) const {
+  TraitCounts Result;
   for (const Generation *G : {&Current, &Previous})
     if (auto Found = G->find(Part); Found != G->end()) {
       Result.Requests += Found->second.Requests;
@@ -33,4 +34,4 @@
   return Result;
 }
 
-} // namespace ragwort::gateway
+} // namespace ragwort::quarantine
