--- a/libs/gateway/include/ragwort/gateway/CrashDetector.h
+++ b/libs/gateway/include/ragwort/gateway/CrashDetector.h
@@ -11,20 +11,23 @@
 #include "ragwort/gateway/BackendDirectory.h"
 #include "ragwort/gateway/SelfReports.h"
 #include "ragwort/gateway/StreamSocket.h"
-#include "ragwort/quarantine/PromptParts.h"
+#include "ragwort/quarantine/RequestTraits.h"
 #include <functional>
 #include <map>
 
 namespace ragwort::gateway {
 
 /// \code
-///   CrashDetector Detector(Io, [](const ServerRun &Run, quarantine::PartKeys
-///   Parts) {}); Detector.onBroken(Server, Parts, Now);
+///   CrashDetector Detector(Io, [](const ServerRun &Run,
+///                                 const quarantine::RequestTraits &Traits)
+///                                 {});
+///   Detector.onBroken(Server, Traits, Now);
 /// \endcode
 class CrashDetector {
 public:
-  /// Receives the parts of a request that was at a server when it ended.
-  using Listener = std::function<void(const ServerRun &, quarantine::PartKeys)>;
+  /// Receives the traits of a request that was at a server when it ended.
+  using Listener =
+      std::function<void(const ServerRun &, const quarantine::RequestTraits &)>;
 
   static constexpr Duration ConnectTimeout = std::chrono::milliseconds(400);
   /// Time for which the result of a check holds for further connections of the
@@ -38,9 +41,9 @@
       : Io(Io), OnCrash(std::move(OnCrash)) {}
   ~CrashDetector();
 
-  /// The connection of a request with \p Parts to \p Server has broken.
-  void onBroken(const BackendInstance &Server, quarantine::PartKeys Parts,
-                TimePoint Now);
+  /// The connection of a request with \p Traits to \p Server has broken.
+  void onBroken(const BackendInstance &Server,
+                const quarantine::RequestTraits &Traits, TimePoint Now);
 
 private:
   class Check;
--- a/libs/gateway/include/ragwort/gateway/Forwarding.h
+++ b/libs/gateway/include/ragwort/gateway/Forwarding.h
@@ -27,6 +27,8 @@
   unsigned Status = 503;
   std::string_view Reason;
   std::optional<Duration> RetryAfter;
+  /// For the log only.
+  std::string Detail = {};
 };
 
 /// Receives the answer to a request, on behalf of the caller.
@@ -45,6 +47,12 @@
   virtual size_t unsent() const = 0;
 };
 
+/// Why a request with a quarantined trait of \p Kind is refused.
+constexpr std::string_view quarantineReason(quarantine::TraitKind Kind) {
+  return Kind == quarantine::TraitKind::WholeRequest ? "request-quarantined"
+                                                     : "prompt-quarantined";
+}
+
 class Forwarding;
 
 /// Objects that all requests of one node share.
@@ -70,10 +78,7 @@
   std::string RequestId;
   /// The organisation of the caller's API key; empty on public routes.
   std::string Organisation;
-  /// The parts of its prompt that other requests may have too.
-  std::vector<quarantine::PartKey> SharedParts;
-  /// Equal for repeats of the request.
-  uint64_t Fingerprint = 0;
+  quarantine::RequestTraits Traits;
   uint32_t Priority = 0;
   TimePoint Arrived;
   /// The earlier of the caller's and the route's deadline.
@@ -96,7 +101,7 @@
   /// The waiting request was dequeued, to be sent or because it has expired.
   void onDequeued(const DequeuedRequest &C);
   /// Retries the request at another server if its server is a straggler, and
-  /// withdraws it if its prompt was quarantined before the answer has begun.
+  /// withdraws it if it was quarantined before the answer has begun.
   /// Called a few times a second.
   void onTick(TimePoint At);
   /// The caller has read the buffered bytes; reading from the server resumes.
@@ -110,7 +115,8 @@
   enum class Phase : uint8_t { Placing, Waiting, Connecting, Sent, Done };
 
   RetryConditions retryConditions();
-  /// Ends the request if its prompt is quarantined. \returns whether it is.
+  /// Ends the request if one of its traits is quarantined. \returns whether
+  /// one is.
   bool endIfQuarantined();
   void noteSurvival();
   void noteConnectionEnd();
--- a/libs/gateway/src/CallerSession.cpp
+++ b/libs/gateway/src/CallerSession.cpp
@@ -134,7 +134,8 @@
     logEvent(LogLevel::Warning, "request-refused",
              {{"request", RequestId},
               {"status", Own->Status},
-              {"reason", Own->Reason}});
+              {"reason", Own->Reason},
+              {"detail", Own->Detail}});
     sendLocalReply(*Own);
     return;
   }
--- a/libs/gateway/src/CrashDetector.cpp
+++ b/libs/gateway/src/CrashDetector.cpp
@@ -30,8 +30,8 @@
   const TimePoint BegunAt;
   // Unset while the connect is in progress.
   std::optional<bool> HasRunEnded;
-  // The parts of each request that waits for the result.
-  std::vector<std::vector<quarantine::PartKey>> Waiting;
+  // The traits of each request that waits for the result.
+  std::vector<quarantine::RequestTraits> Waiting;
 
 private:
   void finish(bool HasEnded) {
@@ -47,7 +47,8 @@
 CrashDetector::~CrashDetector() = default;
 
 void CrashDetector::onBroken(const BackendInstance &Server,
-                             quarantine::PartKeys Parts, TimePoint Now) {
+                             const quarantine::RequestTraits &Traits,
+                             TimePoint Now) {
   std::erase_if(Checks, [Now](const auto &Item) {
     return Item.second->HasRunEnded &&
            Now - Item.second->BegunAt > VerdictLifetime;
@@ -57,9 +58,9 @@
       Found->second->Run.BornMillis == Server.BornMillis) {
     Check &Known = *Found->second;
     if (!Known.HasRunEnded)
-      Known.Waiting.emplace_back(Parts.begin(), Parts.end());
+      Known.Waiting.push_back(Traits);
     else if (*Known.HasRunEnded)
-      OnCrash(Known.Run, Parts);
+      OnCrash(Known.Run, Traits);
     return;
   }
   std::optional<Address> To = parseAddress(Server.Address);
@@ -69,7 +70,7 @@
     return;
   }
   auto New = std::make_shared<Check>(*this, Server, Now);
-  New->Waiting.emplace_back(Parts.begin(), Parts.end());
+  New->Waiting.push_back(Traits);
   Checks[Server.Id] = New;
   New->connect(*To);
 }
@@ -79,8 +80,8 @@
     return;
   logEvent(LogLevel::Warning, "server-crashed",
            {{"instance", Done.Id}, {"requests", Done.Waiting.size()}});
-  for (const std::vector<quarantine::PartKey> &Parts : Done.Waiting)
-    OnCrash(Done.Run, Parts);
+  for (const quarantine::RequestTraits &Traits : Done.Waiting)
+    OnCrash(Done.Run, Traits);
 }
 
 } // namespace ragwort::gateway
--- a/libs/gateway/src/CrashDetectorTest.cpp
+++ b/libs/gateway/src/CrashDetectorTest.cpp
@@ -14,19 +14,19 @@
   CPPUNIT_TEST_SUITE_END();
 
   asio::io_context Io{1};
-  std::vector<std::pair<ServerRun, std::vector<quarantine::PartKey>>> Crashes;
+  std::vector<std::pair<ServerRun, quarantine::Fingerprint>> Crashes;
   std::unique_ptr<CrashDetector> Detector;
   std::unique_ptr<ScriptedServer> Server;
   BackendInstance Instance;
-  static constexpr quarantine::PartKey Part = 7;
+  const quarantine::RequestTraits Traits{7, {}};
 
 public:
   void setUp() override {
     Crashes.clear();
     Detector = std::make_unique<CrashDetector>(
-        Io, [this](const ServerRun &Run, quarantine::PartKeys Parts) {
-          Crashes.emplace_back(Run, std::vector<quarantine::PartKey>(
-                                        Parts.begin(), Parts.end()));
+        Io,
+        [this](const ServerRun &Run, const quarantine::RequestTraits &Lost) {
+          Crashes.emplace_back(Run, Lost.fingerprint());
         });
     Server = std::make_unique<ScriptedServer>(Io);
     Instance.Id = "i0";
@@ -35,9 +35,7 @@
   }
 
 private:
-  void onBroken() {
-    Detector->onBroken(Instance, std::span(&Part, 1), SteadyClock().now());
-  }
+  void onBroken() { Detector->onBroken(Instance, Traits, SteadyClock().now()); }
   /// Runs the loop until the server has seen the check's connection end, which
   /// the detector closes after its result.
   void runUntilChecked(int Connections) {
@@ -62,23 +60,22 @@
     onBroken();
     runUntilCrashes(1);
     CPPUNIT_ASSERT_EQUAL(uint64_t(5), Crashes[0].first.BornMillis);
-    CPPUNIT_ASSERT(Crashes[0].second ==
-                   std::vector<quarantine::PartKey>({Part}));
+    CPPUNIT_ASSERT_EQUAL(Traits.fingerprint(), Crashes[0].second);
   }
 
   void connectionsWhenSeveralBreakAreCheckedOnce() {
     TimePoint Now = SteadyClock().now();
-    Detector->onBroken(Instance, std::span(&Part, 1), Now);
-    Detector->onBroken(Instance, std::span(&Part, 1), Now);
+    Detector->onBroken(Instance, Traits, Now);
+    Detector->onBroken(Instance, Traits, Now);
     runUntilChecked(1);
-    Detector->onBroken(Instance, std::span(&Part, 1), Now);
+    Detector->onBroken(Instance, Traits, Now);
     CPPUNIT_ASSERT_EQUAL(1, Server->Connections);
     Server->crash();
     Instance.Id = "i1";
-    Detector->onBroken(Instance, std::span(&Part, 1), Now);
-    Detector->onBroken(Instance, std::span(&Part, 1), Now);
+    Detector->onBroken(Instance, Traits, Now);
+    Detector->onBroken(Instance, Traits, Now);
     runUntilCrashes(2);
-    Detector->onBroken(Instance, std::span(&Part, 1), Now);
+    Detector->onBroken(Instance, Traits, Now);
     CPPUNIT_ASSERT_EQUAL(size_t(3), Crashes.size());
   }
 
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -78,7 +78,7 @@
 
 void Forwarding::start() {
   Context.Dispatch.onRequest(Service, now());
-  Context.Quarantine.onRequest(Accepted.SharedParts, now());
+  Context.Quarantine.onRequest(Accepted.Traits, now());
   auto Self = shared_from_this();
   place();
 }
@@ -103,12 +103,11 @@
 
 bool Forwarding::endIfQuarantined() {
   TimePoint At = now();
-  std::optional<TimePoint> Until =
-      Context.Quarantine.quarantinedUntil(Accepted.SharedParts, At);
-  if (!Until)
+  auto Active = Context.Quarantine.find(Accepted.Traits, At);
+  if (!Active)
     return false;
-  LastFault = "prompt-quarantined";
-  RetryAfter = *Until - At;
+  LastFault = quarantineReason(Active->Subject.Kind);
+  RetryAfter = Active->Until - At;
   leaveServer(false);
   carryOut(Flow.onNoBackend());
   return true;
@@ -116,14 +115,13 @@
 
 void Forwarding::noteSurvival() {
   if (!std::exchange(HasSurvived, true))
-    Context.Quarantine.onSurvived(Accepted.SharedParts, SentAt, now());
+    Context.Quarantine.onSurvived(Accepted.Traits, SentAt, now());
 }
 
 void Forwarding::noteConnectionEnd() {
-  if (Accepted.SharedParts.empty() || HasSurvived ||
-      Context.Dispatch.loadTracker().isStopping(Server.Id))
+  if (HasSurvived || Context.Dispatch.loadTracker().isStopping(Server.Id))
     return;
-  Context.Crashes.onBroken(Server, Accepted.SharedParts, now());
+  Context.Crashes.onBroken(Server, Accepted.Traits, now());
 }
 
 void Forwarding::place() {
@@ -466,17 +464,18 @@
                "fault=\"" + std::string(Fault) + "\"")
       .add();
   std::string_view Parts = Accepted.Message.header(Context.Names.PromptParts);
-  logEvent(LogLevel::Info, "send-failed",
-           {{"request", Accepted.RequestId},
-            {"instance", Server.Id},
-            {"fault", Fault},
-            {"send", Flow.sends()},
-            {"events", Events.events()},
-            {"sent_ms", millis(now() - SentAt)},
-            {"silent_ms", millis(now() - LastProgress)},
-            {"organisation", Accepted.Organisation},
-            {"fingerprint", quarantine::toString(Accepted.Fingerprint)},
-            {"parts", Parts.substr(0, MaxLoggedPartsBytes)}});
+  logEvent(
+      LogLevel::Info, "send-failed",
+      {{"request", Accepted.RequestId},
+       {"instance", Server.Id},
+       {"fault", Fault},
+       {"send", Flow.sends()},
+       {"events", Events.events()},
+       {"sent_ms", millis(now() - SentAt)},
+       {"silent_ms", millis(now() - LastProgress)},
+       {"organisation", Accepted.Organisation},
+       {"fingerprint", quarantine::toString(Accepted.Traits.fingerprint())},
+       {"parts", Parts.substr(0, MaxLoggedPartsBytes)}});
 }
 
 void Forwarding::onServerFault(ServerFault Fault, std::string_view Text) {
@@ -687,25 +686,26 @@
     Context.Metrics.histogram("ragwort_first_byte_seconds")
         .record(TimeToFirstByte);
   bool IsRoutine = Outcome == "completed" || Outcome == "caller-gone";
-  logEvent(IsRoutine ? LogLevel::Info : LogLevel::Warning, "request-finished",
-           {{"request", Accepted.RequestId},
-            {"outcome", Outcome},
-            {"status", Status},
-            {"route", Accepted.Target->Name},
-            {"organisation", Accepted.Organisation},
-            {"fingerprint", quarantine::toString(Accepted.Fingerprint)},
-            {"service", Service},
-            {"instance", Server.Id},
-            {"sends", Flow.sends()},
-            {"fault", LastFault},
-            {"events", Events.events()},
-            {"first_ms", millis(TimeToFirstByte)},
-            {"longest_gap_ms", millis(LongestGap)},
-            {"total_ms", millis(Total)},
-            {"in_flight", Context.Dispatch.loadTracker().inFlight(Server.Id)},
-            {"waiting", Context.Dispatch.waiting()},
-            {"config", Accepted.Config->Version},
-            {"directory", Context.DirectoryVersion()}});
+  logEvent(
+      IsRoutine ? LogLevel::Info : LogLevel::Warning, "request-finished",
+      {{"request", Accepted.RequestId},
+       {"outcome", Outcome},
+       {"status", Status},
+       {"route", Accepted.Target->Name},
+       {"organisation", Accepted.Organisation},
+       {"fingerprint", quarantine::toString(Accepted.Traits.fingerprint())},
+       {"service", Service},
+       {"instance", Server.Id},
+       {"sends", Flow.sends()},
+       {"fault", LastFault},
+       {"events", Events.events()},
+       {"first_ms", millis(TimeToFirstByte)},
+       {"longest_gap_ms", millis(LongestGap)},
+       {"total_ms", millis(Total)},
+       {"in_flight", Context.Dispatch.loadTracker().inFlight(Server.Id)},
+       {"waiting", Context.Dispatch.waiting()},
+       {"config", Accepted.Config->Version},
+       {"directory", Context.DirectoryVersion()}});
 }
 
 } // namespace ragwort::gateway
--- a/libs/gateway/src/Gateway.cpp
+++ b/libs/gateway/src/Gateway.cpp
@@ -51,8 +51,9 @@
       Dispatch(Options.DataCentre, Options.RetryLimits, Options.Seed),
       Quarantine(Options.Seed, SteadyClock().now()),
       Crashes(Io,
-              [this](const ServerRun &Run, quarantine::PartKeys Parts) {
-                Quarantine.onCrash(keyOf(Run), Parts, SteadyClock().now());
+              [this](const ServerRun &Run,
+                     const quarantine::RequestTraits &Traits) {
+                Quarantine.onCrash(keyOf(Run), Traits, SteadyClock().now());
               }),
       Context{Io,
               Names,
@@ -235,12 +236,13 @@
     Result.Organisation = Owner->Name;
     Result.Priority = Owner->Priority.value_or(Target->Priority);
   }
-  Result.Fingerprint = quarantine::fingerprintOf(Message, Result.Organisation);
-  Result.SharedParts =
-      quarantine::sharedPartsOf(Message.header(Names.PromptParts));
-  if (std::optional<TimePoint> Until =
-          Quarantine.quarantinedUntil(Result.SharedParts, Arrived))
-    return LocalReply{503, "prompt-quarantined", *Until - Arrived};
+  Result.Traits = quarantine::RequestTraits(
+      quarantine::fingerprintOf(Message, Result.Organisation),
+      quarantine::sharedPartsOf(Message.header(Names.PromptParts)));
+  if (auto Active = Quarantine.find(Result.Traits, Arrived))
+    return LocalReply{503, quarantineReason(Active->Subject.Kind),
+                      Active->Until - Arrived,
+                      quarantine::toString(Active->Subject.Key)};
   Duration Time = Target->Timeout;
   if (auto TimeLeft = parseMillis(Message.header(Names.TimeLeftMillis)))
     Time = std::min(Time, *TimeLeft);
@@ -262,8 +264,8 @@
   Set("ragwort_caller_connections", Sessions.size());
   Set("ragwort_waiting_requests", Dispatch.waiting());
   Set("ragwort_idle_backend_connections", Pool.size());
-  Set("ragwort_suspected_prompt_parts", Quarantine.suspectCount());
-  Set("ragwort_quarantined_prompt_parts",
+  Set("ragwort_quarantine_suspects", Quarantine.suspectCount());
+  Set("ragwort_quarantined_traits",
       Quarantine.quarantined(SteadyClock().now()).size());
   ServerCounts Counts = Dispatch.loadTracker().counts(SteadyClock().now());
   Set("ragwort_servers", Counts.Listed, "state=\"listed\"");
--- a/libs/gateway/src/GatewayTest.cpp
+++ b/libs/gateway/src/GatewayTest.cpp
@@ -553,7 +553,8 @@
 
   void requestWhenItsPromptIsQuarantinedIsRefusedWithoutASend() {
     scriptBoth(served("x"), 2);
-    quarantine::QuarantinedPart Part{0xdead, 600, 1};
+    quarantine::QuarantinedTrait Part{
+        {quarantine::TraitKind::PromptPart, 0xdead}, 600, 1};
     Node->requestQuarantine().restore(std::span(&Part, 1), "peer",
                                       SteadyClock().now());
     std::string Got = exchange(
@@ -577,7 +578,8 @@
     auto C =
         call(request("/slow/", "r1", "Ragwort-Prompt-Parts: dead:3,1:9\r\n"));
     runUntil([this] { return requestsSeen().size() == 1; });
-    quarantine::QuarantinedPart Part{0xdead, 600, 1};
+    quarantine::QuarantinedTrait Part{
+        {quarantine::TraitKind::PromptPart, 0xdead}, 600, 1};
     Node->requestQuarantine().restore(std::span(&Part, 1), "peer",
                                       SteadyClock().now());
     runUntil([&C] { return !C->Received.empty(); });
--- a/libs/gateway/src/PeerExchange.cpp
+++ b/libs/gateway/src/PeerExchange.cpp
@@ -99,8 +99,8 @@
   std::vector<std::string> Limits =
       encodeRateLimits(Node.dispatcher().loadTracker().ownRateLimits(now()));
   Datagrams.insert(Datagrams.end(), Limits.begin(), Limits.end());
-  std::vector<std::string> Quarantine =
-      quarantine::encodeQuarantine(Node.requestQuarantine().takeDigest(now()));
+  std::vector<std::string> Quarantine = quarantine::encodeQuarantine(
+      Node.requestQuarantine().takeDigest(now()), MaxPeerDatagramBytes);
   Datagrams.insert(Datagrams.end(), Quarantine.begin(), Quarantine.end());
   Datagrams.push_back(encodeHeartbeat(std::move(Heartbeat)));
   // Lost datagrams are not resent; the next heartbeat replaces them.
--- a/libs/quarantine/include/ragwort/quarantine/QuarantineWire.h
+++ b/libs/quarantine/include/ragwort/quarantine/QuarantineWire.h
@@ -7,9 +7,10 @@
 
 namespace ragwort::quarantine {
 
-/// \returns one datagram for each kind of entry that \p Digest has, each of at
-/// most 1,400 bytes.
-std::vector<std::string> encodeQuarantine(const QuarantineDigest &Digest);
+/// \returns datagrams of at most \p MaxDatagramBytes, none if \p Digest is
+/// empty. The limit must leave room for MaxDigestEntries entries without lists.
+std::vector<std::string> encodeQuarantine(const QuarantineDigest &Digest,
+                                          size_t MaxDatagramBytes);
 /// Never throws. Fails on truncated, oversized and unrelated datagrams.
 absl::StatusOr<QuarantineDigest> decodeQuarantine(std::string_view Datagram,
                                                   size_t MaxDatagramBytes);
--- a/libs/quarantine/include/ragwort/quarantine/RequestFingerprint.h
+++ b/libs/quarantine/include/ragwort/quarantine/RequestFingerprint.h
@@ -3,7 +3,7 @@
 #define RAGWORT_QUARANTINE_REQUESTFINGERPRINT_H
 
 #include "ragwort/http/HttpTypes.h"
-#include <cstdint>
+#include "ragwort/quarantine/RequestTraits.h"
 #include <string_view>
 
 namespace ragwort::quarantine {
@@ -11,8 +11,8 @@
 /// A hash of what \p Message asks for: method, host, target and body, and the
 /// organisation that asks. A repeat has the same fingerprint under another
 /// request id, at every node.
-uint64_t fingerprintOf(const http::Request &Message,
-                       std::string_view Organisation);
+Fingerprint fingerprintOf(const http::Request &Message,
+                          std::string_view Organisation);
 
 } // namespace ragwort::quarantine
 
--- a/libs/quarantine/include/ragwort/quarantine/RequestQuarantine.h
+++ b/libs/quarantine/include/ragwort/quarantine/RequestQuarantine.h
@@ -1,16 +1,18 @@
-//===- RequestQuarantine.h - Finds and refuses parts that crash servers
-//----===//
+//===- RequestQuarantine.h - Finds and refuses what crashes servers -------===//
 //
-// A part of a prompt may crash every server that begins to answer it. Such a
-// part is found by the crashes at which it was present, and requests with it
-// are refused from then on. Each node decides by itself from its own and its
-// peers' evidence; a decision of one node holds for all.
+// A part of a prompt may crash every server that begins to answer it, and so
+// may one whole request that comes again and again. Such a trait is found by
+// the crashes at which it was present, and requests with it are refused from
+// then on. Each node decides by itself from its own and its peers' evidence; a
+// decision of one node holds for all.
 //
-// A part is suspected of a crash if a request with it was at a server when that
-// run of the server ended. It is cleared as soon as a later request with it
-// survives. Of several suspected parts, the one with the most crashes for its
-// earlier survivals is quarantined, then the one with the fewest requests; it
-// explains its crashes, which then count for no other part.
+// A trait is suspected of a crash if a request with it was at a server when
+// that run of the server ended. It is cleared as soon as a later request with
+// it survives. Of several suspects, the one with the most crashes for its
+// earlier survivals is quarantined. It explains its crashes, which then count
+// for no other trait. A request explains them for other requests only: a part
+// of it may still be the cause, which is shown by crashes under further
+// requests with the part.
 //
 // Pure: without sockets, clocks and threads.
 //
@@ -29,23 +31,25 @@
 /// Identifies one run of a server: a hash of the server's id and start.
 using RunKey = uint64_t;
 
-/// A request with the part was at a server when that run of it ended.
+/// A request was at a server when that run of it ended.
 struct CrashWitness {
-  PartKey Part = 0;
   RunKey Run = 0;
+  Fingerprint Request = 0;
+  /// The parts of its prompt that are suspected with it.
+  std::vector<PartKey> Parts;
 };
 
-/// What one node has seen of a suspected part.
-struct PartTestimony {
-  PartKey Part = 0;
+/// What one node has seen of a suspect.
+struct TraitTestimony {
+  Trait Subject;
   uint16_t Requests = 0;
   uint16_t Survivals = 0;
-  /// A request sent after the part's first known crash has survived.
+  /// A request sent after the suspect's first known crash has survived.
   bool IsCleared = false;
 };
 
-struct QuarantinedPart {
-  PartKey Part = 0;
+struct QuarantinedTrait {
+  Trait Subject;
   uint32_t RemainingSeconds = 0;
   /// How often it has been quarantined.
   uint8_t Times = 1;
@@ -53,37 +57,48 @@
 
 /// What a node tells its peers.
 struct QuarantineDigest {
-  static constexpr uint16_t Protocol = 1005;
+  static constexpr uint16_t Protocol = 1007;
 
   std::vector<CrashWitness> Witnesses;
-  std::vector<PartTestimony> Testimonies;
-  std::vector<QuarantinedPart> Quarantined;
+  std::vector<TraitTestimony> Testimonies;
+  std::vector<QuarantinedTrait> Quarantined;
+};
+
+/// The quarantine that a request falls under.
+struct ActiveQuarantine {
+  Trait Subject;
+  TimePoint Until;
 };
 
 /// \code
-///   Quarantine.onRequest(Parts, Now);
-///   if (auto Until = Quarantine.quarantinedUntil(Parts, Now))
-///     refuse(*Until - Now);
+///   Quarantine.onRequest(Traits, Now);
+///   if (auto Active = Quarantine.find(Traits, Now))
+///     refuse(Active->Until - Now);
 ///   ...
-///   Quarantine.onCrash(Run, Parts, Now);  // or onSurvived()
-///   Quarantine.update(Now);               // some times a second
+///   Quarantine.onCrash(Run, Traits, Now);  // or onSurvived()
+///   Quarantine.update(Now);                // some times a second
 /// \endcode
 class RequestQuarantine {
 public:
-  /// Crashes that quarantine a part no request has survived.
+  /// Crashes that quarantine a trait no request has survived.
   static constexpr size_t MinCrashes = 3;
-  /// Crashes after which parts are quarantined that cannot be told apart.
+  /// Of the crashes of a part, how many must be under other requests than the
+  /// one with the most.
+  static constexpr size_t MinOtherCrashes = 2;
+  /// Crashes after which suspects are quarantined that cannot be told apart.
   static constexpr size_t MaxUndecidedCrashes = 5;
-  /// Time after a part's last crash in which its peers' evidence and counts
+  /// Time after a suspect's last crash in which its peers' evidence and counts
   /// arrive; a decision waits for it below MaxUndecidedCrashes.
   static constexpr Duration DecisionDelay = std::chrono::milliseconds(500);
   /// A node decides nothing for this long after its start, in which it hears
   /// its peers.
   static constexpr Duration LearningTime = std::chrono::seconds(2);
   static constexpr Duration FirstQuarantine = std::chrono::minutes(10);
+  /// Factor from one quarantine of a trait to its next.
+  static constexpr int QuarantineGrowth = 8;
   static constexpr Duration MaxQuarantine = std::chrono::hours(24);
   /// Nodes let a quarantine end at times spread over this, so that one of them
-  /// tries the part first.
+  /// tries the trait first.
   static constexpr Duration EndSpread = std::chrono::minutes(1);
   /// Suspicions and explained crashes are forgotten after this time.
   static constexpr Duration EvidenceLifetime = std::chrono::minutes(10);
@@ -91,8 +106,8 @@
   static constexpr Duration ForwardTime = std::chrono::milliseconds(2000);
   static constexpr Duration QuarantinedInterval =
       std::chrono::milliseconds(1000);
-  static constexpr size_t MaxSuspects = 256;
-  static constexpr size_t MaxRunsPerSuspect = 24;
+  static constexpr size_t MaxSuspects = 1024;
+  static constexpr size_t MaxCrashesPerSuspect = 64;
   static constexpr size_t MaxPeersPerSuspect = 64;
   static constexpr size_t MaxExplainedRuns = 256;
   static constexpr size_t MaxQuarantined = 256;
@@ -103,52 +118,66 @@
       : Seed(Seed), Start(Start) {}
 
   /// A request arrived that will be sent to a server.
-  void onRequest(PartKeys Parts, TimePoint Now);
+  void onRequest(const RequestTraits &Traits, TimePoint Now);
   /// A server survived a request that was sent to it at \p SentAt.
-  void onSurvived(PartKeys Parts, TimePoint SentAt, TimePoint Now);
-  /// \p Run of a server ended while a request with \p Parts was there.
-  void onCrash(RunKey Run, PartKeys Parts, TimePoint Now);
+  void onSurvived(const RequestTraits &Traits, TimePoint SentAt, TimePoint Now);
+  /// \p Run of a server ended while a request with \p Traits was there.
+  void onCrash(RunKey Run, const RequestTraits &Traits, TimePoint Now);
   void onPeerDigest(std::string_view Peer, const QuarantineDigest &Digest,
                     TimePoint Now);
   /// Takes over quarantines of another node or from the store.
-  void restore(std::span<const QuarantinedPart> Parts, std::string_view Source,
-               TimePoint Now);
-  /// Decides about the suspected parts.
+  void restore(std::span<const QuarantinedTrait> Traits,
+               std::string_view Source, TimePoint Now);
+  /// Decides about the suspects.
   void update(TimePoint Now);
 
-  /// The end of the quarantine of one of \p Parts, if there is one.
-  std::optional<TimePoint> quarantinedUntil(PartKeys Parts,
-                                            TimePoint Now) const;
-  /// The quarantined parts, with the time that remains for this node's peers.
-  std::vector<QuarantinedPart> quarantined(TimePoint Now) const;
+  /// The quarantine of one of \p Traits, if there is one.
+  std::optional<ActiveQuarantine> find(const RequestTraits &Traits,
+                                       TimePoint Now) const;
+  /// The quarantined traits, with the time that remains for this node's peers.
+  std::vector<QuarantinedTrait> quarantined(TimePoint Now) const;
   /// What to tell the peers now.
   QuarantineDigest takeDigest(TimePoint Now);
   size_t suspectCount() const { return Suspects.size(); }
-  /// One line per suspected or quarantined part, for the state dump.
+  /// One line per suspected or quarantined trait, for the state dump.
   std::string describe(TimePoint Now) const;
 
 private:
   struct Crash {
     RunKey Run = 0;
+    Fingerprint Request = 0;
     TimePoint At;
   };
   struct Suspect {
-    // Distinct runs, oldest first.
+    // Oldest first; no two have both the same run and the same request.
     std::vector<Crash> Crashes;
     // Crashes until this time do not count.
     TimePoint ClearedAt{};
     // By the hash of the peer's name.
     std::map<uint64_t, TraitCounts> PeerCounts;
-    // While set, peers are told that the part is cleared.
+    // While set, peers are told that the suspect is cleared.
     TimePoint TellClearedUntil{};
     TimePoint LastCrashAt{};
   };
+  struct CrashCounts {
+    // Distinct runs.
+    size_t Runs = 0;
+    // Those without the request that was at the most of them, as far as the
+    // peers have had time to tell which requests were there.
+    size_t OtherRuns = 0;
+  };
   struct Quarantine {
     TimePoint Until;
     uint8_t Times = 1;
   };
+  struct Explanation {
+    RunKey Run = 0;
+    TimePoint At;
+    // If set, only this request's own parts are still suspected of the crash.
+    std::optional<Fingerprint> Request;
+  };
   struct Candidate {
-    PartKey Part = 0;
+    Trait Subject;
     size_t Crashes = 0;
     // Crashes beyond the number that is needed.
     size_t Excess = 0;
@@ -156,33 +185,41 @@
   };
 
   void addWitness(const CrashWitness &Witness, TimePoint Now);
-  void addTestimony(uint64_t Peer, const PartTestimony &Testimony,
+  void addCrash(const Trait &T, const CrashWitness &Witness, TimePoint Now);
+  void addTestimony(uint64_t Peer, const TraitTestimony &Testimony,
                     TimePoint Now);
-  void explain(RunKey Run, TimePoint Now);
-  void clear(PartKey Part, Suspect &S, TimePoint Now);
-  /// Refuses \p Part until \p Until and explains its crashes by it.
-  void setQuarantine(PartKey Part, TimePoint Until, uint8_t Times,
+  /// The crash of \p Run is explained by a part, or by \p Request.
+  void explain(RunKey Run, std::optional<Fingerprint> Request, TimePoint Now);
+  void clear(const Trait &T, Suspect &S, TimePoint Now);
+  /// Refuses \p T until \p Until and explains its crashes by it.
+  void setQuarantine(const Trait &T, TimePoint Until, uint8_t Times,
                      TimePoint Now);
   void quarantine(const Candidate &C, TimePoint Now);
-  Suspect &suspectOf(PartKey Part);
+  Suspect &suspectOf(const Trait &T);
   void expire(TimePoint Now);
-  bool isQuarantined(PartKey Part, TimePoint Now) const;
-  bool isExplained(RunKey Run) const;
-  TraitCounts fleetCounts(PartKey Part, const Suspect &S) const;
+  bool isQuarantined(const Trait &T, TimePoint Now) const;
+  bool isExplained(RunKey Run, Fingerprint Request) const;
+  TraitCounts fleetCounts(const Trait &T, const Suspect &S) const;
   std::vector<Candidate> candidates(TimePoint Now) const;
-  static size_t crashes(const Suspect &S);
-  size_t neededCrashes(PartKey Part, uint32_t Survivals) const;
+  /// Whether \p A is the more likely cause of crashes at which both were.
+  static bool isBefore(const Candidate &A, const Candidate &B);
+  bool sharesRun(const Trait &A, const Trait &B) const;
+  /// One cause, or several that cannot be told apart; empty if the evidence
+  /// is not sufficient yet.
+  std::vector<Candidate> decidable(TimePoint Now) const;
+  static CrashCounts crashes(const Suspect &S, TimePoint Now);
+  size_t neededCrashes(const Trait &T, uint32_t Survivals) const;
   static Duration length(uint8_t Times);
-  Duration endDelay(PartKey Part) const;
+  Duration endDelay(const Trait &T) const;
 
   const uint64_t Seed;
   const TimePoint Start;
   TraitHistory History;
-  std::map<PartKey, Suspect> Suspects;
+  std::map<Trait, Suspect> Suspects;
   // Includes ended quarantines until they are forgotten.
-  std::map<PartKey, Quarantine> Quarantines;
-  // Runs whose crash a quarantined part explains, oldest first.
-  std::deque<Crash> Explained;
+  std::map<Trait, Quarantine> Quarantines;
+  // Runs whose crash a quarantined trait explains, oldest first.
+  std::deque<Explanation> Explained;
   // Own evidence and the time until which it is repeated, oldest first.
   std::deque<std::pair<CrashWitness, TimePoint>> OwnWitnesses;
   TimePoint NextQuarantinedAt{};
--- a/libs/quarantine/src/QuarantineWire.cpp
+++ b/libs/quarantine/src/QuarantineWire.cpp
@@ -2,20 +2,28 @@
 #include "ragwort/quarantine/QuarantineWire.h"
 #include "ragwort/wire/Archived.h"
 #include "ragwort/wire/Bounded.h"
+#include <utility>
 
 namespace ragwort::quarantine {
 
+template <class Archive> void serialize(Archive &Ar, Trait &T) {
+  wire::transferEnum(Ar, T.Kind, TraitKind::WholeRequest);
+  Ar(T.Key);
+}
+
 template <class Archive> void serialize(Archive &Ar, CrashWitness &Witness) {
-  Ar(Witness.Part, Witness.Run);
+  Ar(Witness.Run, Witness.Request);
+  wire::transferList(Ar, Witness.Parts, MaxPromptParts);
 }
 
-template <class Archive> void serialize(Archive &Ar, PartTestimony &Testimony) {
-  Ar(Testimony.Part, Testimony.Requests, Testimony.Survivals);
+template <class Archive>
+void serialize(Archive &Ar, TraitTestimony &Testimony) {
+  Ar(Testimony.Subject, Testimony.Requests, Testimony.Survivals);
   wire::transferFlag(Ar, Testimony.IsCleared);
 }
 
-template <class Archive> void serialize(Archive &Ar, QuarantinedPart &Part) {
-  Ar(Part.Part, Part.RemainingSeconds, Part.Times);
+template <class Archive> void serialize(Archive &Ar, QuarantinedTrait &Entry) {
+  Ar(Entry.Subject, Entry.RemainingSeconds, Entry.Times);
 }
 
 template <class Archive> void serialize(Archive &Ar, QuarantineDigest &Digest) {
@@ -26,11 +34,38 @@
   wire::transferList(Ar, Digest.Quarantined, Most);
 }
 
-std::vector<std::string> encodeQuarantine(const QuarantineDigest &Digest) {
+namespace {
+
+size_t encodedBytes(const CrashWitness &Witness) {
+  return sizeof(Witness.Run) + sizeof(Witness.Request) +
+         sizeof(cereal::size_type) + Witness.Parts.size() * sizeof(PartKey);
+}
+
+/// As many witnesses a datagram as fit.
+void encodeWitnesses(std::span<const CrashWitness> Witnesses, size_t MaxBytes,
+                     std::vector<std::string> &Result) {
+  const size_t EmptyBytes = wire::toArchive(QuarantineDigest()).size();
+  QuarantineDigest Next;
+  size_t Bytes = EmptyBytes;
+  for (const CrashWitness &Each : Witnesses) {
+    if (Bytes + encodedBytes(Each) > MaxBytes) {
+      Result.push_back(
+          wire::toArchive(std::exchange(Next, QuarantineDigest())));
+      Bytes = EmptyBytes;
+    }
+    Next.Witnesses.push_back(Each);
+    Bytes += encodedBytes(Each);
+  }
+  if (!Next.Witnesses.empty())
+    Result.push_back(wire::toArchive(std::move(Next)));
+}
+
+} // namespace
+
+std::vector<std::string> encodeQuarantine(const QuarantineDigest &Digest,
+                                          size_t MaxDatagramBytes) {
   std::vector<std::string> Result;
-  if (!Digest.Witnesses.empty())
-    Result.push_back(
-        wire::toArchive(QuarantineDigest{Digest.Witnesses, {}, {}}));
+  encodeWitnesses(Digest.Witnesses, MaxDatagramBytes, Result);
   if (!Digest.Testimonies.empty())
     Result.push_back(
         wire::toArchive(QuarantineDigest{{}, Digest.Testimonies, {}}));
--- a/libs/quarantine/src/RequestFingerprint.cpp
+++ b/libs/quarantine/src/RequestFingerprint.cpp
@@ -4,9 +4,9 @@
 
 namespace ragwort::quarantine {
 
-uint64_t fingerprintOf(const http::Request &Message,
-                       std::string_view Organisation) {
-  uint64_t Result = 0;
+Fingerprint fingerprintOf(const http::Request &Message,
+                          std::string_view Organisation) {
+  Fingerprint Result = 0;
   for (std::string_view Field :
        {std::string_view(Message.Method), Message.header("Host"),
         std::string_view(Message.Target), Organisation,
--- a/libs/quarantine/src/RequestQuarantine.cpp
+++ b/libs/quarantine/src/RequestQuarantine.cpp
@@ -1,19 +1,21 @@
-//===- RequestQuarantine.cpp - Finds and refuses parts that crash servers
-//--===//
+//===- RequestQuarantine.cpp - Finds and refuses what crashes servers -----===//
 #include "ragwort/quarantine/RequestQuarantine.h"
 #include "ragwort/base/Hash.h"
 #include "ragwort/observe/Log.h"
 #include <algorithm>
 #include <bit>
 #include <limits>
+#include <set>
 #include <utility>
 
 namespace ragwort::quarantine {
 
 namespace {
 
-// Crashes of a part from which on nodes tell each other its counts.
+// Crashes of a suspect from which on nodes tell each other its counts.
 constexpr size_t CrashesForTestimony = 2;
+// Candidates that are compared with each other; the others wait.
+constexpr size_t MaxCandidates = 64;
 
 uint16_t saturated(uint32_t Count) {
   constexpr uint32_t Most = std::numeric_limits<uint16_t>::max();
@@ -24,17 +26,21 @@
   return std::chrono::duration_cast<std::chrono::seconds>(Length).count();
 }
 
+std::string describe(const Trait &T) {
+  return std::string(toString(T.Kind)) + " " + toString(T.Key);
+}
+
 } // namespace
 
-void RequestQuarantine::onRequest(PartKeys Parts, TimePoint Now) {
-  History.addRequest(Parts, Now);
+void RequestQuarantine::onRequest(const RequestTraits &Traits, TimePoint Now) {
+  History.addRequest(Traits, Now);
 }
 
-void RequestQuarantine::onSurvived(PartKeys Parts, TimePoint SentAt,
-                                   TimePoint Now) {
-  History.addSurvival(Parts, Now);
-  for (PartKey Part : Parts) {
-    auto Found = Suspects.find(Part);
+void RequestQuarantine::onSurvived(const RequestTraits &Traits,
+                                   TimePoint SentAt, TimePoint Now) {
+  History.addSurvival(Traits, Now);
+  for (const Trait &T : Traits.all()) {
+    auto Found = Suspects.find(T);
     if (Found == Suspects.end())
       continue;
     Suspect &S = Found->second;
@@ -43,72 +49,105 @@
                      [&S](const Crash &Each) { return Each.At > S.ClearedAt; });
     if (First == S.Crashes.end() || SentAt <= First->At)
       continue;
-    clear(Part, S, Now);
+    clear(T, S, Now);
     S.TellClearedUntil = Now + ForwardTime;
   }
 }
 
-void RequestQuarantine::clear(PartKey Part, Suspect &S, TimePoint Now) {
-  if (size_t Count = crashes(S); Count >= CrashesForTestimony)
-    logEvent(LogLevel::Info, "prompt-part-cleared",
-             {{"part", toString(Part)}, {"crashes", Count}});
+void RequestQuarantine::clear(const Trait &T, Suspect &S, TimePoint Now) {
+  if (size_t Count = crashes(S, Now).Runs; Count >= CrashesForTestimony)
+    logEvent(LogLevel::Info, "suspect-cleared",
+             {{"kind", toString(T.Kind)},
+              {"key", toString(T.Key)},
+              {"crashes", Count}});
   S.ClearedAt = Now;
 }
 
-void RequestQuarantine::onCrash(RunKey Run, PartKeys Parts, TimePoint Now) {
-  auto Explanation =
-      std::find_if(Parts.begin(), Parts.end(),
-                   [&](PartKey Part) { return isQuarantined(Part, Now); });
-  if (Explanation != Parts.end())
-    Parts = Parts.subspan(static_cast<size_t>(Explanation - Parts.begin()), 1);
-  for (PartKey Part : Parts) {
-    CrashWitness Witness{Part, Run};
-    addWitness(Witness, Now);
-    OwnWitnesses.emplace_back(Witness, Now + ForwardTime);
-  }
+void RequestQuarantine::onCrash(RunKey Run, const RequestTraits &Traits,
+                                TimePoint Now) {
+  CrashWitness Witness{Run, Traits.fingerprint(), {}};
+  for (const Trait &T : Traits.parts())
+    Witness.Parts.push_back(T.Key);
+  // What is known to be the cause leaves nothing else to suspect.
+  auto Cause =
+      std::find_if(Traits.parts().begin(), Traits.parts().end(),
+                   [&](const Trait &T) { return isQuarantined(T, Now); });
+  if (Cause != Traits.parts().end())
+    Witness.Parts = {Cause->Key};
+  else if (isQuarantined(Traits.all().front(), Now))
+    Witness.Parts.clear();
+  addWitness(Witness, Now);
+  OwnWitnesses.emplace_back(std::move(Witness), Now + ForwardTime);
   while (OwnWitnesses.size() > MaxDigestEntries)
     OwnWitnesses.pop_front();
 }
 
 void RequestQuarantine::addWitness(const CrashWitness &Witness, TimePoint Now) {
-  if (isQuarantined(Witness.Part, Now)) {
-    explain(Witness.Run, Now);
+  const RequestTraits Traits(Witness.Request, Witness.Parts);
+  if (std::any_of(Traits.parts().begin(), Traits.parts().end(),
+                  [&](const Trait &T) { return isQuarantined(T, Now); })) {
+    explain(Witness.Run, std::nullopt, Now);
     return;
   }
-  if (isExplained(Witness.Run))
+  if (isQuarantined(Traits.all().front(), Now))
+    explain(Witness.Run, Witness.Request, Now);
+  for (const Trait &T : Traits.all())
+    addCrash(T, Witness, Now);
+}
+
+void RequestQuarantine::addCrash(const Trait &T, const CrashWitness &Witness,
+                                 TimePoint Now) {
+  if (isQuarantined(T, Now) || isExplained(Witness.Run, Witness.Request))
     return;
-  Suspect &S = suspectOf(Witness.Part);
-  if (std::any_of(S.Crashes.begin(), S.Crashes.end(),
-                  [&](const Crash &Each) { return Each.Run == Witness.Run; }))
+  Suspect &S = suspectOf(T);
+  if (std::any_of(S.Crashes.begin(), S.Crashes.end(), [&](const Crash &Each) {
+        return Each.Run == Witness.Run && Each.Request == Witness.Request;
+      }))
     return;
-  if (S.Crashes.size() >= MaxRunsPerSuspect)
+  if (S.Crashes.size() >= MaxCrashesPerSuspect)
     S.Crashes.erase(S.Crashes.begin());
-  S.Crashes.push_back({Witness.Run, Now});
+  S.Crashes.push_back({Witness.Run, Witness.Request, Now});
   S.LastCrashAt = Now;
 }
 
-RequestQuarantine::Suspect &RequestQuarantine::suspectOf(PartKey Part) {
-  if (!Suspects.contains(Part) && Suspects.size() >= MaxSuspects) {
+RequestQuarantine::Suspect &RequestQuarantine::suspectOf(const Trait &T) {
+  if (!Suspects.contains(T) && Suspects.size() >= MaxSuspects) {
     auto Least = std::min_element(
         Suspects.begin(), Suspects.end(), [](const auto &A, const auto &B) {
-          return std::pair(crashes(A.second), A.second.LastCrashAt) <
-                 std::pair(crashes(B.second), B.second.LastCrashAt);
+          return std::pair(A.second.Crashes.size(), A.second.LastCrashAt) <
+                 std::pair(B.second.Crashes.size(), B.second.LastCrashAt);
         });
     Suspects.erase(Least);
   }
-  return Suspects[Part];
+  return Suspects[T];
 }
 
-size_t RequestQuarantine::crashes(const Suspect &S) {
-  return static_cast<size_t>(
-      std::count_if(S.Crashes.begin(), S.Crashes.end(),
-                    [&S](const Crash &Each) { return Each.At > S.ClearedAt; }));
+RequestQuarantine::CrashCounts RequestQuarantine::crashes(const Suspect &S,
+                                                          TimePoint Now) {
+  std::set<RunKey> Runs;
+  std::set<RunKey> Settled;
+  std::map<Fingerprint, std::set<RunKey>> ByRequest;
+  for (const Crash &Each : S.Crashes)
+    if (Each.At > S.ClearedAt) {
+      Runs.insert(Each.Run);
+      ByRequest[Each.Request].insert(Each.Run);
+      if (Now - Each.At >= DecisionDelay)
+        Settled.insert(Each.Run);
+    }
+  const std::set<RunKey> *Most = &Runs;
+  for (const auto &[Request, OfRequest] : ByRequest)
+    if (Most == &Runs || OfRequest.size() > Most->size())
+      Most = &OfRequest;
+  auto Others =
+      std::count_if(Settled.begin(), Settled.end(),
+                    [Most](RunKey Run) { return !Most->contains(Run); });
+  return {Runs.size(), static_cast<size_t>(Others)};
 }
 
 void RequestQuarantine::addTestimony(uint64_t Peer,
-                                     const PartTestimony &Testimony,
+                                     const TraitTestimony &Testimony,
                                      TimePoint Now) {
-  auto Found = Suspects.find(Testimony.Part);
+  auto Found = Suspects.find(Testimony.Subject);
   if (Found == Suspects.end())
     return;
   Suspect &S = Found->second;
@@ -116,7 +155,7 @@
     S.PeerCounts[Peer] = {Testimony.Requests, Testimony.Survivals};
   // The peer repeats the news; crashes in the meantime still count.
   if (Testimony.IsCleared && Now - S.ClearedAt > ForwardTime)
-    clear(Testimony.Part, S, Now);
+    clear(Testimony.Subject, S, Now);
 }
 
 void RequestQuarantine::onPeerDigest(std::string_view Peer,
@@ -126,68 +165,83 @@
   for (const CrashWitness &Witness : Digest.Witnesses)
     addWitness(Witness, Now);
   uint64_t PeerKey = hash64(Peer);
-  for (const PartTestimony &Testimony : Digest.Testimonies)
+  for (const TraitTestimony &Testimony : Digest.Testimonies)
     addTestimony(PeerKey, Testimony, Now);
 }
 
-void RequestQuarantine::restore(std::span<const QuarantinedPart> Parts,
+void RequestQuarantine::restore(std::span<const QuarantinedTrait> Traits,
                                 std::string_view Source, TimePoint Now) {
-  for (const QuarantinedPart &Each : Parts) {
-    auto Known = Quarantines.find(Each.Part);
+  for (const QuarantinedTrait &Each : Traits) {
+    auto Known = Quarantines.find(Each.Subject);
     if (Each.RemainingSeconds == 0 ||
         (Known != Quarantines.end() && Known->second.Times >= Each.Times))
       continue;
     Duration Remaining = std::min<Duration>(
         std::chrono::seconds(Each.RemainingSeconds), MaxQuarantine);
-    logEvent(LogLevel::Warning, "prompt-part-quarantined",
-             {{"part", toString(Each.Part)},
+    logEvent(LogLevel::Warning, "quarantined",
+             {{"kind", toString(Each.Subject.Kind)},
+              {"key", toString(Each.Subject.Key)},
               {"source", Source},
               {"for_s", seconds(Remaining)},
               {"times", int(Each.Times)}});
-    setQuarantine(Each.Part, Now + Remaining, Each.Times, Now);
+    setQuarantine(Each.Subject, Now + Remaining, Each.Times, Now);
   }
 }
 
-void RequestQuarantine::setQuarantine(PartKey Part, TimePoint Until,
+void RequestQuarantine::setQuarantine(const Trait &T, TimePoint Until,
                                       uint8_t Times, TimePoint Now) {
-  if (!Quarantines.contains(Part) && Quarantines.size() >= MaxQuarantined)
+  if (!Quarantines.contains(T) && Quarantines.size() >= MaxQuarantined)
     Quarantines.erase(std::min_element(Quarantines.begin(), Quarantines.end(),
                                        [](const auto &A, const auto &B) {
                                          return A.second.Until < B.second.Until;
                                        }));
-  Quarantines[Part] = {Until, Times};
-  if (auto Found = Suspects.find(Part); Found != Suspects.end()) {
+  Quarantines[T] = {Until, Times};
+  if (auto Found = Suspects.find(T); Found != Suspects.end()) {
     std::vector<Crash> Crashes = std::move(Found->second.Crashes);
     Suspects.erase(Found);
+    std::optional<Fingerprint> Request;
+    if (T.Kind == TraitKind::WholeRequest)
+      Request = T.Key;
     for (const Crash &Each : Crashes)
-      explain(Each.Run, Now);
+      explain(Each.Run, Request, Now);
   }
 }
 
-void RequestQuarantine::explain(RunKey Run, TimePoint Now) {
-  if (isExplained(Run))
-    return;
-  if (Explained.size() >= MaxExplainedRuns)
-    Explained.pop_front();
-  Explained.push_back({Run, Now});
-  for (auto &[Part, S] : Suspects)
-    std::erase_if(S.Crashes,
-                  [Run](const Crash &Each) { return Each.Run == Run; });
+void RequestQuarantine::explain(RunKey Run, std::optional<Fingerprint> Request,
+                                TimePoint Now) {
+  auto Known =
+      std::find_if(Explained.begin(), Explained.end(),
+                   [Run](const Explanation &Each) { return Each.Run == Run; });
+  if (Known != Explained.end()) {
+    if (!Known->Request || Request)
+      return;
+    Known->Request.reset();
+  } else {
+    if (Explained.size() >= MaxExplainedRuns)
+      Explained.pop_front();
+    Explained.push_back({Run, Now, Request});
+  }
+  for (auto &[T, S] : Suspects)
+    std::erase_if(S.Crashes, [&](const Crash &Each) {
+      return Each.Run == Run && (!Request || Each.Request != *Request);
+    });
 }
 
-bool RequestQuarantine::isExplained(RunKey Run) const {
-  return std::any_of(Explained.begin(), Explained.end(),
-                     [Run](const Crash &Each) { return Each.Run == Run; });
+bool RequestQuarantine::isExplained(RunKey Run, Fingerprint Request) const {
+  return std::any_of(
+      Explained.begin(), Explained.end(), [&](const Explanation &Each) {
+        return Each.Run == Run && (!Each.Request || *Each.Request != Request);
+      });
 }
 
-bool RequestQuarantine::isQuarantined(PartKey Part, TimePoint Now) const {
-  auto Found = Quarantines.find(Part);
+bool RequestQuarantine::isQuarantined(const Trait &T, TimePoint Now) const {
+  auto Found = Quarantines.find(T);
   return Found != Quarantines.end() && Now < Found->second.Until;
 }
 
-TraitCounts RequestQuarantine::fleetCounts(PartKey Part,
+TraitCounts RequestQuarantine::fleetCounts(const Trait &T,
                                            const Suspect &S) const {
-  TraitCounts Sum = History.counts(Part);
+  TraitCounts Sum = History.counts(T);
   for (const auto &[Peer, Counts] : S.PeerCounts) {
     Sum.Requests += Counts.Requests;
     Sum.Survivals += Counts.Survivals;
@@ -195,86 +249,122 @@
   return Sum;
 }
 
-size_t RequestQuarantine::neededCrashes(PartKey Part,
+size_t RequestQuarantine::neededCrashes(const Trait &T,
                                         uint32_t Survivals) const {
-  // The part was quarantined before and is being tried again.
-  if (Quarantines.contains(Part))
+  // The trait was quarantined before and is being tried again.
+  if (Quarantines.contains(T))
     return 1;
   return MinCrashes + static_cast<size_t>(std::bit_width(Survivals));
 }
 
+bool RequestQuarantine::isBefore(const Candidate &A, const Candidate &B) {
+  if (A.Excess != B.Excess)
+    return A.Excess > B.Excess;
+  // A request explains its crashes at least as well as its parts do.
+  if (A.Subject.Kind != B.Subject.Kind)
+    return A.Subject.Kind == TraitKind::WholeRequest;
+  // The number of requests tells parts apart, but not repeats of requests.
+  return A.Subject.Kind == TraitKind::PromptPart &&
+         A.Counts.Requests < B.Counts.Requests;
+}
+
+bool RequestQuarantine::sharesRun(const Trait &A, const Trait &B) const {
+  const std::vector<Crash> &OfB = Suspects.at(B).Crashes;
+  const std::vector<Crash> &OfA = Suspects.at(A).Crashes;
+  return std::any_of(OfA.begin(), OfA.end(), [&](const Crash &Each) {
+    return std::any_of(OfB.begin(), OfB.end(), [&](const Crash &Other) {
+      return Each.Run == Other.Run;
+    });
+  });
+}
+
 std::vector<RequestQuarantine::Candidate>
 RequestQuarantine::candidates(TimePoint Now) const {
   std::vector<Candidate> Result;
-  for (const auto &[Part, S] : Suspects) {
+  for (const auto &[T, S] : Suspects) {
+    if (S.Crashes.size() < MinCrashes && !Quarantines.contains(T))
+      continue;
     Candidate C;
-    C.Part = Part;
-    C.Crashes = crashes(S);
-    C.Counts = fleetCounts(Part, S);
-    size_t Needed = neededCrashes(Part, C.Counts.Survivals);
+    C.Subject = T;
+    CrashCounts Crashes = crashes(S, Now);
+    C.Crashes = Crashes.Runs;
+    C.Counts = fleetCounts(T, S);
+    size_t Needed = neededCrashes(T, C.Counts.Survivals);
     bool MayArrive = Now - S.LastCrashAt < DecisionDelay && Needed > 1 &&
                      C.Crashes < MaxUndecidedCrashes;
-    if (C.Crashes < Needed || MayArrive)
+    bool IsOneRequest = T.Kind == TraitKind::PromptPart && Needed > 1 &&
+                        Crashes.OtherRuns < MinOtherCrashes;
+    if (C.Crashes < Needed || MayArrive || IsOneRequest)
       continue;
     C.Excess = C.Crashes - Needed;
     Result.push_back(C);
   }
-  std::sort(Result.begin(), Result.end(),
-            [](const Candidate &A, const Candidate &B) {
-              return std::pair(B.Excess, A.Counts.Requests) <
-                     std::pair(A.Excess, B.Counts.Requests);
-            });
+  std::sort(Result.begin(), Result.end(), isBefore);
+  if (Result.size() > MaxCandidates)
+    Result.resize(MaxCandidates);
   return Result;
 }
 
+std::vector<RequestQuarantine::Candidate>
+RequestQuarantine::decidable(TimePoint Now) const {
+  std::vector<Candidate> Found = candidates(Now);
+  for (const Candidate &C : Found) {
+    // Other suspects of the same crashes that are no less likely.
+    std::vector<Candidate> Result = {C};
+    bool IsLessLikely = false;
+    for (const Candidate &Other : Found)
+      if (Other.Subject != C.Subject && !isBefore(C, Other) &&
+          sharesRun(C.Subject, Other.Subject)) {
+        IsLessLikely |= isBefore(Other, C);
+        Result.push_back(Other);
+      }
+    if (Result.size() == 1 ||
+        (!IsLessLikely && C.Crashes >= MaxUndecidedCrashes))
+      return Result;
+  }
+  return {};
+}
+
 void RequestQuarantine::update(TimePoint Now) {
   expire(Now);
   if (Now - Start < LearningTime)
     return;
   // Each quarantine explains crashes, after which others may no longer be
   // suspected.
-  for (std::vector<Candidate> Found = candidates(Now); !Found.empty();
-       Found = candidates(Now)) {
-    const Candidate First = Found.front();
-    auto End =
-        std::find_if(Found.begin(), Found.end(), [&](const Candidate &C) {
-          return C.Excess != First.Excess ||
-                 C.Counts.Requests != First.Counts.Requests;
-        });
-    if (End - Found.begin() > 1 && First.Crashes < MaxUndecidedCrashes)
-      return;
-    std::for_each(Found.begin(), End,
-                  [&](const Candidate &C) { quarantine(C, Now); });
-  }
+  for (std::vector<Candidate> Found = decidable(Now); !Found.empty();
+       Found = decidable(Now))
+    for (const Candidate &C : Found)
+      quarantine(C, Now);
 }
 
 void RequestQuarantine::quarantine(const Candidate &C, TimePoint Now) {
-  auto Before = Quarantines.find(C.Part);
+  auto Before = Quarantines.find(C.Subject);
   uint8_t Times = 1;
   if (Before != Quarantines.end())
     Times = std::max<uint8_t>(Before->second.Times,
                               static_cast<uint8_t>(Before->second.Times + 1));
-  logEvent(LogLevel::Warning, "prompt-part-quarantined",
-           {{"part", toString(C.Part)},
+  logEvent(LogLevel::Warning, "quarantined",
+           {{"kind", toString(C.Subject.Kind)},
+            {"key", toString(C.Subject.Key)},
             {"source", "evidence"},
             {"for_s", seconds(length(Times))},
             {"times", int(Times)},
             {"crashes", C.Crashes},
             {"requests", C.Counts.Requests},
             {"survivals", C.Counts.Survivals}});
-  setQuarantine(C.Part, Now + length(Times), Times, Now);
+  setQuarantine(C.Subject, Now + length(Times), Times, Now);
 }
 
 Duration RequestQuarantine::length(uint8_t Times) {
   Duration Result = FirstQuarantine;
   for (uint8_t I = 1; I < Times && Result < MaxQuarantine; ++I)
-    Result *= 2;
+    Result *= QuarantineGrowth;
   return std::min(Result, MaxQuarantine);
 }
 
-Duration RequestQuarantine::endDelay(PartKey Part) const {
+Duration RequestQuarantine::endDelay(const Trait &T) const {
   return Duration(static_cast<int64_t>(
-      (Seed ^ Part) % static_cast<uint64_t>(EndSpread.count())));
+      (Seed ^ T.Key) % static_cast<uint64_t>(EndSpread.count())));
 }
 
 void RequestQuarantine::expire(TimePoint Now) {
@@ -290,23 +380,23 @@
     OwnWitnesses.pop_front();
 }
 
-std::optional<TimePoint>
-RequestQuarantine::quarantinedUntil(PartKeys Parts, TimePoint Now) const {
+std::optional<ActiveQuarantine>
+RequestQuarantine::find(const RequestTraits &Traits, TimePoint Now) const {
   if (Quarantines.empty())
     return std::nullopt;
-  for (PartKey Part : Parts)
-    if (auto Found = Quarantines.find(Part); Found != Quarantines.end())
-      if (TimePoint End = Found->second.Until + endDelay(Part); Now < End)
-        return End;
+  for (const Trait &T : Traits.all())
+    if (auto Found = Quarantines.find(T); Found != Quarantines.end())
+      if (TimePoint End = Found->second.Until + endDelay(T); Now < End)
+        return ActiveQuarantine{T, End};
   return std::nullopt;
 }
 
-std::vector<QuarantinedPart>
+std::vector<QuarantinedTrait>
 RequestQuarantine::quarantined(TimePoint Now) const {
-  std::vector<QuarantinedPart> Result;
-  for (const auto &[Part, Q] : Quarantines)
+  std::vector<QuarantinedTrait> Result;
+  for (const auto &[T, Q] : Quarantines)
     if (int64_t Left = seconds(Q.Until - Now); Left > 0)
-      Result.push_back({Part, static_cast<uint32_t>(Left), Q.Times});
+      Result.push_back({T, static_cast<uint32_t>(Left), Q.Times});
   return Result;
 }
 
@@ -315,13 +405,15 @@
   for (const auto &[Witness, Until] : OwnWitnesses)
     if (Now < Until)
       Result.Witnesses.push_back(Witness);
-  for (const auto &[Part, S] : Suspects) {
-    TraitCounts Own = History.counts(Part);
+  for (const auto &[T, S] : Suspects) {
+    TraitCounts Own = History.counts(T);
     bool IsCleared = Now < S.TellClearedUntil;
-    bool IsAsked = Own.Requests > 0 && crashes(S) >= CrashesForTestimony;
+    bool IsAsked = Own.Requests > 0 &&
+                   S.Crashes.size() >= CrashesForTestimony &&
+                   crashes(S, Now).Runs >= CrashesForTestimony;
     if ((IsCleared || IsAsked) && Result.Testimonies.size() < MaxDigestEntries)
       Result.Testimonies.push_back(
-          {Part, saturated(Own.Requests), saturated(Own.Survivals), IsCleared});
+          {T, saturated(Own.Requests), saturated(Own.Survivals), IsCleared});
   }
   if (Now < NextQuarantinedAt || Quarantines.empty())
     return Result;
@@ -341,15 +433,15 @@
 
 std::string RequestQuarantine::describe(TimePoint Now) const {
   std::string Text;
-  for (const auto &[Part, S] : Suspects) {
-    TraitCounts Counts = fleetCounts(Part, S);
-    Text += "part " + toString(Part) +
-            " suspected crashes=" + std::to_string(crashes(S)) +
+  for (const auto &[T, S] : Suspects) {
+    TraitCounts Counts = fleetCounts(T, S);
+    Text += ragwort::quarantine::describe(T) +
+            " suspected crashes=" + std::to_string(crashes(S, Now).Runs) +
             " requests=" + std::to_string(Counts.Requests) +
             " survivals=" + std::to_string(Counts.Survivals) + "\n";
   }
-  for (const QuarantinedPart &Each : quarantined(Now))
-    Text += "part " + toString(Each.Part) +
+  for (const QuarantinedTrait &Each : quarantined(Now))
+    Text += ragwort::quarantine::describe(Each.Subject) +
             " quarantined for_s=" + std::to_string(Each.RemainingSeconds) +
             " times=" + std::to_string(Each.Times) + "\n";
   return Text;
--- a/libs/quarantine/src/RequestQuarantineTest.cpp
+++ b/libs/quarantine/src/RequestQuarantineTest.cpp
@@ -14,11 +14,19 @@
 constexpr size_t MaxDatagramBytes = 1400;
 constexpr PartKey Dead = 0xdead;
 constexpr PartKey Shared = 0x5afe;
+constexpr Fingerprint DeadRequest = 0xdeadbeef;
+constexpr Fingerprint SoundRequest = 0x5042;
 
 TimePoint at(double Seconds) {
   return TimePoint(Duration(static_cast<int64_t>(Seconds * 1e6)));
 }
 
+/// A request with \p Parts that never comes again.
+RequestTraits uniqueRequest(PartKeys Parts) {
+  static Fingerprint Next = 0x10000;
+  return {Next++, Parts};
+}
+
 /// Nodes that hear each other's digests, over links that may lose them.
 class VirtualFleet {
 public:
@@ -45,7 +53,13 @@
   size_t quarantining(PartKey Part) const {
     return static_cast<size_t>(
         std::count_if(Nodes.begin(), Nodes.end(), [&](const auto &N) {
-          return N->quarantinedUntil(std::span(&Part, 1), Now).has_value();
+          return N->find(uniqueRequest(std::span(&Part, 1)), Now).has_value();
+        }));
+  }
+  size_t refusing(const RequestTraits &Traits) const {
+    return static_cast<size_t>(
+        std::count_if(Nodes.begin(), Nodes.end(), [&](const auto &N) {
+          return N->find(Traits, Now).has_value();
         }));
   }
   bool isAnyQuarantined() const {
@@ -67,7 +81,7 @@
   void deliver(size_t From) {
     std::bernoulli_distribution IsLost(Loss);
     for (const std::string &Bytes :
-         encodeQuarantine(Nodes[From]->takeDigest(Now)))
+         encodeQuarantine(Nodes[From]->takeDigest(Now), MaxDatagramBytes))
       for (size_t To = 0; To < Nodes.size(); ++To)
         if (To != From && !IsLost(Random))
           Nodes[To]->onPeerDigest("n" + std::to_string(From),
@@ -91,6 +105,16 @@
   CPPUNIT_TEST(nodeWhenJustStartedDecidesNothing);
   CPPUNIT_TEST(quarantineWhenEndedIsRenewedByOneCrash);
   CPPUNIT_TEST(quarantineWhenItEndsStaysLongerAtSomeNodes);
+  CPPUNIT_TEST(requestWhenItCrashedThreeServersIsQuarantined);
+  CPPUNIT_TEST(requestWhenQuarantinedByOneNodeIsRefusedByAll);
+  CPPUNIT_TEST(requestWhenARepeatSurvivesIsCleared);
+  CPPUNIT_TEST(requestsWhenTheyShareAllCrashesWaitForMore);
+  CPPUNIT_TEST(requestsWhenTheirCrashesDifferAreQuarantinedAtOnce);
+  CPPUNIT_TEST(partWhenOnlyOneRequestWithItCrashesIsNotBlamed);
+  CPPUNIT_TEST(partWhenARequestWithItIsQuarantinedIsStillFound);
+  CPPUNIT_TEST(fleetWhenARequestCrashesServersFindsItInFewCrashes);
+  CPPUNIT_TEST(fleetWhenSoundRequestsAreRepeatedQuarantinesNone);
+  CPPUNIT_TEST(witnessesWhenManyAreSplitOverDatagrams);
   CPPUNIT_TEST(fleetWhenCrashesHaveOtherCausesQuarantinesNothing);
   CPPUNIT_TEST(fleetWhenAPartCrashesServersFindsItInFiveCrashes);
   CPPUNIT_TEST(memoryWhenManyPartsCrashIsBounded);
@@ -103,7 +127,7 @@
 
   static bool isQuarantined(const RequestQuarantine &Q, PartKey Part,
                             TimePoint Now) {
-    return Q.quarantinedUntil(std::span(&Part, 1), Now).has_value();
+    return Q.find(uniqueRequest(std::span(&Part, 1)), Now).has_value();
   }
 
   /// \p Count crashes of different servers a second apart, beginning at
@@ -112,8 +136,9 @@
                     uint64_t Count, double From) {
     for (uint64_t I = 0; I < Count; ++I) {
       double Time = From + static_cast<double>(I);
-      Q.onRequest(Parts, at(Time));
-      Q.onCrash(run(static_cast<uint64_t>(Time * 10)), Parts, at(Time));
+      RequestTraits Traits = uniqueRequest(Parts);
+      Q.onRequest(Traits, at(Time));
+      Q.onCrash(run(static_cast<uint64_t>(Time * 10)), Traits, at(Time));
       Q.update(at(Time + 0.9));
     }
   }
@@ -132,8 +157,8 @@
     RequestQuarantine Q(1, at(0));
     PartKey Parts[] = {Dead};
     for (int I = 0; I < 20; ++I) {
-      Q.onRequest(Parts, at(10));
-      Q.onCrash(run(1), Parts, at(10));
+      Q.onRequest(uniqueRequest(Parts), at(10));
+      Q.onCrash(run(1), uniqueRequest(Parts), at(10));
     }
     Q.update(at(11));
     CPPUNIT_ASSERT(!isQuarantined(Q, Dead, at(11)));
@@ -143,8 +168,8 @@
     RequestQuarantine Q(1, at(0));
     PartKey Harmless[] = {Shared};
     for (int I = 0; I < 20; ++I) {
-      Q.onRequest(Harmless, at(5));
-      Q.onSurvived(Harmless, at(5), at(6));
+      Q.onRequest(uniqueRequest(Harmless), at(5));
+      Q.onSurvived(uniqueRequest(Harmless), at(5), at(6));
     }
     crash(Q, {Shared, Dead}, 12, 10);
     CPPUNIT_ASSERT(isQuarantined(Q, Dead, at(25)));
@@ -156,8 +181,8 @@
     PartKey Parts[] = {Dead};
     crash(Q, {Dead}, 2, 10);
     // Sent before the crashes: shows nothing about them.
-    Q.onSurvived(Parts, at(9), at(12));
-    Q.onSurvived(Parts, at(12), at(13));
+    Q.onSurvived(uniqueRequest(Parts), at(9), at(12));
+    Q.onSurvived(uniqueRequest(Parts), at(12), at(13));
     // With the earlier two, these would be enough.
     crash(Q, {Dead}, 4, 14);
     CPPUNIT_ASSERT(!isQuarantined(Q, Dead, at(19)));
@@ -167,7 +192,7 @@
     RequestQuarantine Q(1, at(0));
     PartKey Parts[] = {Dead};
     for (int I = 0; I < 10; ++I)
-      Q.onSurvived(Parts, at(5), at(6));
+      Q.onSurvived(uniqueRequest(Parts), at(5), at(6));
     crash(Q, {Dead}, 5, 10);
     CPPUNIT_ASSERT(!isQuarantined(Q, Dead, at(15)));
     crash(Q, {Dead}, 3, 15);
@@ -179,7 +204,7 @@
     crash(Q, {Shared, Dead}, 4, 10);
     CPPUNIT_ASSERT(Q.quarantined(at(14)).empty());
     PartKey Harmless[] = {Shared};
-    Q.onRequest(Harmless, at(14));
+    Q.onRequest(uniqueRequest(Harmless), at(14));
     Q.update(at(14.9));
     CPPUNIT_ASSERT(isQuarantined(Q, Dead, at(15)));
     CPPUNIT_ASSERT(!isQuarantined(Q, Shared, at(15)));
@@ -189,8 +214,8 @@
     VirtualFleet Fleet(5, 1);
     PartKey Parts[] = {Dead};
     for (uint64_t I = 0; I < 3; ++I) {
-      Fleet.Nodes[I]->onRequest(Parts, Fleet.Now);
-      Fleet.Nodes[I]->onCrash(run(I), Parts, Fleet.Now);
+      Fleet.Nodes[I]->onRequest(uniqueRequest(Parts), Fleet.Now);
+      Fleet.Nodes[I]->onCrash(run(I), uniqueRequest(Parts), Fleet.Now);
     }
     Fleet.runUntil(at(11.5));
     CPPUNIT_ASSERT_EQUAL(size_t(5), Fleet.quarantining(Dead));
@@ -209,7 +234,7 @@
     RequestQuarantine Q(1, at(10));
     PartKey Parts[] = {Shared};
     for (uint64_t I = 0; I < 6; ++I)
-      Q.onCrash(run(I), Parts, at(10.1));
+      Q.onCrash(run(I), uniqueRequest(Parts), at(10.1));
     Q.update(at(11.9));
     CPPUNIT_ASSERT(Q.quarantined(at(11.9)).empty());
   }
@@ -229,12 +254,12 @@
     for (uint64_t I = 0; I < 10; ++I)
       Fleet.Nodes[I] =
           std::make_unique<RequestQuarantine>(I * 7'654'321, at(0));
-    QuarantinedPart Known{Dead, 600, 1};
+    QuarantinedTrait Known{{TraitKind::PromptPart, Dead}, 600, 1};
     for (auto &N : Fleet.Nodes)
       N->restore(std::span(&Known, 1), "peer", at(10));
     std::set<TimePoint> Ends;
     for (auto &N : Fleet.Nodes)
-      Ends.insert(*N->quarantinedUntil(std::span(&Dead, 1), at(10)));
+      Ends.insert(N->find(uniqueRequest(std::span(&Dead, 1)), at(10))->Until);
     CPPUNIT_ASSERT_EQUAL(size_t(10), Ends.size());
     CPPUNIT_ASSERT(*Ends.rbegin() - *Ends.begin() <=
                    RequestQuarantine::EndSpread);
@@ -258,24 +283,27 @@
       for (int I = 0; I < 10; ++I) {
         std::vector<PartKey> Parts = Harmless();
         RequestQuarantine &Node = Fleet.anyNode();
-        Node.onRequest(Parts, Fleet.Now);
-        Node.onSurvived(Parts, Fleet.Now, Fleet.Now);
+        RequestTraits Traits = uniqueRequest(Parts);
+        Node.onRequest(Traits, Fleet.Now);
+        Node.onSurvived(Traits, Fleet.Now, Fleet.Now);
       }
       if (IsCrash(Fleet.Random)) {
         RunKey Run = run(NextRun++);
         for (int I = 0; I < 4; ++I) {
           std::vector<PartKey> Bystander = Harmless();
           RequestQuarantine &Node = Fleet.anyNode();
-          Node.onRequest(Bystander, Fleet.Now);
-          Node.onCrash(Run, Bystander, Fleet.Now);
+          RequestTraits Traits = uniqueRequest(Bystander);
+          Node.onRequest(Traits, Fleet.Now);
+          Node.onCrash(Run, Traits, Fleet.Now);
         }
         RequestQuarantine &Node = Fleet.anyNode();
         std::vector<PartKey> Parts = Harmless();
         if (Culprit)
           Parts.push_back(*Culprit);
-        if (!Node.quarantinedUntil(Parts, Fleet.Now)) {
-          Node.onRequest(Parts, Fleet.Now);
-          Node.onCrash(Run, Parts, Fleet.Now);
+        RequestTraits Traits = uniqueRequest(Parts);
+        if (!Node.find(Traits, Fleet.Now)) {
+          Node.onRequest(Traits, Fleet.Now);
+          Node.onCrash(Run, Traits, Fleet.Now);
           ++Crashes;
         }
       }
@@ -309,28 +337,214 @@
     }
   }
 
+  /// Repeats of one request, each of which ends a server, a second apart.
+  static void crashRepeats(RequestQuarantine &Q, const RequestTraits &Traits,
+                           uint64_t Count, double From) {
+    for (uint64_t I = 0; I < Count; ++I) {
+      double Time = From + static_cast<double>(I);
+      Q.onRequest(Traits, at(Time));
+      Q.onCrash(run(static_cast<uint64_t>(Time * 10)), Traits, at(Time));
+      Q.update(at(Time + 0.9));
+    }
+  }
+
+  void requestWhenItCrashedThreeServersIsQuarantined() {
+    RequestQuarantine Q(1, at(0));
+    const RequestTraits Repeated(DeadRequest, {});
+    crashRepeats(Q, Repeated, 2, 10);
+    CPPUNIT_ASSERT(!Q.find(Repeated, at(12)));
+    crashRepeats(Q, Repeated, 1, 12);
+    CPPUNIT_ASSERT(Q.find(Repeated, at(13)));
+    CPPUNIT_ASSERT(!Q.find({SoundRequest, {}}, at(13)));
+  }
+
+  void requestWhenQuarantinedByOneNodeIsRefusedByAll() {
+    VirtualFleet Fleet(5, 1);
+    const RequestTraits Repeated(DeadRequest, {});
+    for (uint64_t I = 0; I < 3; ++I)
+      Fleet.Nodes[I]->onCrash(run(I), Repeated, Fleet.Now);
+    Fleet.runUntil(at(11.5));
+    CPPUNIT_ASSERT_EQUAL(size_t(5), Fleet.refusing(Repeated));
+  }
+
+  void requestWhenARepeatSurvivesIsCleared() {
+    RequestQuarantine Q(1, at(0));
+    const RequestTraits Repeated(SoundRequest, {});
+    crashRepeats(Q, Repeated, 2, 10);
+    Q.onSurvived(Repeated, at(12), at(12.5));
+    crashRepeats(Q, Repeated, 2, 13);
+    CPPUNIT_ASSERT(!Q.find(Repeated, at(15)));
+  }
+
+  void requestsWhenTheyShareAllCrashesWaitForMore() {
+    RequestQuarantine Q(1, at(0));
+    const RequestTraits Deadly(DeadRequest, {});
+    const RequestTraits Bystander(SoundRequest, {});
+    for (uint64_t I = 0; I < 3; ++I) {
+      Q.onCrash(run(I), Deadly, at(10));
+      Q.onCrash(run(I), Bystander, at(10));
+    }
+    Q.update(at(11));
+    CPPUNIT_ASSERT(Q.quarantined(at(11)).empty());
+    crashRepeats(Q, Deadly, 1, 12);
+    CPPUNIT_ASSERT(Q.find(Deadly, at(13)));
+    CPPUNIT_ASSERT(!Q.find(Bystander, at(13)));
+  }
+
+  void requestsWhenTheirCrashesDifferAreQuarantinedAtOnce() {
+    RequestQuarantine Q(1, at(0));
+    const RequestTraits One(DeadRequest, {});
+    const RequestTraits Other(DeadRequest + 1, {});
+    for (uint64_t I = 0; I < 3; ++I) {
+      Q.onCrash(run(I), One, at(10));
+      Q.onCrash(run(10 + I), Other, at(10));
+    }
+    Q.update(at(11));
+    CPPUNIT_ASSERT(Q.find(One, at(11)));
+    CPPUNIT_ASSERT(Q.find(Other, at(11)));
+  }
+
+  void partWhenOnlyOneRequestWithItCrashesIsNotBlamed() {
+    RequestQuarantine Q(1, at(0));
+    const PartKey Parts[] = {Shared};
+    const RequestTraits Deadly(DeadRequest, Parts);
+    for (uint64_t I = 0; I < 6; ++I) {
+      Q.onCrash(run(I), Deadly, at(10));
+      Q.onCrash(run(I), uniqueRequest(Parts), at(10));
+    }
+    Q.update(at(11));
+    CPPUNIT_ASSERT(Q.find(Deadly, at(11)));
+    CPPUNIT_ASSERT(!isQuarantined(Q, Shared, at(11)));
+  }
+
+  void partWhenARequestWithItIsQuarantinedIsStillFound() {
+    RequestQuarantine Q(1, at(0));
+    const PartKey Parts[] = {Dead};
+    crashRepeats(Q, {DeadRequest, Parts}, 3, 10);
+    CPPUNIT_ASSERT(!isQuarantined(Q, Dead, at(13)));
+    crash(Q, {Dead}, 2, 14);
+    CPPUNIT_ASSERT(isQuarantined(Q, Dead, at(16)));
+  }
+
+  /// A request that is sent again while it ends servers, each time on two
+  /// servers, and bystanders of which some are sent again too, to three servers
+  /// at most. \returns the
+  /// crashes until the request was refused everywhere.
+  static size_t playRepeats(VirtualFleet &Fleet, const RequestTraits &Deadly) {
+    std::bernoulli_distribution IsRepeated(0.5);
+    std::bernoulli_distribution ComesAgain(0.2);
+    std::optional<RequestTraits> Again;
+    constexpr int MaxBystanderSends = 3;
+    int BystanderSends = 0;
+    uint64_t NextRun = 1;
+    size_t Crashes = 0;
+    for (TimePoint End = Fleet.Now + std::chrono::seconds(60);
+         Fleet.Now < End;) {
+      RequestQuarantine &Node = Fleet.anyNode();
+      if (ComesAgain(Fleet.Random) && !Node.find(Deadly, Fleet.Now)) {
+        Node.onRequest(Deadly, Fleet.Now);
+        for (int Send = 0; Send < 2; ++Send) {
+          RunKey Run = run(NextRun++);
+          Node.onCrash(Run, Deadly, Fleet.Now);
+          ++Crashes;
+          BystanderSends = Again ? BystanderSends + 1 : 1;
+          RequestTraits Bystander =
+              Again ? *Again : uniqueRequest(std::span(&Shared, 1));
+          Fleet.anyNode().onCrash(Run, Bystander, Fleet.Now);
+          Again.reset();
+          if (BystanderSends < MaxBystanderSends && IsRepeated(Fleet.Random))
+            Again = Bystander;
+        }
+      }
+      Fleet.runUntil(Fleet.Now + std::chrono::milliseconds(200));
+    }
+    return Crashes;
+  }
+
+  void fleetWhenARequestCrashesServersFindsItInFewCrashes() {
+    // Three crashes, the second send of the repeat that made the third, and one
+    // more repeat before all nodes know.
+    constexpr size_t MostCrashes = 6;
+    for (uint64_t Seed = 1; Seed <= 40; ++Seed) {
+      VirtualFleet Fleet(6, Seed);
+      Fleet.Loss = 0.05;
+      const RequestTraits Deadly(DeadRequest, std::span(&Shared, 1));
+      size_t Crashes = playRepeats(Fleet, Deadly);
+      std::string Message = "seed " + std::to_string(Seed) + ", crashes " +
+                            std::to_string(Crashes);
+      CPPUNIT_ASSERT_MESSAGE(Message, Crashes <= MostCrashes);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Message, size_t(6), Fleet.refusing(Deadly));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+          Message, size_t(1), Fleet.Nodes[0]->quarantined(Fleet.Now).size());
+    }
+  }
+
+  void fleetWhenSoundRequestsAreRepeatedQuarantinesNone() {
+    for (uint64_t Seed = 1; Seed <= 40; ++Seed) {
+      VirtualFleet Fleet(6, Seed);
+      Fleet.Loss = 0.05;
+      // Servers end one after the other, each with requests that are then sent
+      // to one more server, which ends as well.
+      for (uint64_t I = 0; I < 100; ++I) {
+        for (int Request = 0; Request < 3; ++Request) {
+          RequestTraits Traits = uniqueRequest(std::span(&Shared, 1));
+          RequestQuarantine &Node = Fleet.anyNode();
+          Node.onRequest(Traits, Fleet.Now);
+          Node.onCrash(run(I), Traits, Fleet.Now);
+          Node.onCrash(run(I + 1), Traits, Fleet.Now);
+          Node.onSurvived(Traits, Fleet.Now + std::chrono::milliseconds(1),
+                          Fleet.Now);
+        }
+        Fleet.runUntil(Fleet.Now + std::chrono::milliseconds(400));
+      }
+      CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(Seed),
+                             !Fleet.isAnyQuarantined());
+    }
+  }
+
+  void witnessesWhenManyAreSplitOverDatagrams() {
+    QuarantineDigest Digest;
+    for (uint64_t I = 0; I < RequestQuarantine::MaxDigestEntries; ++I)
+      Digest.Witnesses.push_back(
+          {I, I, std::vector<PartKey>(MaxPromptParts, I)});
+    uint64_t Next = 0;
+    for (const std::string &Bytes :
+         encodeQuarantine(Digest, MaxDatagramBytes)) {
+      CPPUNIT_ASSERT(Bytes.size() <= MaxDatagramBytes);
+      auto Back = decodeQuarantine(Bytes, MaxDatagramBytes);
+      CPPUNIT_ASSERT(Back.ok());
+      for (const CrashWitness &Each : Back->Witnesses) {
+        CPPUNIT_ASSERT_EQUAL(Next++, Each.Run);
+        CPPUNIT_ASSERT_EQUAL(MaxPromptParts, Each.Parts.size());
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(Digest.Witnesses.size(), size_t(Next));
+  }
+
   void memoryWhenManyPartsCrashIsBounded() {
     RequestQuarantine Q(1, at(0));
     for (uint64_t I = 0; I < 5000; ++I) {
       std::vector<PartKey> Parts = {I, I + 1, I + 2};
-      Q.onRequest(Parts, at(10));
-      Q.onCrash(run(I), Parts, at(10));
+      Q.onRequest(uniqueRequest(Parts), at(10));
+      Q.onCrash(run(I), uniqueRequest(Parts), at(10));
       Q.update(at(10));
     }
     CPPUNIT_ASSERT(Q.suspectCount() <= RequestQuarantine::MaxSuspects);
     CPPUNIT_ASSERT(Q.quarantined(at(10)).size() <=
                    RequestQuarantine::MaxQuarantined);
-    for (const std::string &Bytes : encodeQuarantine(Q.takeDigest(at(10))))
+    for (const std::string &Bytes :
+         encodeQuarantine(Q.takeDigest(at(10)), MaxDatagramBytes))
       CPPUNIT_ASSERT(Bytes.size() <= MaxDatagramBytes);
   }
 
   void digestWhenTruncatedOrCorruptNeverThrows() {
     QuarantineDigest Digest;
-    Digest.Witnesses = {{1, 2}, {3, 4}};
-    Digest.Testimonies = {{5, 6, 7, true}};
-    Digest.Quarantined = {{8, 9, 2}};
+    Digest.Witnesses = {{1, 2, {3, 4}}, {5, 6, {}}};
+    Digest.Testimonies = {{{TraitKind::WholeRequest, 5}, 6, 7, true}};
+    Digest.Quarantined = {{{TraitKind::PromptPart, 8}, 9, 2}};
     std::mt19937_64 Random(7);
-    for (const std::string &Bytes : encodeQuarantine(Digest)) {
+    for (const std::string &Bytes :
+         encodeQuarantine(Digest, MaxDatagramBytes)) {
       CPPUNIT_ASSERT(decodeQuarantine(Bytes, MaxDatagramBytes).ok());
       for (size_t Size = 0; Size < Bytes.size(); ++Size)
         CPPUNIT_ASSERT(
--- a/libs/quarantine/src/TraitHistory.cpp
+++ b/libs/quarantine/src/TraitHistory.cpp
@@ -1,33 +1,35 @@
-//===- TraitHistory.cpp - What happened to requests with a part
-//------------===//
+//===- TraitHistory.cpp - What happened to requests with a trait ----------===//
 #include "ragwort/quarantine/TraitHistory.h"
 #include <utility>
 
 namespace ragwort::quarantine {
 
-TraitCounts &TraitHistory::entry(PartKey Part, TimePoint Now) {
-  bool IsFull = Current.size() >= MaxGenerationParts && !Current.contains(Part);
-  if (IsFull || Now - CurrentSince >= GenerationTime) {
-    Previous = std::exchange(Current, Generation());
-    CurrentSince = Now;
+TraitCounts &TraitHistory::entry(const Trait &T, TimePoint Now) {
+  Generations &G = Kinds[static_cast<size_t>(T.Kind)];
+  bool IsFull =
+      G.Current.size() >= MaxGenerationTraits && !G.Current.contains(T.Key);
+  if (IsFull || Now - G.CurrentSince >= GenerationTime) {
+    G.Previous = std::exchange(G.Current, Generation());
+    G.CurrentSince = Now;
   }
-  return Current[Part];
+  return G.Current[T.Key];
 }
 
-void TraitHistory::addRequest(PartKeys Parts, TimePoint Now) {
-  for (PartKey Part : Parts)
-    ++entry(Part, Now).Requests;
+void TraitHistory::addRequest(const RequestTraits &Traits, TimePoint Now) {
+  for (const Trait &T : Traits.all())
+    ++entry(T, Now).Requests;
 }
 
-void TraitHistory::addSurvival(PartKeys Parts, TimePoint Now) {
-  for (PartKey Part : Parts)
-    ++entry(Part, Now).Survivals;
+void TraitHistory::addSurvival(const RequestTraits &Traits, TimePoint Now) {
+  for (const Trait &T : Traits.all())
+    ++entry(T, Now).Survivals;
 }
 
-TraitCounts TraitHistory::counts(PartKey Part) const {
+TraitCounts TraitHistory::counts(const Trait &T) const {
+  const Generations &Kind = Kinds[static_cast<size_t>(T.Kind)];
   TraitCounts Result;
-  for (const Generation *G : {&Current, &Previous})
-    if (auto Found = G->find(Part); Found != G->end()) {
+  for (const Generation *G : {&Kind.Current, &Kind.Previous})
+    if (auto Found = G->find(T.Key); Found != G->end()) {
       Result.Requests += Found->second.Requests;
       Result.Survivals += Found->second.Survivals;
     }
