--- a/libs/gateway/src/Gateway.cpp
+++ b/libs/gateway/src/Gateway.cpp
@@ -236,9 +236,10 @@
     Result.Organisation = Owner->Name;
     Result.Priority = Owner->Priority.value_or(Target->Priority);
   }
+  std::string_view PromptParts = Message.header(Names.PromptParts);
   Result.Traits = quarantine::RequestTraits(
-      quarantine::fingerprintOf(Message, Result.Organisation),
-      quarantine::sharedPartsOf(Message.header(Names.PromptParts)));
+      quarantine::fingerprintOf(Message, Result.Organisation, PromptParts),
+      quarantine::sharedPartsOf(PromptParts));
   if (auto Active = Quarantine.find(Result.Traits, Arrived))
     return LocalReply{503, quarantineReason(Active->Subject.Kind),
                       Active->Until - Arrived,
--- a/libs/quarantine/include/ragwort/quarantine/RequestFingerprint.h
+++ b/libs/quarantine/include/ragwort/quarantine/RequestFingerprint.h
@@ -10,9 +10,11 @@
 
 /// A hash of what \p Message asks for: method, host, target and body, and the
 /// organisation that asks. A repeat has the same fingerprint under another
-/// request id, at every node.
+/// request id, at every node. Without a body, \p PromptParts, the list of all
+/// parts of the prompt, tells requests apart.
 Fingerprint fingerprintOf(const http::Request &Message,
-                          std::string_view Organisation);
+                          std::string_view Organisation,
+                          std::string_view PromptParts);
 
 } // namespace ragwort::quarantine
 
