Quarantine a whole request after two crashes; let rivals that wait block a decision

Refusing one request harms few callers; another crash closes a group for seconds for all. So two crashes of which no repeat has survived suffice for a whole request; a part still takes three.

--- a/libs/quarantine/include/ragwort/quarantine/RequestQuarantine.h
+++ b/libs/quarantine/include/ragwort/quarantine/RequestQuarantine.h
@@ -80,8 +80,12 @@
 /// \endcode
 class RequestQuarantine {
 public:
-  /// Crashes that quarantine a trait no request has survived.
-  static constexpr size_t MinCrashes = 3;
+  /// Crashes that quarantine a request of which no repeat has survived. Fewer
+  /// than for a part: refusing one request harms few callers, another crash of
+  /// a rank harms all that its group serves.
+  static constexpr size_t MinRequestCrashes = 2;
+  /// Crashes that quarantine a part of which no request has survived.
+  static constexpr size_t MinPartCrashes = 3;
   /// Of the crashes of a part, how many must be under other requests than the
   /// one with the most.
   static constexpr size_t MinOtherCrashes = 2;
@@ -181,6 +185,8 @@
     size_t Crashes = 0;
     // Crashes beyond the number that is needed.
     size_t Excess = 0;
+    // Whether the peers have had time to tell what they know.
+    bool IsSettled = false;
     TraitCounts Counts;
   };
 
--- a/libs/quarantine/src/RequestQuarantine.cpp
+++ b/libs/quarantine/src/RequestQuarantine.cpp
@@ -254,7 +254,9 @@
   // The trait was quarantined before and is being tried again.
   if (Quarantines.contains(T))
     return 1;
-  return MinCrashes + static_cast<size_t>(std::bit_width(Survivals));
+  size_t Unsurvived =
+      T.Kind == TraitKind::WholeRequest ? MinRequestCrashes : MinPartCrashes;
+  return Unsurvived + static_cast<size_t>(std::bit_width(Survivals));
 }
 
 bool RequestQuarantine::isBefore(const Candidate &A, const Candidate &B) {
@@ -282,7 +284,7 @@
 RequestQuarantine::candidates(TimePoint Now) const {
   std::vector<Candidate> Result;
   for (const auto &[T, S] : Suspects) {
-    if (S.Crashes.size() < MinCrashes && !Quarantines.contains(T))
+    if (S.Crashes.size() < MinRequestCrashes && !Quarantines.contains(T))
       continue;
     Candidate C;
     C.Subject = T;
@@ -290,11 +292,11 @@
     C.Crashes = Crashes.Runs;
     C.Counts = fleetCounts(T, S);
     size_t Needed = neededCrashes(T, C.Counts.Survivals);
-    bool MayArrive = Now - S.LastCrashAt < DecisionDelay && Needed > 1 &&
-                     C.Crashes < MaxUndecidedCrashes;
+    C.IsSettled = Now - S.LastCrashAt >= DecisionDelay || Needed == 1 ||
+                  C.Crashes >= MaxUndecidedCrashes;
     bool IsOneRequest = T.Kind == TraitKind::PromptPart && Needed > 1 &&
                         Crashes.OtherRuns < MinOtherCrashes;
-    if (C.Crashes < Needed || MayArrive || IsOneRequest)
+    if (C.Crashes < Needed || IsOneRequest)
       continue;
     C.Excess = C.Crashes - Needed;
     Result.push_back(C);
@@ -309,6 +311,8 @@
 RequestQuarantine::decidable(TimePoint Now) const {
   std::vector<Candidate> Found = candidates(Now);
   for (const Candidate &C : Found) {
+    if (!C.IsSettled)
+      continue;
     // Other suspects of the same crashes that are no less likely.
     std::vector<Candidate> Result = {C};
     bool IsLessLikely = false;
