Quarantine a few requests that cannot be told apart together

Refusing up to two sound requests costs less than another outage of the groups. So up to three requests that share all evidence are quarantined together after two crashes; more of them wait, as after an outage that hits many.

--- a/libs/quarantine/include/ragwort/quarantine/RequestQuarantine.h
+++ b/libs/quarantine/include/ragwort/quarantine/RequestQuarantine.h
@@ -89,6 +89,9 @@
   /// Of the crashes of a part, how many must be under other requests than the
   /// one with the most.
   static constexpr size_t MinOtherCrashes = 2;
+  /// So many requests that cannot be told apart are quarantined together rather
+  /// than let one of them crash another server.
+  static constexpr size_t MaxTiedRequests = 3;
   /// Crashes after which suspects are quarantined that cannot be told apart.
   static constexpr size_t MaxUndecidedCrashes = 5;
   /// Time after a suspect's last crash in which its peers' evidence and counts
@@ -177,8 +180,8 @@
   struct Explanation {
     RunKey Run = 0;
     TimePoint At;
-    // If set, only this request's own parts are still suspected of the crash.
-    std::optional<Fingerprint> Request;
+    // Only the own parts of these requests are still suspected of the crash.
+    std::vector<Fingerprint> Requests;
   };
   struct Candidate {
     Trait Subject;
@@ -194,13 +197,15 @@
   void addCrash(const Trait &T, const CrashWitness &Witness, TimePoint Now);
   void addTestimony(uint64_t Peer, const TraitTestimony &Testimony,
                     TimePoint Now);
-  /// The crash of \p Run is explained by a part, or by \p Request.
-  void explain(RunKey Run, std::optional<Fingerprint> Request, TimePoint Now);
+  /// The crash of \p Run is explained by one of \p Requests, or by a part if
+  /// there are none.
+  void explain(RunKey Run, std::span<const Fingerprint> Requests,
+               TimePoint Now);
   void clear(const Trait &T, Suspect &S, TimePoint Now);
-  /// Refuses \p T until \p Until and explains its crashes by it.
-  void setQuarantine(const Trait &T, TimePoint Until, uint8_t Times,
-                     TimePoint Now);
-  void quarantine(const Candidate &C, TimePoint Now);
+  /// Refuses \p Traits and explains their crashes. The requests among them are
+  /// not told apart.
+  void setQuarantines(std::span<const QuarantinedTrait> Traits, TimePoint Now);
+  void quarantine(std::span<const Candidate> Found, TimePoint Now);
   Suspect &suspectOf(const Trait &T);
   void expire(TimePoint Now);
   bool isQuarantined(const Trait &T, TimePoint Now) const;
--- a/libs/quarantine/src/RequestQuarantine.cpp
+++ b/libs/quarantine/src/RequestQuarantine.cpp
@@ -86,11 +86,11 @@
   const RequestTraits Traits(Witness.Request, Witness.Parts);
   if (std::any_of(Traits.parts().begin(), Traits.parts().end(),
                   [&](const Trait &T) { return isQuarantined(T, Now); })) {
-    explain(Witness.Run, std::nullopt, Now);
+    explain(Witness.Run, {}, Now);
     return;
   }
   if (isQuarantined(Traits.all().front(), Now))
-    explain(Witness.Run, Witness.Request, Now);
+    explain(Witness.Run, std::span(&Witness.Request, 1), Now);
   for (const Trait &T : Traits.all())
     addCrash(T, Witness, Now);
 }
@@ -171,66 +171,77 @@
 
 void RequestQuarantine::restore(std::span<const QuarantinedTrait> Traits,
                                 std::string_view Source, TimePoint Now) {
+  std::vector<QuarantinedTrait> News;
   for (const QuarantinedTrait &Each : Traits) {
     auto Known = Quarantines.find(Each.Subject);
     if (Each.RemainingSeconds == 0 ||
         (Known != Quarantines.end() && Known->second.Times >= Each.Times))
       continue;
-    Duration Remaining = std::min<Duration>(
-        std::chrono::seconds(Each.RemainingSeconds), MaxQuarantine);
+    News.push_back(Each);
+    News.back().RemainingSeconds = std::min(
+        Each.RemainingSeconds, static_cast<uint32_t>(seconds(MaxQuarantine)));
     logEvent(LogLevel::Warning, "quarantined",
              {{"kind", toString(Each.Subject.Kind)},
               {"key", toString(Each.Subject.Key)},
               {"source", Source},
-              {"for_s", seconds(Remaining)},
+              {"for_s", News.back().RemainingSeconds},
               {"times", int(Each.Times)}});
-    setQuarantine(Each.Subject, Now + Remaining, Each.Times, Now);
   }
-}
-
-void RequestQuarantine::setQuarantine(const Trait &T, TimePoint Until,
-                                      uint8_t Times, TimePoint Now) {
-  if (!Quarantines.contains(T) && Quarantines.size() >= MaxQuarantined)
-    Quarantines.erase(std::min_element(Quarantines.begin(), Quarantines.end(),
-                                       [](const auto &A, const auto &B) {
-                                         return A.second.Until < B.second.Until;
-                                       }));
-  Quarantines[T] = {Until, Times};
-  if (auto Found = Suspects.find(T); Found != Suspects.end()) {
+  setQuarantines(News, Now);
+}
+
+void RequestQuarantine::setQuarantines(std::span<const QuarantinedTrait> Traits,
+                                       TimePoint Now) {
+  std::vector<Fingerprint> Requests;
+  for (const QuarantinedTrait &Each : Traits)
+    if (Each.Subject.Kind == TraitKind::WholeRequest)
+      Requests.push_back(Each.Subject.Key);
+  for (const auto &[T, RemainingSeconds, Times] : Traits) {
+    if (!Quarantines.contains(T) && Quarantines.size() >= MaxQuarantined)
+      Quarantines.erase(std::min_element(Quarantines.begin(), Quarantines.end(),
+                                         [](const auto &A, const auto &B) {
+                                           return A.second.Until <
+                                                  B.second.Until;
+                                         }));
+    Quarantines[T] = {Now + std::chrono::seconds(RemainingSeconds), Times};
+    auto Found = Suspects.find(T);
+    if (Found == Suspects.end())
+      continue;
     std::vector<Crash> Crashes = std::move(Found->second.Crashes);
     Suspects.erase(Found);
-    std::optional<Fingerprint> Request;
-    if (T.Kind == TraitKind::WholeRequest)
-      Request = T.Key;
+    bool IsPart = T.Kind == TraitKind::PromptPart;
     for (const Crash &Each : Crashes)
-      explain(Each.Run, Request, Now);
+      explain(Each.Run, IsPart ? std::span<const Fingerprint>() : Requests,
+              Now);
   }
 }
 
-void RequestQuarantine::explain(RunKey Run, std::optional<Fingerprint> Request,
+void RequestQuarantine::explain(RunKey Run,
+                                std::span<const Fingerprint> Requests,
                                 TimePoint Now) {
   auto Known =
       std::find_if(Explained.begin(), Explained.end(),
                    [Run](const Explanation &Each) { return Each.Run == Run; });
-  if (Known != Explained.end()) {
-    if (!Known->Request || Request)
-      return;
-    Known->Request.reset();
-  } else {
+  if (Known == Explained.end()) {
     if (Explained.size() >= MaxExplainedRuns)
       Explained.pop_front();
-    Explained.push_back({Run, Now, Request});
+    Explained.push_back({Run, Now, {Requests.begin(), Requests.end()}});
+    Known = std::prev(Explained.end());
+  } else if (Requests.empty()) {
+    Known->Requests.clear();
   }
   for (auto &[T, S] : Suspects)
     std::erase_if(S.Crashes, [&](const Crash &Each) {
-      return Each.Run == Run && (!Request || Each.Request != *Request);
+      return Each.Run == Run && isExplained(Run, Each.Request);
     });
 }
 
 bool RequestQuarantine::isExplained(RunKey Run, Fingerprint Request) const {
   return std::any_of(
       Explained.begin(), Explained.end(), [&](const Explanation &Each) {
-        return Each.Run == Run && (!Each.Request || *Each.Request != Request);
+        return Each.Run == Run &&
+               std::find(Each.Requests.begin(), Each.Requests.end(), Request) ==
+                   Each.Requests.end();
       });
 }
 
@@ -316,14 +327,18 @@
     // Other suspects of the same crashes that are no less likely.
     std::vector<Candidate> Result = {C};
     bool IsLessLikely = false;
+    bool IsAllSettled = true;
     for (const Candidate &Other : Found)
       if (Other.Subject != C.Subject && !isBefore(C, Other) &&
           sharesRun(C.Subject, Other.Subject)) {
         IsLessLikely |= isBefore(Other, C);
+        IsAllSettled &= Other.IsSettled;
         Result.push_back(Other);
       }
+    bool IsFew = C.Subject.Kind == TraitKind::WholeRequest &&
+                 Result.size() <= MaxTiedRequests && IsAllSettled;
     if (Result.size() == 1 ||
-        (!IsLessLikely && C.Crashes >= MaxUndecidedCrashes))
+        (!IsLessLikely && (IsFew || C.Crashes >= MaxUndecidedCrashes)))
       return Result;
   }
   return {};
@@ -337,26 +352,32 @@
   // suspected.
   for (std::vector<Candidate> Found = decidable(Now); !Found.empty();
        Found = decidable(Now))
-    for (const Candidate &C : Found)
-      quarantine(C, Now);
-}
-
-void RequestQuarantine::quarantine(const Candidate &C, TimePoint Now) {
-  auto Before = Quarantines.find(C.Subject);
-  uint8_t Times = 1;
-  if (Before != Quarantines.end())
-    Times = std::max<uint8_t>(Before->second.Times,
-                              static_cast<uint8_t>(Before->second.Times + 1));
-  logEvent(LogLevel::Warning, "quarantined",
-           {{"kind", toString(C.Subject.Kind)},
-            {"key", toString(C.Subject.Key)},
-            {"source", "evidence"},
-            {"for_s", seconds(length(Times))},
-            {"times", int(Times)},
-            {"crashes", C.Crashes},
-            {"requests", C.Counts.Requests},
-            {"survivals", C.Counts.Survivals}});
-  setQuarantine(C.Subject, Now + length(Times), Times, Now);
+    quarantine(Found, Now);
+}
+
+void RequestQuarantine::quarantine(std::span<const Candidate> Found,
+                                   TimePoint Now) {
+  std::vector<QuarantinedTrait> Traits;
+  for (const Candidate &C : Found) {
+    auto Before = Quarantines.find(C.Subject);
+    uint8_t Times = 1;
+    if (Before != Quarantines.end())
+      Times = std::max<uint8_t>(Before->second.Times,
+                                static_cast<uint8_t>(Before->second.Times + 1));
+    auto ForSeconds = static_cast<uint32_t>(seconds(length(Times)));
+    logEvent(LogLevel::Warning, "quarantined",
+             {{"kind", toString(C.Subject.Kind)},
+              {"key", toString(C.Subject.Key)},
+              {"source", "evidence"},
+              {"for_s", ForSeconds},
+              {"times", int(Times)},
+              {"crashes", C.Crashes},
+              {"tied", Found.size()},
+              {"requests", C.Counts.Requests},
+              {"survivals", C.Counts.Survivals}});
+    Traits.push_back({C.Subject, ForSeconds, Times});
+  }
+  setQuarantines(Traits, Now);
 }
 
 Duration RequestQuarantine::length(uint8_t Times) {
