--- a/libs/quarantine/include/ragwort/quarantine/RequestQuarantine.h
+++ b/libs/quarantine/include/ragwort/quarantine/RequestQuarantine.h
@@ -107,6 +107,9 @@
   /// Nodes let a quarantine end at times spread over this, so that one of them
   /// tries the trait first.
   static constexpr Duration EndSpread = std::chrono::minutes(1);
+  /// After its end, a quarantine is remembered for this long; meanwhile one
+  /// crash renews it.
+  static constexpr Duration EndedLifetime = MaxQuarantine;
   /// Suspicions and explained crashes are forgotten after this time.
   static constexpr Duration EvidenceLifetime = std::chrono::minutes(10);
   /// Time for which own evidence is repeated to peers.
--- a/libs/quarantine/src/RequestQuarantine.cpp
+++ b/libs/quarantine/src/RequestQuarantine.cpp
@@ -397,7 +397,7 @@
     return Now - Item.second.LastCrashAt > EvidenceLifetime;
   });
   std::erase_if(Quarantines, [Now](const auto &Item) {
-    return Now > Item.second.Until + length(Item.second.Times);
+    return Now > Item.second.Until + EndedLifetime;
   });
   while (!Explained.empty() && Now - Explained.front().At > EvidenceLifetime)
     Explained.pop_front();
--- a/libs/quarantine/src/RequestQuarantineTest.cpp
+++ b/libs/quarantine/src/RequestQuarantineTest.cpp
@@ -104,6 +104,7 @@
   CPPUNIT_TEST(nodeWhenItJoinsLearnsTheQuarantinesWithinASecond);
   CPPUNIT_TEST(nodeWhenJustStartedDecidesNothing);
   CPPUNIT_TEST(quarantineWhenEndedIsRenewedByOneCrash);
+  CPPUNIT_TEST(quarantineWhenEndedForHoursIsStillRemembered);
   CPPUNIT_TEST(quarantineWhenItEndsStaysLongerAtSomeNodes);
   CPPUNIT_TEST(requestWhenItCrashedTwoServersIsQuarantined);
   CPPUNIT_TEST(requestWhenQuarantinedByOneNodeIsRefusedByAll);
@@ -251,6 +252,16 @@
     CPPUNIT_ASSERT(Q.quarantined(at(End + 1))[0].RemainingSeconds > 1100);
   }
 
+  void quarantineWhenEndedForHoursIsStillRemembered() {
+    RequestQuarantine Q(1, at(0));
+    const RequestTraits Repeated(DeadRequest, {});
+    crashRepeats(Q, Repeated, 2, 10);
+    constexpr double HoursLater = 12 * 3600;
+    CPPUNIT_ASSERT(!Q.find(Repeated, at(HoursLater)));
+    crashRepeats(Q, Repeated, 1, HoursLater);
+    CPPUNIT_ASSERT(Q.find(Repeated, at(HoursLater + 1)));
+  }
+
   void quarantineWhenItEndsStaysLongerAtSomeNodes() {
     VirtualFleet Fleet(10, 1);
     for (uint64_t I = 0; I < 10; ++I)
