Share the fleets' replaced servers between two tests

CrashingPromptTest and CrashingRequestTest had the same servers that are replaced when they end. No check changed. gateway_tests 208 passed.

--- a/libs/gateway/src/CrashingPromptTest.cpp
+++ b/libs/gateway/src/CrashingPromptTest.cpp
@@ -16,14 +16,13 @@
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr size_t Nodes = 3;
-  static constexpr size_t RunningServers = 4;
   static inline const std::string Served = LoopbackFleet::Served;
   static constexpr const char *CrashingPart = "dead";
   static constexpr const char *SharedPart = "5c1e07a2";
 
   std::unique_ptr<asio::io_context> Io;
   std::unique_ptr<LoopbackFleet> Fleet;
-  std::vector<std::unique_ptr<ScriptedServer>> Servers;
+  std::unique_ptr<ReplacedServers> Servers;
   size_t CrashingArrivals = 0;
 
 public:
@@ -31,11 +30,13 @@
     Io = std::make_unique<asio::io_context>(1);
     Fleet = std::make_unique<LoopbackFleet>(*Io, Nodes);
     CrashingArrivals = 0;
-    replaceEndedServers();
+    Servers = std::make_unique<ReplacedServers>(
+        *Io, *Fleet,
+        [this](const std::string &Request) { return respond(Request); });
   }
 
   void tearDown() override {
-    Servers.clear();
+    Servers.reset();
     Fleet.reset();
     Io.reset();
   }
@@ -54,19 +55,6 @@
            "\r\n\r\n" + Event;
   }
 
-  void replaceEndedServers() {
-    size_t Running = 0;
-    for (const auto &S : Servers)
-      Running += S->isRunning();
-    for (; Running < RunningServers; ++Running) {
-      Servers.push_back(std::make_unique<ScriptedServer>(*Io));
-      Servers.back()->Always = [this](const std::string &Request) {
-        return respond(Request);
-      };
-    }
-    Fleet->list(Servers);
-  }
-
   std::string statusOf(size_t NodeIndex, const std::string &Parts) {
     FleetRequest Request;
     Request.Headers = "Ragwort-Prompt-Parts: " + Parts + "\r\n";
@@ -99,7 +87,7 @@
     for (size_t I = 0; I < Rounds; ++I) {
       LastStatus = statusOf(I % Nodes, crashingPrompt());
       Fleet->exchangeHeartbeats();
-      replaceEndedServers();
+      Servers->replaceEnded();
       HarmlessServed += statusOf((I + 1) % Nodes, harmlessPrompt()) == Served;
     }
     CPPUNIT_ASSERT(CrashingArrivals <= LearningCrashes + LaterArrivals);
--- a/libs/gateway/src/CrashingRequestTest.cpp
+++ b/libs/gateway/src/CrashingRequestTest.cpp
@@ -23,13 +23,12 @@
   static constexpr Duration SettlingTime = std::chrono::seconds(3);
 
   static constexpr size_t Nodes = 3;
-  static constexpr size_t RunningServers = 4;
   static inline const std::string Served = LoopbackFleet::Served;
   static constexpr const char *SharedPart = "5c1e07a2";
 
   std::unique_ptr<asio::io_context> Io;
   std::unique_ptr<LoopbackFleet> Fleet;
-  std::vector<std::unique_ptr<ScriptedServer>> Servers;
+  std::unique_ptr<ReplacedServers> Servers;
   /// Text that only the crashing request has.
   std::string CrashingText;
   size_t CrashingArrivals = 0;
@@ -41,11 +40,13 @@
     Fleet = std::make_unique<LoopbackFleet>(*Io, Nodes);
     CrashingArrivals = 0;
     Crashes = 0;
-    replaceEndedServers();
+    Servers = std::make_unique<ReplacedServers>(
+        *Io, *Fleet,
+        [this](const std::string &Request) { return respond(Request); });
   }
 
   void tearDown() override {
-    Servers.clear();
+    Servers.reset();
     Fleet.reset();
     Io.reset();
   }
@@ -64,19 +65,6 @@
                   "id: 1\ndata: x\n\n");
   }
 
-  void replaceEndedServers() {
-    size_t Running = 0;
-    for (const auto &S : Servers)
-      Running += S->isRunning();
-    for (; Running < RunningServers; ++Running) {
-      Servers.push_back(std::make_unique<ScriptedServer>(*Io));
-      Servers.back()->Always = [this](const std::string &Request) {
-        return respond(Request);
-      };
-    }
-    Fleet->list(Servers);
-  }
-
   static FleetRequest lookup(const std::string &Subject) {
     FleetRequest Result;
     Result.Target = LoopbackFleet::LookupPrefix + Subject;
@@ -102,7 +90,7 @@
           Served, Fleet->statusOf(I, MakeRequest("a" + std::to_string(I))));
     for (size_t I = 0; Crashes < LearningCrashes; ++I) {
       Fleet->statusOf(I % Nodes, Crashing);
-      replaceEndedServers();
+      Servers->replaceEnded();
     }
     Io->run_for(SettlingTime);
     size_t ArrivalsBefore = CrashingArrivals;
@@ -111,7 +99,7 @@
     std::string LastStatus;
     for (size_t I = 0; I < Rounds; ++I) {
       LastStatus = Fleet->statusOf(I % Nodes, Crashing);
-      replaceEndedServers();
+      Servers->replaceEnded();
       FleetRequest Sound = MakeRequest("b" + std::to_string(I));
       SoundServed += Fleet->statusOf((I + 1) % Nodes, Sound) == Served;
     }
--- a/libs/gateway/src/LoopbackFleet.h
+++ b/libs/gateway/src/LoopbackFleet.h
@@ -10,6 +10,7 @@
 
 #include "LoopbackPeers.h"
 #include "ragwort/gateway/PeerExchange.h"
+#include <algorithm>
 
 namespace ragwort::gateway {
 
@@ -138,6 +139,35 @@
   uint64_t LastRequest = 0;
 };
 
+/// Backend servers of a fleet. One that has ended is replaced by a new one.
+class ReplacedServers {
+public:
+  static constexpr size_t Running = 4;
+
+  ReplacedServers(asio::io_context &Io, LoopbackFleet &Fleet,
+                  ScriptedServer::Responder Respond)
+      : Io(Io), Fleet(Fleet), Respond(std::move(Respond)) {
+    replaceEnded();
+  }
+
+  void replaceEnded() {
+    auto Left = static_cast<size_t>(
+        std::count_if(Servers.begin(), Servers.end(),
+                      [](const auto &S) { return S->isRunning(); }));
+    for (; Left < Running; ++Left) {
+      Servers.push_back(std::make_unique<ScriptedServer>(Io));
+      Servers.back()->Always = Respond;
+    }
+    Fleet.list(Servers);
+  }
+
+private:
+  asio::io_context &Io;
+  LoopbackFleet &Fleet;
+  const ScriptedServer::Responder Respond;
+  std::vector<std::unique_ptr<ScriptedServer>> Servers;
+};
+
 } // namespace ragwort::gateway
 
 #endif
