--- a/libs/gateway/include/ragwort/gateway/BackendDirectory.h
+++ b/libs/dispatch/include/ragwort/dispatch/BackendDirectory.h
@@ -8,10 +8,10 @@
 // server writes its entry again.
 //
 //===----------------------------------------------------------------------===//
-#ifndef RAGWORT_GATEWAY_BACKENDDIRECTORY_H
-#define RAGWORT_GATEWAY_BACKENDDIRECTORY_H
+#ifndef RAGWORT_DISPATCH_BACKENDDIRECTORY_H
+#define RAGWORT_DISPATCH_BACKENDDIRECTORY_H
 
-#include "ragwort/gateway/StoreVersion.h"
+#include "ragwort/dispatch/StoreVersion.h"
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -20,7 +20,7 @@
 #include <string_view>
 #include <vector>
 
-namespace ragwort::gateway {
+namespace ragwort::dispatch {
 
 /// One run of a backend server, as registered in the store.
 struct BackendInstance {
@@ -105,6 +105,6 @@
   std::map<std::string, TimePoint, std::less<>> DropAt;
 };
 
-} // namespace ragwort::gateway
+} // namespace ragwort::dispatch
 
 #endif
--- a/libs/gateway/include/ragwort/gateway/Dispatcher.h
+++ b/libs/dispatch/include/ragwort/dispatch/Dispatcher.h
@@ -10,15 +10,15 @@
 // all servers have stated rate limits.
 //
 //===----------------------------------------------------------------------===//
-#ifndef RAGWORT_GATEWAY_DISPATCHER_H
-#define RAGWORT_GATEWAY_DISPATCHER_H
+#ifndef RAGWORT_DISPATCH_DISPATCHER_H
+#define RAGWORT_DISPATCH_DISPATCHER_H
 
-#include "ragwort/gateway/LoadTracker.h"
-#include "ragwort/gateway/RetryBudget.h"
-#include "ragwort/gateway/WaitQueue.h"
+#include "ragwort/dispatch/LoadTracker.h"
+#include "ragwort/dispatch/RetryBudget.h"
+#include "ragwort/dispatch/WaitQueue.h"
 #include <random>
 
-namespace ragwort::gateway {
+namespace ragwort::dispatch {
 
 /// The properties of a request that decide about its placement.
 struct PlacementRequest {
@@ -178,6 +178,6 @@
   std::optional<size_t> Nodes = 1;
 };
 
-} // namespace ragwort::gateway
+} // namespace ragwort::dispatch
 
 #endif
--- a/libs/gateway/include/ragwort/gateway/LoadTracker.h
+++ b/libs/dispatch/include/ragwort/dispatch/LoadTracker.h
@@ -24,19 +24,19 @@
 // node's turn, see RateLimits.h.
 //
 //===----------------------------------------------------------------------===//
-#ifndef RAGWORT_GATEWAY_LOADTRACKER_H
-#define RAGWORT_GATEWAY_LOADTRACKER_H
+#ifndef RAGWORT_DISPATCH_LOADTRACKER_H
+#define RAGWORT_DISPATCH_LOADTRACKER_H
 
-#include "ragwort/gateway/BackendDirectory.h"
-#include "ragwort/gateway/RateLimits.h"
-#include "ragwort/gateway/SelfReports.h"
-#include "ragwort/gateway/ServerSpeed.h"
+#include "ragwort/dispatch/BackendDirectory.h"
+#include "ragwort/dispatch/RateLimits.h"
+#include "ragwort/dispatch/SelfReports.h"
+#include "ragwort/dispatch/ServerSpeed.h"
 #include <algorithm>
 #include <random>
 #include <span>
 #include <unordered_map>
 
-namespace ragwort::gateway {
+namespace ragwort::dispatch {
 
 /// How a send failed, from which the health of its server is judged.
 enum class ServerFault : uint8_t {
@@ -302,6 +302,6 @@
   std::map<std::string, TimePoint, std::less<>> NextTrials;
 };
 
-} // namespace ragwort::gateway
+} // namespace ragwort::dispatch
 
 #endif
--- a/libs/gateway/include/ragwort/gateway/RateLimits.h
+++ b/libs/dispatch/include/ragwort/dispatch/RateLimits.h
@@ -8,15 +8,15 @@
 // Pure: without sockets, clocks and threads.
 //
 //===----------------------------------------------------------------------===//
-#ifndef RAGWORT_GATEWAY_RATELIMITS_H
-#define RAGWORT_GATEWAY_RATELIMITS_H
+#ifndef RAGWORT_DISPATCH_RATELIMITS_H
+#define RAGWORT_DISPATCH_RATELIMITS_H
 
-#include "ragwort/gateway/SelfReports.h"
+#include "ragwort/dispatch/SelfReports.h"
 #include <optional>
 #include <unordered_map>
 #include <vector>
 
-namespace ragwort::gateway {
+namespace ragwort::dispatch {
 
 /// What a server said about its rate limit, as nodes tell it to each other.
 struct RateLimitReport {
@@ -97,6 +97,6 @@
   std::unordered_map<uint64_t, Entry> Entries;
 };
 
-} // namespace ragwort::gateway
+} // namespace ragwort::dispatch
 
 #endif
--- a/libs/gateway/include/ragwort/gateway/RetryBudget.h
+++ b/libs/dispatch/include/ragwort/dispatch/RetryBudget.h
@@ -7,15 +7,15 @@
 // without communication between nodes. FleetSize.h tells how they are counted.
 //
 //===----------------------------------------------------------------------===//
-#ifndef RAGWORT_GATEWAY_RETRYBUDGET_H
-#define RAGWORT_GATEWAY_RETRYBUDGET_H
+#ifndef RAGWORT_DISPATCH_RETRYBUDGET_H
+#define RAGWORT_DISPATCH_RETRYBUDGET_H
 
 #include "ragwort/base/Time.h"
 #include <cstdint>
 #include <deque>
 #include <optional>
 
-namespace ragwort::gateway {
+namespace ragwort::dispatch {
 
 /// Limits for the whole fleet.
 struct RetryBudgetLimits {
@@ -55,6 +55,6 @@
   std::deque<TimePoint> Retries;
 };
 
-} // namespace ragwort::gateway
+} // namespace ragwort::dispatch
 
 #endif
--- a/libs/gateway/include/ragwort/gateway/SelfReports.h
+++ b/libs/dispatch/include/ragwort/dispatch/SelfReports.h
@@ -6,8 +6,8 @@
 // while the server is running.
 //
 //===----------------------------------------------------------------------===//
-#ifndef RAGWORT_GATEWAY_SELFREPORTS_H
-#define RAGWORT_GATEWAY_SELFREPORTS_H
+#ifndef RAGWORT_DISPATCH_SELFREPORTS_H
+#define RAGWORT_DISPATCH_SELFREPORTS_H
 
 #include "ragwort/base/Time.h"
 #include <cstdint>
@@ -17,7 +17,7 @@
 #include <unordered_map>
 #include <vector>
 
-namespace ragwort::gateway {
+namespace ragwort::dispatch {
 
 /// One run of a backend server, as nodes name it to each other.
 struct ServerRun {
@@ -81,6 +81,6 @@
 std::optional<Duration> parsePause(std::string_view Seconds);
 inline constexpr Duration MaxPause = std::chrono::hours(24);
 
-} // namespace ragwort::gateway
+} // namespace ragwort::dispatch
 
 #endif
--- a/libs/gateway/include/ragwort/gateway/ServerSpeed.h
+++ b/libs/dispatch/include/ragwort/dispatch/ServerSpeed.h
@@ -4,14 +4,14 @@
 // its streams. Nodes share the pauses, because each sees only a few streams.
 //
 //===----------------------------------------------------------------------===//
-#ifndef RAGWORT_GATEWAY_SERVERSPEED_H
-#define RAGWORT_GATEWAY_SERVERSPEED_H
+#ifndef RAGWORT_DISPATCH_SERVERSPEED_H
+#define RAGWORT_DISPATCH_SERVERSPEED_H
 
 #include "ragwort/base/Time.h"
 #include <cstdint>
 #include <span>
 
-namespace ragwort::gateway {
+namespace ragwort::dispatch {
 
 /// Latency and pause of the faster servers of a service; 0 if unknown.
 struct UsualTimes {
@@ -61,6 +61,6 @@
 /// Weight of the newest value in the moving averages of a server.
 inline constexpr double AverageWeight = 0.2;
 
-} // namespace ragwort::gateway
+} // namespace ragwort::dispatch
 
 #endif
--- a/libs/gateway/include/ragwort/gateway/StoreVersion.h
+++ b/libs/dispatch/include/ragwort/dispatch/StoreVersion.h
@@ -5,15 +5,15 @@
 // rises with each restore, so that versions are compared by era first.
 //
 //===----------------------------------------------------------------------===//
-#ifndef RAGWORT_GATEWAY_STOREVERSION_H
-#define RAGWORT_GATEWAY_STOREVERSION_H
+#ifndef RAGWORT_DISPATCH_STOREVERSION_H
+#define RAGWORT_DISPATCH_STOREVERSION_H
 
 #include "ragwort/base/Time.h"
 #include <compare>
 #include <cstdint>
 #include <string>
 
-namespace ragwort::gateway {
+namespace ragwort::dispatch {
 
 /// \code
 ///   if (Listed.Version < Known.Version)
@@ -37,6 +37,6 @@
 /// are over, so a tenth of them is reserved for its removal.
 inline constexpr Duration StoreRecoveryGrace = std::chrono::milliseconds(1800);
 
-} // namespace ragwort::gateway
+} // namespace ragwort::dispatch
 
 #endif
--- a/libs/gateway/include/ragwort/gateway/WaitQueue.h
+++ b/libs/dispatch/include/ragwort/dispatch/WaitQueue.h
@@ -7,8 +7,8 @@
 // requests on arrival if their predicted wait is too long.
 //
 //===----------------------------------------------------------------------===//
-#ifndef RAGWORT_GATEWAY_WAITQUEUE_H
-#define RAGWORT_GATEWAY_WAITQUEUE_H
+#ifndef RAGWORT_DISPATCH_WAITQUEUE_H
+#define RAGWORT_DISPATCH_WAITQUEUE_H
 
 #include "ragwort/base/Time.h"
 #include <concepts>
@@ -19,7 +19,7 @@
 #include <tuple>
 #include <vector>
 
-namespace ragwort::gateway {
+namespace ragwort::dispatch {
 
 /// A waiting request.
 struct Waiter {
@@ -85,6 +85,6 @@
   std::vector<TimePoint> Completions;
 };
 
-} // namespace ragwort::gateway
+} // namespace ragwort::dispatch
 
 #endif
--- a/libs/gateway/src/BackendDirectory.cpp
+++ b/libs/dispatch/src/BackendDirectory.cpp
@@ -1,9 +1,9 @@
 //===- BackendDirectory.cpp - The known backend servers -------------------===//
-#include "ragwort/gateway/BackendDirectory.h"
+#include "ragwort/dispatch/BackendDirectory.h"
 #include <algorithm>
 #include <set>
 
-namespace ragwort::gateway {
+namespace ragwort::dispatch {
 
 void BackendDirectory::remove(std::string_view Id) {
   auto Found = Entries.find(Id);
@@ -120,4 +120,4 @@
   return Result;
 }
 
-} // namespace ragwort::gateway
+} // namespace ragwort::dispatch
--- a/libs/gateway/src/BackendDirectoryTest.cpp
+++ b/libs/dispatch/src/BackendDirectoryTest.cpp
@@ -1,8 +1,8 @@
 //===- BackendDirectoryTest.cpp - Tests of BackendDirectory.h -------------===//
-#include "ragwort/gateway/BackendDirectory.h"
+#include "ragwort/dispatch/BackendDirectory.h"
 #include <cppunit/extensions/HelperMacros.h>
 
-namespace ragwort::gateway {
+namespace ragwort::dispatch {
 
 class BackendDirectoryTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(BackendDirectoryTest);
@@ -175,4 +175,4 @@
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(BackendDirectoryTest);
 
-} // namespace ragwort::gateway
+} // namespace ragwort::dispatch
--- a/libs/gateway/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -1,8 +1,8 @@
 //===- Dispatcher.cpp - Send, wait or refuse ------------------------------===//
-#include "ragwort/gateway/Dispatcher.h"
+#include "ragwort/dispatch/Dispatcher.h"
 #include <algorithm>
 
-namespace ragwort::gateway {
+namespace ragwort::dispatch {
 
 std::string_view toString(PlacementRefusal Value) {
   switch (Value) {
@@ -262,4 +262,4 @@
   stateOf(Service).Budget.spend(Now);
 }
 
-} // namespace ragwort::gateway
+} // namespace ragwort::dispatch
--- a/libs/gateway/src/DispatcherTest.cpp
+++ b/libs/dispatch/src/DispatcherTest.cpp
@@ -4,12 +4,12 @@
 // time, and checks the results that callers see.
 //
 //===----------------------------------------------------------------------===//
-#include "ragwort/gateway/Dispatcher.h"
+#include "ragwort/dispatch/Dispatcher.h"
 #include "VirtualRun.h"
 #include <cppunit/extensions/HelperMacros.h>
 #include <set>
 
-namespace ragwort::gateway {
+namespace ragwort::dispatch {
 
 namespace {
 
@@ -501,4 +501,4 @@
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(DispatcherTest);
 
-} // namespace ragwort::gateway
+} // namespace ragwort::dispatch
--- a/libs/gateway/src/LoadTracker.cpp
+++ b/libs/dispatch/src/LoadTracker.cpp
@@ -1,12 +1,12 @@
 //===- LoadTracker.cpp - Load and health of backend servers ---------------===//
-#include "ragwort/gateway/LoadTracker.h"
+#include "ragwort/dispatch/LoadTracker.h"
 #include "ragwort/base/Hash.h"
 #include "ragwort/observe/Log.h"
 #include <algorithm>
 #include <cmath>
 #include <utility>
 
-namespace ragwort::gateway {
+namespace ragwort::dispatch {
 
 namespace {
 
@@ -597,4 +597,4 @@
   return Text;
 }
 
-} // namespace ragwort::gateway
+} // namespace ragwort::dispatch
--- a/libs/gateway/src/LoadTrackerTest.cpp
+++ b/libs/dispatch/src/LoadTrackerTest.cpp
@@ -1,9 +1,9 @@
 //===- LoadTrackerTest.cpp - Tests of LoadTracker.h -----------------------===//
-#include "ragwort/gateway/LoadTracker.h"
+#include "ragwort/dispatch/LoadTracker.h"
 #include "ragwort/base/Hash.h"
 #include <cppunit/extensions/HelperMacros.h>
 
-namespace ragwort::gateway {
+namespace ragwort::dispatch {
 
 class LoadTrackerTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(LoadTrackerTest);
@@ -439,4 +439,4 @@
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(LoadTrackerTest);
 
-} // namespace ragwort::gateway
+} // namespace ragwort::dispatch
--- a/libs/gateway/src/RateLimits.cpp
+++ b/libs/dispatch/src/RateLimits.cpp
@@ -1,11 +1,11 @@
 //===- RateLimits.cpp - Rates that servers take from all nodes together ---===//
-#include "ragwort/gateway/RateLimits.h"
+#include "ragwort/dispatch/RateLimits.h"
 #include "ragwort/base/Hash.h"
 #include <algorithm>
 #include <cmath>
 #include <utility>
 
-namespace ragwort::gateway {
+namespace ragwort::dispatch {
 
 namespace {
 
@@ -174,4 +174,4 @@
   return Result;
 }
 
-} // namespace ragwort::gateway
+} // namespace ragwort::dispatch
--- a/libs/gateway/src/RateLimitsTest.cpp
+++ b/libs/dispatch/src/RateLimitsTest.cpp
@@ -1,12 +1,11 @@
 //===- RateLimitsTest.cpp - Tests of RateLimits.h -------------------------===//
-#include "ragwort/gateway/RateLimits.h"
+#include "ragwort/dispatch/RateLimits.h"
 #include "ragwort/base/Hash.h"
-#include "ragwort/gateway/PeerHeartbeat.h"
 #include <cppunit/extensions/HelperMacros.h>
 #include <deque>
 #include <random>
 
-namespace ragwort::gateway {
+namespace ragwort::dispatch {
 
 class RateLimitsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(RateLimitsTest);
@@ -19,7 +18,6 @@
   CPPUNIT_TEST(limitWhenToldByAPeerIsNotForwarded);
   CPPUNIT_TEST(limitWhenZeroStillAllowsARequestNowAndThen);
   CPPUNIT_TEST(limitsWhenTooManyDropTheOldest);
-  CPPUNIT_TEST(reportsWhenEncodedAreAllSent);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr ServerRun Run{77, 5};
@@ -183,29 +181,8 @@
     CPPUNIT_ASSERT(!Limits.limit({0, 1}));
     CPPUNIT_ASSERT(Limits.limit({1, 1}));
   }
-
-  void reportsWhenEncodedAreAllSent() {
-    std::vector<RateLimitReport> Reports;
-    for (uint64_t I = 0; I < 300; ++I)
-      Reports.push_back({{I, I * 1000},
-                         I % 2 ? std::optional<uint32_t>(I) : std::nullopt,
-                         static_cast<uint16_t>(I)});
-    std::vector<RateLimitReport> Back;
-    for (const std::string &Bytes : encodeRateLimits(Reports)) {
-      CPPUNIT_ASSERT(Bytes.size() <= MaxPeerDatagramBytes);
-      auto Digest = decodeRateLimits(Bytes);
-      CPPUNIT_ASSERT(Digest.ok());
-      Back.insert(Back.end(), Digest->Limits.begin(), Digest->Limits.end());
-      for (size_t Size = 0; Size < Bytes.size(); ++Size)
-        CPPUNIT_ASSERT(!decodeRateLimits(Bytes.substr(0, Size)).ok());
-    }
-    CPPUNIT_ASSERT_EQUAL(Reports.size(), Back.size());
-    CPPUNIT_ASSERT(Back[7].Run == Reports[7].Run);
-    CPPUNIT_ASSERT(Back[7].MilliPerSecond == Reports[7].MilliPerSecond);
-    CPPUNIT_ASSERT(!Back[8].MilliPerSecond);
-  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RateLimitsTest);
 
-} // namespace ragwort::gateway
+} // namespace ragwort::dispatch
--- a/libs/gateway/src/RetryBudget.cpp
+++ b/libs/dispatch/src/RetryBudget.cpp
@@ -1,8 +1,8 @@
 //===- RetryBudget.cpp - This node's share of the retry budget ------------===//
-#include "ragwort/gateway/RetryBudget.h"
+#include "ragwort/dispatch/RetryBudget.h"
 #include <algorithm>
 
-namespace ragwort::gateway {
+namespace ragwort::dispatch {
 
 namespace {
 
@@ -39,4 +39,4 @@
   Retries.push_back(Now);
 }
 
-} // namespace ragwort::gateway
+} // namespace ragwort::dispatch
--- a/libs/gateway/src/RetryBudgetTest.cpp
+++ b/libs/dispatch/src/RetryBudgetTest.cpp
@@ -1,9 +1,9 @@
 //===- RetryBudgetTest.cpp - Tests of RetryBudget.h -----------------------===//
-#include "ragwort/gateway/RetryBudget.h"
+#include "ragwort/dispatch/RetryBudget.h"
 #include <cppunit/extensions/HelperMacros.h>
 #include <random>
 
-namespace ragwort::gateway {
+namespace ragwort::dispatch {
 
 class RetryBudgetTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(RetryBudgetTest);
@@ -56,4 +56,4 @@
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(RetryBudgetTest);
 
-} // namespace ragwort::gateway
+} // namespace ragwort::dispatch
--- a/libs/gateway/src/SelfReports.cpp
+++ b/libs/dispatch/src/SelfReports.cpp
@@ -1,12 +1,12 @@
 //===- SelfReports.cpp - What backend servers said of themselves ----------===//
-#include "ragwort/gateway/SelfReports.h"
+#include "ragwort/dispatch/SelfReports.h"
 #include "ragwort/observe/Log.h"
 #include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <utility>
 
-namespace ragwort::gateway {
+namespace ragwort::dispatch {
 
 SelfReports::Report *SelfReports::reportOf(const ServerRun &Run,
                                            TimePoint Now) {
@@ -100,4 +100,4 @@
   return std::chrono::duration_cast<Duration>(FractionalSeconds(*Value));
 }
 
-} // namespace ragwort::gateway
+} // namespace ragwort::dispatch
--- a/libs/gateway/src/SelfReportsTest.cpp
+++ b/libs/dispatch/src/SelfReportsTest.cpp
@@ -1,8 +1,8 @@
 //===- SelfReportsTest.cpp - Tests of SelfReports.h -----------------------===//
-#include "ragwort/gateway/SelfReports.h"
+#include "ragwort/dispatch/SelfReports.h"
 #include <cppunit/extensions/HelperMacros.h>
 
-namespace ragwort::gateway {
+namespace ragwort::dispatch {
 
 class SelfReportsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(SelfReportsTest);
@@ -90,4 +90,4 @@
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(SelfReportsTest);
 
-} // namespace ragwort::gateway
+} // namespace ragwort::dispatch
--- a/libs/gateway/src/ServerSpeed.cpp
+++ b/libs/dispatch/src/ServerSpeed.cpp
@@ -1,9 +1,9 @@
 //===- ServerSpeed.cpp - How fast a server has been lately ----------------===//
-#include "ragwort/gateway/ServerSpeed.h"
+#include "ragwort/dispatch/ServerSpeed.h"
 #include <algorithm>
 #include <vector>
 
-namespace ragwort::gateway {
+namespace ragwort::dispatch {
 
 namespace {
 
@@ -91,4 +91,4 @@
   return {lowerQuartile(Latencies), lowerQuartile(Gaps)};
 }
 
-} // namespace ragwort::gateway
+} // namespace ragwort::dispatch
--- a/libs/gateway/src/ServerSpeedTest.cpp
+++ b/libs/dispatch/src/ServerSpeedTest.cpp
@@ -1,9 +1,9 @@
 //===- ServerSpeedTest.cpp - Tests of ServerSpeed.h -----------------------===//
-#include "ragwort/gateway/ServerSpeed.h"
+#include "ragwort/dispatch/ServerSpeed.h"
 #include <cppunit/extensions/HelperMacros.h>
 #include <vector>
 
-namespace ragwort::gateway {
+namespace ragwort::dispatch {
 
 class ServerSpeedTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ServerSpeedTest);
@@ -74,4 +74,4 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ServerSpeedTest);
 
-} // namespace ragwort::gateway
+} // namespace ragwort::dispatch
--- a/libs/gateway/src/WaitQueue.cpp
+++ b/libs/dispatch/src/WaitQueue.cpp
@@ -1,8 +1,8 @@
 //===- WaitQueue.cpp - Requests that wait for a slot at one service -------===//
-#include "ragwort/gateway/WaitQueue.h"
+#include "ragwort/dispatch/WaitQueue.h"
 #include <algorithm>
 
-namespace ragwort::gateway {
+namespace ragwort::dispatch {
 
 void WaitQueue::push(const Waiter &W) {
   SortKey Key(W.Priority, W.Since, W.Ticket);
@@ -51,4 +51,4 @@
          static_cast<int64_t>(Completions.size());
 }
 
-} // namespace ragwort::gateway
+} // namespace ragwort::dispatch
--- a/libs/gateway/include/ragwort/gateway/EngineNotifier.h
+++ b/libs/fleet/include/ragwort/fleet/EngineNotifier.h
@@ -6,17 +6,17 @@
 // the entry nodes, since being declined would use up their attempts.
 //
 //===----------------------------------------------------------------------===//
-#ifndef RAGWORT_GATEWAY_ENGINENOTIFIER_H
-#define RAGWORT_GATEWAY_ENGINENOTIFIER_H
+#ifndef RAGWORT_FLEET_ENGINENOTIFIER_H
+#define RAGWORT_FLEET_ENGINENOTIFIER_H
 
-#include "ragwort/gateway/LoadTracker.h"
+#include "ragwort/dispatch/LoadTracker.h"
 #include "ragwort/rankgroup/EngineTypes.h"
 #include "ragwort/transport/DatagramSocket.h"
 #include <optional>
 #include <set>
 #include <string>
 
-namespace ragwort::gateway {
+namespace ragwort::fleet {
 
 /// Derives the condition to report to the entry nodes, with hysteresis.
 class EngineConditionTracker {
@@ -33,7 +33,7 @@
 
   /// \returns the condition to send after \p Report; no value while the engine
   /// runs normally.
-  std::optional<EngineCondition>
+  std::optional<dispatch::EngineCondition>
   onReport(const rankgroup::EngineReport &Report);
 
 private:
@@ -60,7 +60,7 @@
   void onReport(const rankgroup::EngineReport &Report);
 
 private:
-  void send(EngineCondition Condition);
+  void send(dispatch::EngineCondition Condition);
 
   const std::string EngineAddress;
   const uint16_t EntryPort;
@@ -68,9 +68,9 @@
   std::set<std::string> EntryIps;
   EngineConditionTracker Tracker;
   // The condition after the last report.
-  std::optional<EngineCondition> LastCondition;
+  std::optional<dispatch::EngineCondition> LastCondition;
 };
 
-} // namespace ragwort::gateway
+} // namespace ragwort::fleet
 
 #endif
--- a/libs/gateway/include/ragwort/gateway/FleetSize.h
+++ b/libs/fleet/include/ragwort/fleet/FleetSize.h
@@ -6,8 +6,8 @@
 // used its share already, and not while it is cut off from them.
 //
 //===----------------------------------------------------------------------===//
-#ifndef RAGWORT_GATEWAY_FLEETSIZE_H
-#define RAGWORT_GATEWAY_FLEETSIZE_H
+#ifndef RAGWORT_FLEET_FLEETSIZE_H
+#define RAGWORT_FLEET_FLEETSIZE_H
 
 #include "ragwort/base/Time.h"
 #include <cstddef>
@@ -16,7 +16,7 @@
 #include <string>
 #include <string_view>
 
-namespace ragwort::gateway {
+namespace ragwort::fleet {
 
 /// \code
 ///   FleetSize Fleet(std::chrono::seconds(10), Now);
@@ -53,6 +53,6 @@
   std::map<std::string, TimePoint, std::less<>> CountsUntil;
 };
 
-} // namespace ragwort::gateway
+} // namespace ragwort::fleet
 
 #endif
--- /dev/null
+++ b/libs/fleet/include/ragwort/fleet/NodeLifecycle.h
@@ -0,0 +1,22 @@
+//===- NodeLifecycle.h - Graceful shutdown and suspension detection -------===//
+#ifndef RAGWORT_FLEET_NODELIFECYCLE_H
+#define RAGWORT_FLEET_NODELIFECYCLE_H
+
+#include "ragwort/fleet/PeerExchange.h"
+
+namespace ragwort::fleet {
+
+/// Shuts down without interrupting requests: stops being ready, waits until the
+/// load balancer in front has noticed, closes idle connections and returns when
+/// no request is left, or shortly before \p Grace is over.
+asio::awaitable<void> shutDownGracefully(gateway::Gateway &Node,
+                                         PeerExchange &Peers, Duration Grace);
+
+/// Calls Gateway::onSuspended() after each time that the process was suspended,
+/// until \p IsStopping is true.
+asio::awaitable<void> watchForSuspension(gateway::Gateway &Node,
+                                         const bool &IsStopping);
+
+} // namespace ragwort::fleet
+
+#endif
--- a/libs/gateway/include/ragwort/gateway/PeerExchange.h
+++ b/libs/fleet/include/ragwort/fleet/PeerExchange.h
@@ -5,16 +5,16 @@
 // configuration or the list of servers from a peer that has a newer version.
 //
 //===----------------------------------------------------------------------===//
-#ifndef RAGWORT_GATEWAY_PEEREXCHANGE_H
-#define RAGWORT_GATEWAY_PEEREXCHANGE_H
+#ifndef RAGWORT_FLEET_PEEREXCHANGE_H
+#define RAGWORT_FLEET_PEEREXCHANGE_H
 
-#include "ragwort/gateway/FleetSize.h"
+#include "ragwort/fleet/FleetSize.h"
+#include "ragwort/fleet/PeerHeartbeat.h"
 #include "ragwort/gateway/Gateway.h"
-#include "ragwort/gateway/PeerHeartbeat.h"
 #include "ragwort/http/HttpServer.h"
 #include "ragwort/transport/DatagramSocket.h"
 
-namespace ragwort::gateway {
+namespace ragwort::fleet {
 
 struct PeerOptions {
   std::string Node;
@@ -64,7 +64,8 @@
   static constexpr std::string_view DigestHeader = "Ragwort-Digest";
 
   /// \p ApplyConfig decodes a document and applies it.
-  PeerExchange(asio::io_context &Io, PeerOptions Options, Gateway &Node,
+  PeerExchange(asio::io_context &Io, PeerOptions Options,
+               gateway::Gateway &Node,
                std::function<void(ConfigDocument)> ApplyConfig);
 
   absl::Status listen();
@@ -91,7 +92,7 @@
     TimePoint AddedAt;
     TimePoint LastHeardAt{};
     uint64_t ConfigVersion = 0;
-    StoreVersion DirectoryVersion;
+    dispatch::StoreVersion DirectoryVersion;
     bool IsLeaving = false;
 
     bool wasHeardWithin(Duration Time, TimePoint Now) const {
@@ -114,7 +115,7 @@
 
   asio::io_context &Io;
   const PeerOptions Options;
-  Gateway &Node;
+  gateway::Gateway &Node;
   const std::function<void(ConfigDocument)> ApplyConfig;
   DatagramSocket Socket;
   http::Server DocumentServer;
@@ -124,13 +125,13 @@
   std::map<std::string, Peer> Peers;
   TimePoint ConfigBehindSince{};
   TimePoint DirectoryBehindSince{};
-  StoreVersion LastDirectoryVersion;
+  dispatch::StoreVersion LastDirectoryVersion;
   bool IsFetchingConfig = false;
   bool IsFetchingDirectory = false;
   bool IsLeaving = false;
   bool IsPeerLimitLogged = false;
 };
 
-} // namespace ragwort::gateway
+} // namespace ragwort::fleet
 
 #endif
--- a/libs/gateway/include/ragwort/gateway/PeerHeartbeat.h
+++ b/libs/fleet/include/ragwort/fleet/PeerHeartbeat.h
@@ -5,17 +5,17 @@
 // peer.
 //
 //===----------------------------------------------------------------------===//
-#ifndef RAGWORT_GATEWAY_PEERHEARTBEAT_H
-#define RAGWORT_GATEWAY_PEERHEARTBEAT_H
+#ifndef RAGWORT_FLEET_PEERHEARTBEAT_H
+#define RAGWORT_FLEET_PEERHEARTBEAT_H
 
-#include "ragwort/gateway/BackendDirectory.h"
-#include "ragwort/gateway/LoadTracker.h"
+#include "ragwort/dispatch/BackendDirectory.h"
+#include "ragwort/dispatch/LoadTracker.h"
 #include <absl/status/statusor.h>
 #include <string>
 #include <string_view>
 #include <vector>
 
-namespace ragwort::gateway {
+namespace ragwort::fleet {
 
 /// Largest datagram that is sent to or accepted from a peer, in bytes.
 inline constexpr size_t MaxPeerDatagramBytes = 1400;
@@ -32,8 +32,8 @@
   uint64_t Incarnation = 0;
   bool IsLeaving = false;
   uint64_t ConfigVersion = 0;
-  StoreVersion DirectoryVersion;
-  std::vector<InFlightReport> InFlight;
+  dispatch::StoreVersion DirectoryVersion;
+  std::vector<dispatch::InFlightReport> InFlight;
   /// IP addresses of other nodes, so that a new node discovers all of them.
   std::vector<std::string> PeerIps;
 };
@@ -50,7 +50,7 @@
   static constexpr uint16_t Protocol = 1002;
 
   std::string EngineAddress;
-  EngineCondition Condition = EngineCondition::Straggles;
+  dispatch::EngineCondition Condition = dispatch::EngineCondition::Straggles;
 };
 std::string encodeNotice(const EngineNotice &Notice);
 absl::StatusOr<EngineNotice> decodeNotice(std::string_view Datagram);
@@ -60,38 +60,39 @@
 struct NoticeDigest {
   static constexpr uint16_t Protocol = 1003;
 
-  std::vector<EngineConditionReport> Entries;
+  std::vector<dispatch::EngineConditionReport> Entries;
 };
 /// \returns as many datagrams as \p Entries require; none if it is empty.
 std::vector<std::string>
-encodeDigests(std::span<const EngineConditionReport> Entries);
+encodeDigests(std::span<const dispatch::EngineConditionReport> Entries);
 absl::StatusOr<NoticeDigest> decodeDigest(std::string_view Datagram);
 
 /// The servers that told a node that they are leaving, for its peers.
 struct LeavingDigest {
   static constexpr uint16_t Protocol = 1004;
 
-  std::vector<ServerRun> Leaving;
+  std::vector<dispatch::ServerRun> Leaving;
 };
 /// \returns as many datagrams as \p Leaving requires; none if it is empty.
-std::vector<std::string> encodeLeaving(std::span<const ServerRun> Leaving);
+std::vector<std::string>
+encodeLeaving(std::span<const dispatch::ServerRun> Leaving);
 absl::StatusOr<LeavingDigest> decodeLeaving(std::string_view Datagram);
 
 /// What servers told a node about their rate limits, for its peers.
 struct RateLimitDigest {
   static constexpr uint16_t Protocol = 1006;
 
-  std::vector<RateLimitReport> Limits;
+  std::vector<dispatch::RateLimitReport> Limits;
 };
 /// \returns as many datagrams as \p Limits requires; none if it is empty.
 std::vector<std::string>
-encodeRateLimits(std::span<const RateLimitReport> Limits);
+encodeRateLimits(std::span<const dispatch::RateLimitReport> Limits);
 absl::StatusOr<RateLimitDigest> decodeRateLimits(std::string_view Datagram);
 
 /// The directory of backend servers at one version.
 struct DirectorySnapshot {
-  StoreVersion Version;
-  std::vector<BackendInstance> Instances;
+  dispatch::StoreVersion Version;
+  std::vector<dispatch::BackendInstance> Instances;
 };
 /// The instances of one service, for the agents of its engines: a small part of
 /// the directory, which thousands of agents would otherwise fetch.
@@ -104,6 +105,6 @@
 std::string encodeDirectory(const DirectorySnapshot &Snapshot);
 absl::StatusOr<DirectorySnapshot> decodeDirectory(std::string_view Bytes);
 
-} // namespace ragwort::gateway
+} // namespace ragwort::fleet
 
 #endif
--- a/libs/gateway/include/ragwort/gateway/RowStore.h
+++ b/libs/fleet/include/ragwort/fleet/RowStore.h
@@ -4,10 +4,10 @@
 // their changes.
 //
 //===----------------------------------------------------------------------===//
-#ifndef RAGWORT_GATEWAY_ROWSTORE_H
-#define RAGWORT_GATEWAY_ROWSTORE_H
+#ifndef RAGWORT_FLEET_ROWSTORE_H
+#define RAGWORT_FLEET_ROWSTORE_H
 
-#include "ragwort/gateway/StoreVersion.h"
+#include "ragwort/dispatch/StoreVersion.h"
 #include "ragwort/transport/Asio.h"
 #include <absl/status/statusor.h>
 #include <concepts>
@@ -15,7 +15,7 @@
 #include <string>
 #include <vector>
 
-namespace ragwort::gateway {
+namespace ragwort::fleet {
 
 /// A row, or the record of its removal.
 struct StoredRow {
@@ -29,13 +29,13 @@
 /// The rows of a table at one version of the store.
 struct RowList {
   std::vector<StoredRow> Rows;
-  StoreVersion Version;
+  dispatch::StoreVersion Version;
 };
 
 /// Changes of a table in order, up to and including a version.
 struct RowChanges {
   std::vector<StoredRow> Rows;
-  StoreVersion Version;
+  dispatch::StoreVersion Version;
   /// The store no longer has the requested changes; the table must be listed
   /// again.
   bool IsHistoryLost = false;
@@ -55,6 +55,6 @@
     } -> std::same_as<asio::awaitable<absl::StatusOr<RowChanges>>>;
 };
 
-} // namespace ragwort::gateway
+} // namespace ragwort::fleet
 
 #endif
--- a/libs/gateway/include/ragwort/gateway/StoreSinks.h
+++ b/libs/fleet/include/ragwort/fleet/StoreSinks.h
@@ -4,20 +4,20 @@
 // servers. Rows are decoded by functions that the adapter supplies.
 //
 //===----------------------------------------------------------------------===//
-#ifndef RAGWORT_GATEWAY_STORESINKS_H
-#define RAGWORT_GATEWAY_STORESINKS_H
+#ifndef RAGWORT_FLEET_STORESINKS_H
+#define RAGWORT_FLEET_STORESINKS_H
 
-#include "ragwort/gateway/PeerExchange.h"
-#include "ragwort/gateway/RowStore.h"
+#include "ragwort/fleet/PeerExchange.h"
+#include "ragwort/fleet/RowStore.h"
 #include <functional>
 #include <set>
 
-namespace ragwort::gateway {
+namespace ragwort::fleet {
 
 using ConfigDecoder =
-    std::function<absl::StatusOr<std::shared_ptr<const TrafficConfig>>(
+    std::function<absl::StatusOr<std::shared_ptr<const gateway::TrafficConfig>>(
         std::string_view Document)>;
-using InstanceDecoder = std::function<absl::StatusOr<BackendInstance>(
+using InstanceDecoder = std::function<absl::StatusOr<dispatch::BackendInstance>(
     std::string_view Id, std::string_view Row)>;
 
 /// Applies the operators' configuration to the gateway and makes it available
@@ -25,7 +25,7 @@
 class ConfigSink {
 public:
   /// \p Key names the row that holds the newest configuration.
-  ConfigSink(Gateway &Node, PeerExchange &Peers, std::string Key,
+  ConfigSink(gateway::Gateway &Node, PeerExchange &Peers, std::string Key,
              ConfigDecoder Decode)
       : Node(Node), Peers(Peers), Key(std::move(Key)),
         Decode(std::move(Decode)) {}
@@ -37,7 +37,7 @@
   void apply(const std::string &Document);
 
 private:
-  Gateway &Node;
+  gateway::Gateway &Node;
   PeerExchange &Peers;
   const std::string Key;
   const ConfigDecoder Decode;
@@ -46,18 +46,18 @@
 /// Keeps the gateway's directory of backend servers up to date.
 class DirectorySink {
 public:
-  DirectorySink(Gateway &Node, InstanceDecoder Decode)
+  DirectorySink(gateway::Gateway &Node, InstanceDecoder Decode)
       : Node(Node), Decode(std::move(Decode)) {}
 
   void onList(RowList List, std::optional<TimePoint> GraceUntil);
   void onChanges(RowChanges Changes, std::optional<TimePoint> GraceUntil);
 
 private:
-  std::optional<BackendInstance> decodeRow(const StoredRow &Row);
-  void logChange(const StoredRow &Row, const DirectoryChange &Change,
+  std::optional<dispatch::BackendInstance> decodeRow(const StoredRow &Row);
+  void logChange(const StoredRow &Row, const dispatch::DirectoryChange &Change,
                  bool IsInGrace) const;
 
-  Gateway &Node;
+  gateway::Gateway &Node;
   const InstanceDecoder Decode;
   // Rows beyond this number are skipped without a log line.
   static constexpr size_t MaxUndecodableKeys = 1024;
@@ -66,6 +66,6 @@
   std::set<std::string> UndecodableKeys;
 };
 
-} // namespace ragwort::gateway
+} // namespace ragwort::fleet
 
 #endif
--- a/libs/gateway/include/ragwort/gateway/TableFollower.h
+++ b/libs/fleet/include/ragwort/fleet/TableFollower.h
@@ -6,17 +6,17 @@
 // that the store has just recovered.
 //
 //===----------------------------------------------------------------------===//
-#ifndef RAGWORT_GATEWAY_TABLEFOLLOWER_H
-#define RAGWORT_GATEWAY_TABLEFOLLOWER_H
+#ifndef RAGWORT_FLEET_TABLEFOLLOWER_H
+#define RAGWORT_FLEET_TABLEFOLLOWER_H
 
-#include "ragwort/gateway/RowStore.h"
+#include "ragwort/fleet/RowStore.h"
 #include "ragwort/observe/Log.h"
 #include <algorithm>
 #include <functional>
 #include <optional>
 #include <random>
 
-namespace ragwort::gateway {
+namespace ragwort::fleet {
 
 /// Receives what a follower reads. \p GraceUntil has a value only for a short
 /// time after the store has become reachable again or was restored: until then,
@@ -141,7 +141,7 @@
   }
 
   std::optional<TimePoint> graceUntil() const {
-    TimePoint Until = RecoveredAt + StoreRecoveryGrace;
+    TimePoint Until = RecoveredAt + dispatch::StoreRecoveryGrace;
     bool IsRecovering = RecoveredAt != TimePoint() && Clock.now() < Until;
     return IsRecovering ? std::optional(Until) : std::nullopt;
   }
@@ -182,7 +182,7 @@
   SteadyClock Clock;
   // The last version that the sink has received; its era may be newer while the
   // table has to be listed again.
-  StoreVersion Version;
+  dispatch::StoreVersion Version;
   bool IsListed = false;
   Duration Backoff = Timing.InitialBackoff;
   TimePoint RecoveredAt{};
@@ -192,6 +192,6 @@
   bool IsStopped = false;
 };
 
-} // namespace ragwort::gateway
+} // namespace ragwort::fleet
 
 #endif
--- a/libs/gateway/src/CrashingPromptTest.cpp
+++ b/libs/fleet/src/CrashingPromptTest.cpp
@@ -8,7 +8,7 @@
 #include "LoopbackFleet.h"
 #include <cppunit/extensions/HelperMacros.h>
 
-namespace ragwort::gateway {
+namespace ragwort::fleet {
 
 class CrashingPromptTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(CrashingPromptTest);
@@ -44,11 +44,11 @@
 private:
   std::string respond(const std::string &Request) {
     std::string Head =
-        "HTTP/1.1 200 OK\r\nRagwort-Request-Id: " + idOf(Request) + "\r\n" +
-        Stamp + "Content-Type: text/event-stream\r\n";
+        "HTTP/1.1 200 OK\r\nRagwort-Request-Id: " + gateway::idOf(Request) +
+        "\r\n" + gateway::Stamp + "Content-Type: text/event-stream\r\n";
     if (Request.find(CrashingPart) != std::string::npos) {
       ++CrashingArrivals;
-      return Head + "\r\n" + ScriptedServer::Crash;
+      return Head + "\r\n" + gateway::ScriptedServer::Crash;
     }
     std::string Event = "id: 1\ndata: x\n\n";
     return Head + "Content-Length: " + std::to_string(Event.size()) +
@@ -99,4 +99,4 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CrashingPromptTest);
 
-} // namespace ragwort::gateway
+} // namespace ragwort::fleet
--- a/libs/gateway/src/CrashingRequestTest.cpp
+++ b/libs/fleet/src/CrashingRequestTest.cpp
@@ -8,7 +8,7 @@
 #include "LoopbackFleet.h"
 #include <cppunit/extensions/HelperMacros.h>
 
-namespace ragwort::gateway {
+namespace ragwort::fleet {
 
 class CrashingRequestTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(CrashingRequestTest);
@@ -56,13 +56,15 @@
     if (Request.find(CrashingText) != std::string::npos) {
       ++CrashingArrivals;
       ++Crashes;
-      return ScriptedServer::Crash;
+      return gateway::ScriptedServer::Crash;
     }
     if (Request.find(LoopbackFleet::LookupPrefix) != std::string::npos)
-      return answer("200 OK", idOf(Request), Stamp, "found");
-    return answer("200 OK", idOf(Request),
-                  Stamp + "Content-Type: text/event-stream\r\n",
-                  "id: 1\ndata: x\n\n");
+      return gateway::answer("200 OK", gateway::idOf(Request), gateway::Stamp,
+                             "found");
+    return gateway::answer("200 OK", gateway::idOf(Request),
+                           gateway::Stamp +
+                               "Content-Type: text/event-stream\r\n",
+                           "id: 1\ndata: x\n\n");
   }
 
   static FleetRequest lookup(const std::string &Subject) {
@@ -121,4 +123,4 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CrashingRequestTest);
 
-} // namespace ragwort::gateway
+} // namespace ragwort::fleet
--- a/libs/gateway/src/EngineNotifier.cpp
+++ b/libs/fleet/src/EngineNotifier.cpp
@@ -1,12 +1,12 @@
 //===- EngineNotifier.cpp - Reports an engine's condition to entry nodes --===//
-#include "ragwort/gateway/EngineNotifier.h"
-#include "ragwort/gateway/PeerHeartbeat.h"
+#include "ragwort/fleet/EngineNotifier.h"
+#include "ragwort/fleet/PeerHeartbeat.h"
 #include "ragwort/observe/Log.h"
 #include <cmath>
 
-namespace ragwort::gateway {
+namespace ragwort::fleet {
 
-std::optional<EngineCondition>
+std::optional<dispatch::EngineCondition>
 EngineConditionTracker::onReport(const rankgroup::EngineReport &Report) {
   // An engine without a group delays no other rank. The entry nodes judge it by
   // its load and responses.
@@ -16,14 +16,14 @@
       Report.Slowdown >= (IsStraggler ? RecoveredSlowdown : StragglerSlowdown);
   if (IsInGroup && !Report.IsOpen) {
     OpenedRepeatsLeft = OpenedRepeats;
-    return EngineCondition::Closed;
+    return dispatch::EngineCondition::Closed;
   }
   if (OpenedRepeatsLeft > 0) {
     --OpenedRepeatsLeft;
-    return EngineCondition::Opened;
+    return dispatch::EngineCondition::Opened;
   }
   if (IsStraggler)
-    return EngineCondition::Straggles;
+    return dispatch::EngineCondition::Straggles;
   return std::nullopt;
 }
 
@@ -39,7 +39,7 @@
 }
 
 void EngineNotifier::onReport(const rankgroup::EngineReport &Report) {
-  std::optional<EngineCondition> Condition = Tracker.onReport(Report);
+  std::optional<dispatch::EngineCondition> Condition = Tracker.onReport(Report);
   if (Condition != LastCondition)
     logEvent(LogLevel::Warning, "engine-condition",
              {{"condition", Condition ? toString(*Condition) : "normal"},
@@ -53,11 +53,11 @@
     send(*Condition);
 }
 
-void EngineNotifier::send(EngineCondition Condition) {
+void EngineNotifier::send(dispatch::EngineCondition Condition) {
   std::string Bytes = encodeNotice({EngineAddress, Condition});
   // Lost notices are not resent; the next report sends another one.
   for (const std::string &Ip : EntryIps)
     Socket.send(Bytes, {Ip, EntryPort});
 }
 
-} // namespace ragwort::gateway
+} // namespace ragwort::fleet
--- a/libs/gateway/src/EngineNotifierTest.cpp
+++ b/libs/fleet/src/EngineNotifierTest.cpp
@@ -1,9 +1,9 @@
 //===- EngineNotifierTest.cpp - Tests of EngineNotifier.h -----------------===//
-#include "ragwort/gateway/EngineNotifier.h"
-#include "ragwort/gateway/PeerHeartbeat.h"
+#include "ragwort/fleet/EngineNotifier.h"
+#include "ragwort/fleet/PeerHeartbeat.h"
 #include <cppunit/extensions/HelperMacros.h>
 
-namespace ragwort::gateway {
+namespace ragwort::fleet {
 
 class EngineNotifierTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(EngineNotifierTest);
@@ -33,8 +33,10 @@
   void trackerWhenSlowdownFluctuatesKeepsItsCondition() {
     EngineConditionTracker Tracker;
     CPPUNIT_ASSERT(!Tracker.onReport(report(1.8)));
-    CPPUNIT_ASSERT(Tracker.onReport(report(4)) == EngineCondition::Straggles);
-    CPPUNIT_ASSERT(Tracker.onReport(report(1.8)) == EngineCondition::Straggles);
+    CPPUNIT_ASSERT(Tracker.onReport(report(4)) ==
+                   dispatch::EngineCondition::Straggles);
+    CPPUNIT_ASSERT(Tracker.onReport(report(1.8)) ==
+                   dispatch::EngineCondition::Straggles);
     CPPUNIT_ASSERT(!Tracker.onReport(report(1.2)));
     CPPUNIT_ASSERT(!Tracker.onReport(report(1.8)));
   }
@@ -51,9 +53,11 @@
     EngineConditionTracker Tracker;
     CPPUNIT_ASSERT(!Tracker.onReport(report(1)));
     for (int I = 0; I < 5; ++I)
-      CPPUNIT_ASSERT(Tracker.onReport(closed()) == EngineCondition::Closed);
+      CPPUNIT_ASSERT(Tracker.onReport(closed()) ==
+                     dispatch::EngineCondition::Closed);
     for (uint32_t I = 0; I < EngineConditionTracker::OpenedRepeats; ++I)
-      CPPUNIT_ASSERT(Tracker.onReport(report(1)) == EngineCondition::Opened);
+      CPPUNIT_ASSERT(Tracker.onReport(report(1)) ==
+                     dispatch::EngineCondition::Opened);
     CPPUNIT_ASSERT(!Tracker.onReport(report(1)));
   }
 
@@ -74,9 +78,9 @@
     auto Notice = decodeNotice(std::string_view(Buffer.data(), Size));
     CPPUNIT_ASSERT(Notice.ok());
     CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.9:80"), Notice->EngineAddress);
-    CPPUNIT_ASSERT(Notice->Condition == EngineCondition::Straggles);
+    CPPUNIT_ASSERT(Notice->Condition == dispatch::EngineCondition::Straggles);
   }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(EngineNotifierTest);
 
-} // namespace ragwort::gateway
+} // namespace ragwort::fleet
--- a/libs/gateway/src/FleetSize.cpp
+++ b/libs/fleet/src/FleetSize.cpp
@@ -1,8 +1,8 @@
 //===- FleetSize.cpp - Number of nodes that share an allowance ------------===//
-#include "ragwort/gateway/FleetSize.h"
+#include "ragwort/fleet/FleetSize.h"
 #include <algorithm>
 
-namespace ragwort::gateway {
+namespace ragwort::fleet {
 
 void FleetSize::onNamed(std::string_view Peer, TimePoint Now) {
   if (!CountsUntil.contains(Peer))
@@ -39,4 +39,4 @@
   return Known;
 }
 
-} // namespace ragwort::gateway
+} // namespace ragwort::fleet
--- a/libs/gateway/src/FleetSizeTest.cpp
+++ b/libs/fleet/src/FleetSizeTest.cpp
@@ -1,16 +1,17 @@
 //===- FleetSizeTest.cpp - Tests of FleetSize.h ---------------------------===//
-#include "ragwort/gateway/FleetSize.h"
-#include "ragwort/gateway/RetryBudget.h"
+#include "ragwort/fleet/FleetSize.h"
+#include "ragwort/dispatch/RetryBudget.h"
 #include <cppunit/extensions/HelperMacros.h>
 #include <optional>
 #include <random>
 #include <vector>
 
-namespace ragwort::gateway {
+namespace ragwort::fleet {
 
 namespace {
 
-constexpr RetryBudgetLimits Limits{0.2, 194, std::chrono::seconds(10)};
+constexpr dispatch::RetryBudgetLimits Limits{0.2, 194,
+                                             std::chrono::seconds(10)};
 constexpr int64_t StepMillis = 200;
 constexpr int64_t WindowSteps = 10'000 / StepMillis;
 
@@ -58,7 +59,7 @@
 private:
   struct Node {
     std::optional<FleetSize> Fleet;
-    std::optional<RetryBudget> Budget;
+    std::optional<dispatch::RetryBudget> Budget;
     bool IsUp = true;
     // Nodes hear each other if they are in the same part of the network.
     int Part = 0;
@@ -207,4 +208,4 @@
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(FleetSizeTest);
 
-} // namespace ragwort::gateway
+} // namespace ragwort::fleet
--- a/libs/gateway/src/LoopbackFleet.h
+++ b/libs/fleet/src/LoopbackFleet.h
@@ -5,14 +5,14 @@
 // repeated.
 //
 //===----------------------------------------------------------------------===//
-#ifndef RAGWORT_GATEWAY_LOOPBACKFLEET_H
-#define RAGWORT_GATEWAY_LOOPBACKFLEET_H
+#ifndef RAGWORT_FLEET_LOOPBACKFLEET_H
+#define RAGWORT_FLEET_LOOPBACKFLEET_H
 
 #include "LoopbackPeers.h"
-#include "ragwort/gateway/PeerExchange.h"
+#include "ragwort/fleet/PeerExchange.h"
 #include <algorithm>
 
-namespace ragwort::gateway {
+namespace ragwort::fleet {
 
 /// What a caller asks for.
 struct FleetRequest {
@@ -34,11 +34,11 @@
   size_t size() const { return Nodes.size(); }
 
   /// Lists the running servers as instances `i0`, `i1`, ... at all nodes.
-  void list(std::span<const std::unique_ptr<ScriptedServer>> Servers) {
-    std::vector<BackendInstance> List;
+  void list(std::span<const std::unique_ptr<gateway::ScriptedServer>> Servers) {
+    std::vector<dispatch::BackendInstance> List;
     for (size_t I = 0; I < Servers.size(); ++I)
       if (Servers[I]->isRunning()) {
-        BackendInstance B;
+        dispatch::BackendInstance B;
         B.Id = "i" + std::to_string(I);
         B.Service = "s";
         B.Address = Servers[I]->address();
@@ -56,8 +56,9 @@
   }
 
   /// Begins a request to a node.
-  std::unique_ptr<Caller> call(size_t NodeIndex, const FleetRequest &Request) {
-    auto C = std::make_unique<Caller>(Io);
+  std::unique_ptr<gateway::Caller> call(size_t NodeIndex,
+                                        const FleetRequest &Request) {
+    auto C = std::make_unique<gateway::Caller>(Io);
     C->ToSend = "POST " + Request.Target +
                 " HTTP/1.1\r\nHost: h\r\nRagwort-Request-Id: r" +
                 std::to_string(++LastRequest) + "\r\n" + Request.Headers +
@@ -71,8 +72,8 @@
 
   /// Sends a request to a node. \returns the status line of its answer.
   std::string statusOf(size_t NodeIndex, const FleetRequest &Request) {
-    std::unique_ptr<Caller> C = call(NodeIndex, Request);
-    runLoopUntil(Io, [&C] {
+    std::unique_ptr<gateway::Caller> C = call(NodeIndex, Request);
+    gateway::runLoopUntil(Io, [&C] {
       return C->Received.find("\r\n\r\n") != std::string::npos || C->IsEnded;
     });
     return C->Received.substr(0, C->Received.find("\r\n"));
@@ -85,11 +86,12 @@
 private:
   struct Node {
     Node(asio::io_context &Io, const Address &Listen)
-        : Front(Io, loopbackOptions(RetryAllowance), ProtocolNames(), Metrics),
+        : Front(Io, gateway::loopbackOptions(RetryAllowance),
+                gateway::ProtocolNames(), Metrics),
           Peers(Io, {Listen.Ip, 1, Listen}, Front, [](ConfigDocument) {}) {}
     static constexpr double RetryAllowance = 1000;
     MetricsRegistry Metrics;
-    Gateway Front;
+    gateway::Gateway Front;
     PeerExchange Peers;
   };
 
@@ -112,20 +114,20 @@
     CPPUNIT_ASSERT(N->Peers.listen().ok());
     for (size_t I = 0; I < Size; ++I)
       N->Peers.addPeer(ipOf(I));
-    auto Config = std::make_shared<TrafficConfig>();
+    auto Config = std::make_shared<gateway::TrafficConfig>();
     Config->Version = 1;
-    Route R;
+    gateway::Route R;
     R.Name = "drafts";
     R.Host = "h";
     R.PathPrefix = "/";
-    R.Repeat = Repeatability::Resumable;
+    R.Repeat = gateway::Repeatability::Resumable;
     R.IsStream = true;
     R.MaxAttempts = 2;
     R.Split.push_back({"s", 1});
     Config->addRoute(R);
     R.Name = "lookups";
     R.PathPrefix = LookupPrefix;
-    R.Repeat = Repeatability::Idempotent;
+    R.Repeat = gateway::Repeatability::Idempotent;
     R.IsStream = false;
     Config->addRoute(R);
     N->Front.applyConfig(std::move(Config));
@@ -145,7 +147,7 @@
   static constexpr size_t Running = 4;
 
   ReplacedServers(asio::io_context &Io, LoopbackFleet &Fleet,
-                  ScriptedServer::Responder Respond)
+                  gateway::ScriptedServer::Responder Respond)
       : Io(Io), Fleet(Fleet), Respond(std::move(Respond)) {
     replaceEnded();
   }
@@ -155,7 +157,7 @@
         std::count_if(Servers.begin(), Servers.end(),
                       [](const auto &S) { return S->isRunning(); }));
     for (; Left < Running; ++Left) {
-      Servers.push_back(std::make_unique<ScriptedServer>(Io));
+      Servers.push_back(std::make_unique<gateway::ScriptedServer>(Io));
       Servers.back()->Always = Respond;
     }
     Fleet.list(Servers);
@@ -164,10 +166,10 @@
 private:
   asio::io_context &Io;
   LoopbackFleet &Fleet;
-  const ScriptedServer::Responder Respond;
-  std::vector<std::unique_ptr<ScriptedServer>> Servers;
+  const gateway::ScriptedServer::Responder Respond;
+  std::vector<std::unique_ptr<gateway::ScriptedServer>> Servers;
 };
 
-} // namespace ragwort::gateway
+} // namespace ragwort::fleet
 
 #endif
--- a/libs/gateway/src/NodeLifecycle.cpp
+++ b/libs/fleet/src/NodeLifecycle.cpp
@@ -1,9 +1,9 @@
 //===- NodeLifecycle.cpp - Graceful shutdown and suspension detection -----===//
-#include "ragwort/gateway/NodeLifecycle.h"
+#include "ragwort/fleet/NodeLifecycle.h"
 #include "ragwort/observe/Log.h"
 #include <ctime>
 
-namespace ragwort::gateway {
+namespace ragwort::fleet {
 
 namespace {
 
@@ -34,8 +34,8 @@
 
 } // namespace
 
-asio::awaitable<void> shutDownGracefully(Gateway &Node, PeerExchange &Peers,
-                                         Duration Grace) {
+asio::awaitable<void> shutDownGracefully(gateway::Gateway &Node,
+                                         PeerExchange &Peers, Duration Grace) {
   TimePoint Begun = now();
   TimePoint StopBy = Begun + Grace - StopMargin;
   logEvent(LogLevel::Info, "stopping",
@@ -53,7 +53,7 @@
             {"after_ms", (now() - Begun).count() / 1000}});
 }
 
-asio::awaitable<void> watchForSuspension(Gateway &Node,
+asio::awaitable<void> watchForSuspension(gateway::Gateway &Node,
                                          const bool &IsStopping) {
   Duration LastSuspended = suspendedTime();
   TimePoint Last = now();
@@ -70,4 +70,4 @@
   }
 }
 
-} // namespace ragwort::gateway
+} // namespace ragwort::fleet
--- a/libs/gateway/src/PeerExchange.cpp
+++ b/libs/fleet/src/PeerExchange.cpp
@@ -1,5 +1,5 @@
 //===- PeerExchange.cpp - Exchanges load and versions with peer nodes -----===//
-#include "ragwort/gateway/PeerExchange.h"
+#include "ragwort/fleet/PeerExchange.h"
 #include "ragwort/base/Hash.h"
 #include "ragwort/http/HttpClient.h"
 #include "ragwort/observe/Log.h"
@@ -8,7 +8,7 @@
 #include <algorithm>
 #include <utility>
 
-namespace ragwort::gateway {
+namespace ragwort::fleet {
 
 namespace {
 
@@ -31,7 +31,7 @@
 } // namespace
 
 PeerExchange::PeerExchange(asio::io_context &Io, PeerOptions Given,
-                           Gateway &Node,
+                           gateway::Gateway &Node,
                            std::function<void(ConfigDocument)> ApplyConfig)
     : Io(Io), Options(std::move(Given)), Node(Node),
       ApplyConfig(std::move(ApplyConfig)),
@@ -309,7 +309,7 @@
   // This node may learn of a restore of the store from its peer.
   std::optional<TimePoint> GraceUntil;
   if (Snapshot->Version.Era > Node.directory().version().Era)
-    GraceUntil = now() + StoreRecoveryGrace;
+    GraceUntil = now() + dispatch::StoreRecoveryGrace;
   if (Node.directory().replaceAll(std::move(Snapshot->Instances),
                                   Snapshot->Version, GraceUntil))
     Node.onDirectoryChanged();
@@ -382,4 +382,4 @@
   return Text;
 }
 
-} // namespace ragwort::gateway
+} // namespace ragwort::fleet
--- a/libs/gateway/src/PeerHeartbeat.cpp
+++ b/libs/fleet/src/PeerHeartbeat.cpp
@@ -1,18 +1,11 @@
 //===- PeerHeartbeat.cpp - Heartbeat between gateway nodes ----------------===//
-#include "ragwort/gateway/PeerHeartbeat.h"
+#include "ragwort/fleet/PeerHeartbeat.h"
 #include "ragwort/wire/Archived.h"
 #include "ragwort/wire/Bounded.h"
 #include <algorithm>
 #include <limits>
 
-namespace ragwort::gateway {
-
-namespace {
-
-// Bytes reserved in a datagram for everything except its list.
-constexpr size_t HeaderBytes = 32;
-
-} // namespace
+namespace ragwort::dispatch {
 
 template <class Archive> void serialize(Archive &Ar, InFlightReport &Report) {
   constexpr uint32_t Most = std::numeric_limits<uint16_t>::max();
@@ -41,6 +34,29 @@
   wire::transferFlag(Ar, B.IsDraining);
 }
 
+template <class Archive>
+void serialize(Archive &Ar, EngineConditionReport &Report) {
+  Ar(Report.InstanceKey);
+  wire::transferEnum(Ar, Report.Condition, EngineCondition::Opened);
+}
+
+template <class Archive> void serialize(Archive &Ar, RateLimitReport &Report) {
+  Ar(Report.Run);
+  wire::transferOptional(Ar, Report.MilliPerSecond);
+  Ar(Report.AgeMillis);
+}
+
+} // namespace ragwort::dispatch
+
+namespace ragwort::fleet {
+
+namespace {
+
+// Bytes reserved in a datagram for everything except its list.
+constexpr size_t HeaderBytes = 32;
+
+} // namespace
+
 template <class Archive> void serialize(Archive &Ar, DirectorySnapshot &S) {
   Ar(S.Version);
   wire::transferList(Ar, S.Instances, wire::MaxListLength);
@@ -64,13 +80,7 @@
 template <class Archive> void serialize(Archive &Ar, EngineNotice &Notice) {
   wire::transferProtocol(Ar, EngineNotice::Protocol);
   wire::transferText(Ar, Notice.EngineAddress, wire::MaxNameBytes);
-  wire::transferEnum(Ar, Notice.Condition, EngineCondition::Opened);
-}
-
-template <class Archive>
-void serialize(Archive &Ar, EngineConditionReport &Report) {
-  Ar(Report.InstanceKey);
-  wire::transferEnum(Ar, Report.Condition, EngineCondition::Opened);
+  wire::transferEnum(Ar, Notice.Condition, dispatch::EngineCondition::Opened);
 }
 
 template <class Archive> void serialize(Archive &Ar, NoticeDigest &Digest) {
@@ -83,12 +93,6 @@
   wire::transferList(Ar, Digest.Leaving, MaxPeerDatagramBytes);
 }
 
-template <class Archive> void serialize(Archive &Ar, RateLimitReport &Report) {
-  Ar(Report.Run);
-  wire::transferOptional(Ar, Report.MilliPerSecond);
-  Ar(Report.AgeMillis);
-}
-
 template <class Archive> void serialize(Archive &Ar, RateLimitDigest &Digest) {
   wire::transferProtocol(Ar, RateLimitDigest::Protocol);
   wire::transferList(Ar, Digest.Limits, MaxPeerDatagramBytes);
@@ -117,10 +121,11 @@
   // Other nodes send the peers' addresses too, while only this node knows its
   // own loads, of which the highest matter most.
   Heartbeat.PeerIps.clear();
-  std::sort(Heartbeat.InFlight.begin(), Heartbeat.InFlight.end(),
-            [](const InFlightReport &A, const InFlightReport &B) {
-              return A.Count > B.Count;
-            });
+  std::sort(
+      Heartbeat.InFlight.begin(), Heartbeat.InFlight.end(),
+      [](const dispatch::InFlightReport &A, const dispatch::InFlightReport &B) {
+        return A.Count > B.Count;
+      });
   Bytes = wire::toArchive(Heartbeat);
   while (Bytes.size() > MaxPeerDatagramBytes && !Heartbeat.InFlight.empty()) {
     Heartbeat.InFlight.resize(Heartbeat.InFlight.size() * 3 / 4);
@@ -142,7 +147,7 @@
 }
 
 std::vector<std::string>
-encodeDigests(std::span<const EngineConditionReport> Entries) {
+encodeDigests(std::span<const dispatch::EngineConditionReport> Entries) {
   // An entry takes its key and one byte for the condition.
   return encodeInParts<NoticeDigest>(Entries, sizeof(uint64_t) + 1);
 }
@@ -151,8 +156,9 @@
   return wire::fromDatagram<NoticeDigest>(Datagram, MaxPeerDatagramBytes);
 }
 
-std::vector<std::string> encodeLeaving(std::span<const ServerRun> Leaving) {
-  return encodeInParts<LeavingDigest>(Leaving, sizeof(ServerRun));
+std::vector<std::string>
+encodeLeaving(std::span<const dispatch::ServerRun> Leaving) {
+  return encodeInParts<LeavingDigest>(Leaving, sizeof(dispatch::ServerRun));
 }
 
 absl::StatusOr<LeavingDigest> decodeLeaving(std::string_view Datagram) {
@@ -160,10 +166,11 @@
 }
 
 std::vector<std::string>
-encodeRateLimits(std::span<const RateLimitReport> Limits) {
+encodeRateLimits(std::span<const dispatch::RateLimitReport> Limits) {
   // An entry takes a run, a limit with its flag, and an age.
-  return encodeInParts<RateLimitDigest>(
-      Limits, sizeof(ServerRun) + 1 + sizeof(uint32_t) + sizeof(uint16_t));
+  return encodeInParts<RateLimitDigest>(Limits, sizeof(dispatch::ServerRun) +
+                                                    1 + sizeof(uint32_t) +
+                                                    sizeof(uint16_t));
 }
 
 absl::StatusOr<RateLimitDigest> decodeRateLimits(std::string_view Datagram) {
@@ -193,4 +200,4 @@
   return wire::fromArchive<DirectorySnapshot>(Bytes);
 }
 
-} // namespace ragwort::gateway
+} // namespace ragwort::fleet
--- a/libs/gateway/src/PeerHeartbeatTest.cpp
+++ b/libs/fleet/src/PeerHeartbeatTest.cpp
@@ -1,9 +1,9 @@
 //===- PeerHeartbeatTest.cpp - Tests of PeerHeartbeat.h -------------------===//
-#include "ragwort/gateway/PeerHeartbeat.h"
+#include "ragwort/fleet/PeerHeartbeat.h"
 #include <cppunit/extensions/HelperMacros.h>
 #include <random>
 
-namespace ragwort::gateway {
+namespace ragwort::fleet {
 
 class PeerHeartbeatTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PeerHeartbeatTest);
@@ -14,6 +14,7 @@
   CPPUNIT_TEST(digestsWhenEncodedHoldAllEntries);
   CPPUNIT_TEST(digestWhenTruncatedOrCorruptNeverThrows);
   CPPUNIT_TEST(leavingServersWhenEncodedAreAllSent);
+  CPPUNIT_TEST(rateLimitsWhenEncodedAreAllSent);
   CPPUNIT_TEST(directoryWhenDecodedEqualsTheEncodedOne);
   CPPUNIT_TEST(engineListWhenDecodedEqualsTheEncodedOne);
   CPPUNIT_TEST_SUITE_END();
@@ -34,7 +35,7 @@
     auto Back = decodeHeartbeat(encodeHeartbeat(heartbeat()));
     CPPUNIT_ASSERT(Back.ok());
     CPPUNIT_ASSERT_EQUAL(std::string("n1"), Back->Node);
-    CPPUNIT_ASSERT(Back->DirectoryVersion == StoreVersion({2, 44}));
+    CPPUNIT_ASSERT(Back->DirectoryVersion == dispatch::StoreVersion({2, 44}));
     CPPUNIT_ASSERT_EQUAL(size_t(2), Back->InFlight.size());
     CPPUNIT_ASSERT_EQUAL(4u, Back->InFlight[1].Count);
     CPPUNIT_ASSERT_EQUAL(85u, Back->InFlight[1].GapMillis);
@@ -50,10 +51,10 @@
   }
 
   void leavingServersWhenEncodedAreAllSent() {
-    std::vector<ServerRun> Runs;
+    std::vector<dispatch::ServerRun> Runs;
     for (uint64_t I = 0; I < 300; ++I)
       Runs.push_back({I, I * 1000});
-    std::vector<ServerRun> Back;
+    std::vector<dispatch::ServerRun> Back;
     for (const std::string &Bytes : encodeLeaving(Runs)) {
       CPPUNIT_ASSERT(Bytes.size() <= MaxPeerDatagramBytes);
       auto Digest = decodeLeaving(Bytes);
@@ -94,11 +95,11 @@
 
   void noticeWhenDecodedAsHeartbeatIsRejected() {
     std::string Bytes =
-        encodeNotice({"10.0.0.1:8405", EngineCondition::Closed});
+        encodeNotice({"10.0.0.1:8405", dispatch::EngineCondition::Closed});
     auto Back = decodeNotice(Bytes);
     CPPUNIT_ASSERT(Back.ok());
     CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1:8405"), Back->EngineAddress);
-    CPPUNIT_ASSERT(Back->Condition == EngineCondition::Closed);
+    CPPUNIT_ASSERT(Back->Condition == dispatch::EngineCondition::Closed);
     CPPUNIT_ASSERT(!decodeHeartbeat(Bytes).ok());
     CPPUNIT_ASSERT(!decodeNotice(encodeHeartbeat(heartbeat())).ok());
     CPPUNIT_ASSERT(!decodeNotice(Bytes.substr(0, 9)).ok());
@@ -106,11 +107,12 @@
 
   void digestsWhenEncodedHoldAllEntries() {
     CPPUNIT_ASSERT(encodeDigests({}).empty());
-    std::vector<EngineConditionReport> Entries;
+    std::vector<dispatch::EngineConditionReport> Entries;
     for (uint64_t Key = 0; Key < 400; ++Key)
-      Entries.push_back({Key, Key % 2 == 0 ? EngineCondition::Closed
-                                           : EngineCondition::Straggles});
-    std::vector<EngineConditionReport> Back;
+      Entries.push_back({Key, Key % 2 == 0
+                                  ? dispatch::EngineCondition::Closed
+                                  : dispatch::EngineCondition::Straggles});
+    std::vector<dispatch::EngineConditionReport> Back;
     for (const std::string &Bytes : encodeDigests(Entries)) {
       CPPUNIT_ASSERT(Bytes.size() <= MaxPeerDatagramBytes);
       auto Digest = decodeDigest(Bytes);
@@ -121,7 +123,7 @@
   }
 
   void digestWhenTruncatedOrCorruptNeverThrows() {
-    std::vector<EngineConditionReport> Entries(3);
+    std::vector<dispatch::EngineConditionReport> Entries(3);
     std::string Bytes = encodeDigests(Entries).at(0);
     for (size_t Size = 0; Size < Bytes.size(); ++Size)
       CPPUNIT_ASSERT(!decodeDigest(Bytes.substr(0, Size)).ok());
@@ -133,16 +135,37 @@
     }
   }
 
+  void rateLimitsWhenEncodedAreAllSent() {
+    std::vector<dispatch::RateLimitReport> Reports;
+    for (uint64_t I = 0; I < 300; ++I)
+      Reports.push_back({{I, I * 1000},
+                         I % 2 ? std::optional<uint32_t>(I) : std::nullopt,
+                         static_cast<uint16_t>(I)});
+    std::vector<dispatch::RateLimitReport> Back;
+    for (const std::string &Bytes : encodeRateLimits(Reports)) {
+      CPPUNIT_ASSERT(Bytes.size() <= MaxPeerDatagramBytes);
+      auto Digest = decodeRateLimits(Bytes);
+      CPPUNIT_ASSERT(Digest.ok());
+      Back.insert(Back.end(), Digest->Limits.begin(), Digest->Limits.end());
+      for (size_t Size = 0; Size < Bytes.size(); ++Size)
+        CPPUNIT_ASSERT(!decodeRateLimits(Bytes.substr(0, Size)).ok());
+    }
+    CPPUNIT_ASSERT_EQUAL(Reports.size(), Back.size());
+    CPPUNIT_ASSERT(Back[7].Run == Reports[7].Run);
+    CPPUNIT_ASSERT(Back[7].MilliPerSecond == Reports[7].MilliPerSecond);
+    CPPUNIT_ASSERT(!Back[8].MilliPerSecond);
+  }
+
   void directoryWhenDecodedEqualsTheEncodedOne() {
-    DirectorySnapshot S{{1, 9}, {BackendInstance()}};
+    DirectorySnapshot S{{1, 9}, {dispatch::BackendInstance()}};
     S.Instances[0].Id = "i";
     S.Instances[0].IsDraining = true;
     auto Back = decodeDirectory(encodeDirectory(S));
     CPPUNIT_ASSERT(Back.ok());
-    CPPUNIT_ASSERT(Back->Version == StoreVersion({1, 9}));
+    CPPUNIT_ASSERT(Back->Version == dispatch::StoreVersion({1, 9}));
     CPPUNIT_ASSERT(Back->Instances == S.Instances);
   }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(PeerHeartbeatTest);
 
-} // namespace ragwort::gateway
+} // namespace ragwort::fleet
--- a/libs/gateway/src/RateLimitedServerTest.cpp
+++ b/libs/fleet/src/RateLimitedServerTest.cpp
@@ -8,7 +8,7 @@
 #include "LoopbackFleet.h"
 #include <cppunit/extensions/HelperMacros.h>
 
-namespace ragwort::gateway {
+namespace ragwort::fleet {
 
 class RateLimitedServerTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(RateLimitedServerTest);
@@ -21,17 +21,18 @@
 
   std::unique_ptr<asio::io_context> Io;
   std::unique_ptr<LoopbackFleet> Fleet;
-  std::vector<std::unique_ptr<ScriptedServer>> Servers;
+  std::vector<std::unique_ptr<gateway::ScriptedServer>> Servers;
 
 public:
   void setUp() override {
     Io = std::make_unique<asio::io_context>(1);
     Fleet = std::make_unique<LoopbackFleet>(*Io, Nodes);
     for (int I = 0; I < 2; ++I) {
-      Servers.push_back(std::make_unique<ScriptedServer>(*Io));
+      Servers.push_back(std::make_unique<gateway::ScriptedServer>(*Io));
       Servers.back()->Always = [](const std::string &Request) {
-        return answer("200 OK", idOf(Request),
-                      Stamp + "Ragwort-Rate-Limit: 2.0\r\n", "x");
+        return gateway::answer("200 OK", gateway::idOf(Request),
+                               gateway::Stamp + "Ragwort-Rate-Limit: 2.0\r\n",
+                               "x");
       };
     }
     Fleet->list(Servers);
@@ -49,7 +50,7 @@
   /// \returns how many were served.
   size_t press(std::chrono::milliseconds Time) {
     constexpr std::chrono::milliseconds Pause{20};
-    std::vector<std::unique_ptr<Caller>> Callers;
+    std::vector<std::unique_ptr<gateway::Caller>> Callers;
     auto End = std::chrono::steady_clock::now() + Time;
     while (std::chrono::steady_clock::now() < End) {
       Callers.push_back(Fleet->call(Callers.size() % Nodes, {}));
@@ -84,4 +85,4 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RateLimitedServerTest);
 
-} // namespace ragwort::gateway
+} // namespace ragwort::fleet
--- a/libs/gateway/src/StoreSinks.cpp
+++ b/libs/fleet/src/StoreSinks.cpp
@@ -1,8 +1,8 @@
 //===- StoreSinks.cpp - Apply rows of the store to the gateway ------------===//
-#include "ragwort/gateway/StoreSinks.h"
+#include "ragwort/fleet/StoreSinks.h"
 #include "ragwort/observe/Log.h"
 
-namespace ragwort::gateway {
+namespace ragwort::fleet {
 
 void ConfigSink::apply(const std::string &Document) {
   auto Config = Decode(Document);
@@ -33,7 +33,8 @@
     apply(Newest->Value);
 }
 
-std::optional<BackendInstance> DirectorySink::decodeRow(const StoredRow &Row) {
+std::optional<dispatch::BackendInstance>
+DirectorySink::decodeRow(const StoredRow &Row) {
   auto Instance = Decode(Row.Key, Row.Value);
   if (Instance.ok()) {
     UndecodableKeys.erase(Row.Key);
@@ -49,7 +50,7 @@
 }
 
 void DirectorySink::onList(RowList List, std::optional<TimePoint> GraceUntil) {
-  std::vector<BackendInstance> Listed;
+  std::vector<dispatch::BackendInstance> Listed;
   for (const StoredRow &Row : List.Rows)
     if (auto Instance = decodeRow(Row))
       Listed.push_back(std::move(*Instance));
@@ -62,7 +63,7 @@
 }
 
 void DirectorySink::logChange(const StoredRow &Row,
-                              const DirectoryChange &Change,
+                              const dispatch::DirectoryChange &Change,
                               bool IsInGrace) const {
   const auto &Known = Node.directory().instances();
   auto Before = Known.find(Row.Key);
@@ -80,10 +81,10 @@
 
 void DirectorySink::onChanges(RowChanges Changes,
                               std::optional<TimePoint> GraceUntil) {
-  std::vector<DirectoryChange> Decoded;
+  std::vector<dispatch::DirectoryChange> Decoded;
   for (const StoredRow &Row : Changes.Rows) {
     // A row that cannot be decoded counts as removed.
-    DirectoryChange Change{Row.Key, std::nullopt};
+    dispatch::DirectoryChange Change{Row.Key, std::nullopt};
     if (!Row.IsRemoved)
       Change.Entry = decodeRow(Row);
     logChange(Row, Change, GraceUntil.has_value());
@@ -93,4 +94,4 @@
   Node.onDirectoryChanged();
 }
 
-} // namespace ragwort::gateway
+} // namespace ragwort::fleet
--- a/libs/gateway/src/StoreSinksTest.cpp
+++ b/libs/fleet/src/StoreSinksTest.cpp
@@ -4,10 +4,10 @@
 // that was restored from an older backup.
 //
 //===----------------------------------------------------------------------===//
-#include "ragwort/gateway/StoreSinks.h"
+#include "ragwort/fleet/StoreSinks.h"
 #include <cppunit/extensions/HelperMacros.h>
 
-namespace ragwort::gateway {
+namespace ragwort::fleet {
 
 class StoreSinksTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(StoreSinksTest);
@@ -19,15 +19,15 @@
 
   asio::io_context Io{1};
   MetricsRegistry Metrics;
-  std::unique_ptr<Gateway> Node;
+  std::unique_ptr<gateway::Gateway> Node;
   std::unique_ptr<PeerExchange> Peers;
   std::unique_ptr<ConfigSink> Configs;
   std::unique_ptr<DirectorySink> Servers;
 
 public:
   void setUp() override {
-    Node = std::make_unique<Gateway>(Io, GatewayOptions(), ProtocolNames(),
-                                     Metrics);
+    Node = std::make_unique<gateway::Gateway>(
+        Io, gateway::GatewayOptions(), gateway::ProtocolNames(), Metrics);
     Peers = std::make_unique<PeerExchange>(Io, PeerOptions(), *Node,
                                            [](const ConfigDocument &) {});
     Configs = std::make_unique<ConfigSink>(*Node, *Peers, "config", decode);
@@ -36,19 +36,19 @@
 
 private:
   /// A document is just its version.
-  static absl::StatusOr<std::shared_ptr<const TrafficConfig>>
+  static absl::StatusOr<std::shared_ptr<const gateway::TrafficConfig>>
   decode(std::string_view Document) {
-    auto Config = std::make_shared<TrafficConfig>();
+    auto Config = std::make_shared<gateway::TrafficConfig>();
     Config->Version = std::stoull(std::string(Document));
     return Config;
   }
 
   /// A row is the state of its server.
-  static absl::StatusOr<BackendInstance> decodeServer(std::string_view Id,
-                                                      std::string_view Row) {
+  static absl::StatusOr<dispatch::BackendInstance>
+  decodeServer(std::string_view Id, std::string_view Row) {
     if (Row != "ready" && Row != "draining")
       return absl::InvalidArgumentError("unknown state");
-    BackendInstance B;
+    dispatch::BackendInstance B;
     B.Id = Id;
     B.Service = "s";
     B.Address = "10.0.0.1:1";
@@ -56,11 +56,11 @@
     return B;
   }
 
-  static RowList list(StoreVersion Version, const char *Key,
+  static RowList list(dispatch::StoreVersion Version, const char *Key,
                       const char *Value) {
     return {{{Key, Value, Version.Number, false}}, Version};
   }
-  static RowChanges changes(StoreVersion Version, const char *Key,
+  static RowChanges changes(dispatch::StoreVersion Version, const char *Key,
                             const char *Value) {
     return {{{Key, Value, Version.Number, false}}, Version, false};
   }
@@ -95,11 +95,12 @@
     Servers->onList(list({1, 80}, "a", "ready"), std::nullopt);
     Servers->onChanges(changes({1, 90}, "a", "draining"), std::nullopt);
     TimePoint Now = SteadyClock().now();
-    Servers->onList(list({2, 40}, "a", "ready"), Now + StoreRecoveryGrace);
+    Servers->onList(list({2, 40}, "a", "ready"),
+                    Now + dispatch::StoreRecoveryGrace);
     CPPUNIT_ASSERT(
         !Node->dispatcher().loadTracker().choose("s", {}, Now).has_value());
   }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(StoreSinksTest);
 
-} // namespace ragwort::gateway
+} // namespace ragwort::fleet
--- a/libs/gateway/src/TableFollowerTest.cpp
+++ b/libs/fleet/src/TableFollowerTest.cpp
@@ -1,9 +1,9 @@
 //===- TableFollowerTest.cpp - Tests of TableFollower.h -------------------===//
-#include "ragwort/gateway/TableFollower.h"
+#include "ragwort/fleet/TableFollower.h"
 #include <cppunit/extensions/HelperMacros.h>
 #include <deque>
 
-namespace ragwort::gateway {
+namespace ragwort::fleet {
 
 namespace {
 
@@ -38,7 +38,7 @@
     co_return Changes;
   }
 
-  StoreVersion nextVersion() {
+  dispatch::StoreVersion nextVersion() {
     ++Version.Number;
     return Version;
   }
@@ -61,7 +61,7 @@
 
   std::deque<Answer> Script;
   std::function<void()> OnScriptEnd;
-  StoreVersion Version{1, 40};
+  dispatch::StoreVersion Version{1, 40};
   uint64_t LastAfter = 0;
   Duration LastWait{0};
   int Lists = 0;
@@ -177,4 +177,4 @@
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(TableFollowerTest);
 
-} // namespace ragwort::gateway
+} // namespace ragwort::fleet
--- a/libs/gateway/include/ragwort/gateway/CrashDetector.h
+++ b/libs/gateway/include/ragwort/gateway/CrashDetector.h
@@ -8,8 +8,8 @@
 #ifndef RAGWORT_GATEWAY_CRASHDETECTOR_H
 #define RAGWORT_GATEWAY_CRASHDETECTOR_H
 
-#include "ragwort/gateway/BackendDirectory.h"
-#include "ragwort/gateway/SelfReports.h"
+#include "ragwort/dispatch/BackendDirectory.h"
+#include "ragwort/dispatch/SelfReports.h"
 #include "ragwort/gateway/StreamSocket.h"
 #include "ragwort/quarantine/RequestTraits.h"
 #include <functional>
@@ -26,8 +26,8 @@
 class CrashDetector {
 public:
   /// Receives the traits of a request that was at a server when it ended.
-  using Listener =
-      std::function<void(const ServerRun &, const quarantine::RequestTraits &)>;
+  using Listener = std::function<void(const dispatch::ServerRun &,
+                                      const quarantine::RequestTraits &)>;
 
   static constexpr Duration ConnectTimeout = std::chrono::milliseconds(400);
   /// Time for which the result of a check holds for further connections of the
@@ -42,7 +42,7 @@
   ~CrashDetector();
 
   /// The connection of a request with \p Traits to \p Server has broken.
-  void onBroken(const BackendInstance &Server,
+  void onBroken(const dispatch::BackendInstance &Server,
                 const quarantine::RequestTraits &Traits, TimePoint Now);
 
 private:
--- a/libs/gateway/include/ragwort/gateway/Forwarding.h
+++ b/libs/gateway/include/ragwort/gateway/Forwarding.h
@@ -8,9 +8,9 @@
 #ifndef RAGWORT_GATEWAY_FORWARDING_H
 #define RAGWORT_GATEWAY_FORWARDING_H
 
+#include "ragwort/dispatch/Dispatcher.h"
 #include "ragwort/gateway/BackendPool.h"
 #include "ragwort/gateway/CrashDetector.h"
-#include "ragwort/gateway/Dispatcher.h"
 #include "ragwort/gateway/EventStream.h"
 #include "ragwort/gateway/MessageParser.h"
 #include "ragwort/gateway/ProtocolNames.h"
@@ -59,7 +59,7 @@
 struct ForwardingContext {
   asio::io_context &Io;
   const ProtocolNames &Names;
-  Dispatcher &Dispatch;
+  dispatch::Dispatcher &Dispatch;
   BackendPool &Pool;
   quarantine::RequestQuarantine &Quarantine;
   CrashDetector &Crashes;
@@ -99,7 +99,7 @@
   /// The caller closed its connection; no answer is sent any more.
   void onCallerGone();
   /// The waiting request was dequeued, to be sent or because it has expired.
-  void onDequeued(const DequeuedRequest &C);
+  void onDequeued(const dispatch::DequeuedRequest &C);
   /// Retries the request at another server if its server is a straggler, and
   /// withdraws it if it was quarantined before the answer has begun.
   /// Called a few times a second.
@@ -121,7 +121,7 @@
   void noteSurvival();
   void noteConnectionEnd();
   void place();
-  void sendTo(const BackendInstance &Chosen);
+  void sendTo(const dispatch::BackendInstance &Chosen);
   void writeRequest();
   std::string requestHead() const;
   void parse();
@@ -135,7 +135,7 @@
   void finishAnswer();
   void finishStream();
   void relayAnswer();
-  void onServerFault(ServerFault Fault, std::string_view Text);
+  void onServerFault(dispatch::ServerFault Fault, std::string_view Text);
   void logFailedSend(std::string_view Fault) const;
   void moveFromStraggler(TimePoint At);
   void onDeclined();
@@ -166,7 +166,7 @@
   std::vector<std::string> Excluded;
   // The server in use from Connecting on. Invariant: the dispatcher counts the
   // request as in flight there exactly while IsCounted.
-  BackendInstance Server;
+  dispatch::BackendInstance Server;
   bool IsCounted = false;
   bool IsFreshConnection = false;
   std::shared_ptr<StreamSocket> Socket;
--- a/libs/gateway/include/ragwort/gateway/Gateway.h
+++ b/libs/gateway/include/ragwort/gateway/Gateway.h
@@ -21,7 +21,7 @@
   Address Listen;
   std::string DataCentre;
   /// Limits on retries, for the whole fleet.
-  RetryBudgetLimits RetryLimits;
+  dispatch::RetryBudgetLimits RetryLimits;
   /// Maximum number of caller connections. Further ones are closed on accept.
   size_t MaxCallers = 1024;
   uint64_t Seed = 1;
@@ -50,13 +50,14 @@
   /// whether it was applied.
   bool applyConfig(std::shared_ptr<const TrafficConfig> Config);
   uint64_t configVersion() const { return Config ? Config->Version : 0; }
-  BackendDirectory &directory() { return Directory; }
-  const BackendDirectory &directory() const { return Directory; }
+  dispatch::BackendDirectory &directory() { return Directory; }
+  const dispatch::BackendDirectory &directory() const { return Directory; }
   /// Call after each change of directory().
   void onDirectoryChanged();
   /// Records the load that \p Peer reported.
-  void onPeerReport(std::string_view Peer, std::vector<InFlightReport> Report);
-  Dispatcher &dispatcher() { return Dispatch; }
+  void onPeerReport(std::string_view Peer,
+                    std::vector<dispatch::InFlightReport> Report);
+  dispatch::Dispatcher &dispatcher() { return Dispatch; }
   quarantine::RequestQuarantine &requestQuarantine() { return Quarantine; }
 
   /// Whether a load balancer may send callers to this node: it has a
@@ -97,11 +98,11 @@
   MetricsRegistry &Metrics;
   asio::ip::tcp::acceptor Acceptor;
   asio::steady_timer Ticker;
-  Dispatcher Dispatch;
+  dispatch::Dispatcher Dispatch;
   BackendPool Pool;
   quarantine::RequestQuarantine Quarantine;
   CrashDetector Crashes;
-  BackendDirectory Directory;
+  dispatch::BackendDirectory Directory;
   std::shared_ptr<const TrafficConfig> Config;
   ForwardingContext Context;
   std::set<std::shared_ptr<CallerSession>> Sessions;
--- a/libs/gateway/src/CrashDetector.cpp
+++ b/libs/gateway/src/CrashDetector.cpp
@@ -10,7 +10,8 @@
 /// One connect to the address of a server, and its result.
 class CrashDetector::Check final : public SocketHandler {
 public:
-  Check(CrashDetector &Owner, const BackendInstance &Server, TimePoint Now)
+  Check(CrashDetector &Owner, const dispatch::BackendInstance &Server,
+        TimePoint Now)
       : Owner(Owner), Id(Server.Id), Run{hash64(Server.Id), Server.BornMillis},
         BegunAt(Now), Socket(std::make_shared<StreamSocket>(Owner.Io)) {
     Socket->setHandler(this);
@@ -26,7 +27,7 @@
 
   CrashDetector &Owner;
   const std::string Id;
-  const ServerRun Run;
+  const dispatch::ServerRun Run;
   const TimePoint BegunAt;
   // Unset while the connect is in progress.
   std::optional<bool> HasRunEnded;
@@ -46,7 +47,7 @@
 
 CrashDetector::~CrashDetector() = default;
 
-void CrashDetector::onBroken(const BackendInstance &Server,
+void CrashDetector::onBroken(const dispatch::BackendInstance &Server,
                              const quarantine::RequestTraits &Traits,
                              TimePoint Now) {
   std::erase_if(Checks, [Now](const auto &Item) {
--- a/libs/gateway/src/CrashDetectorTest.cpp
+++ b/libs/gateway/src/CrashDetectorTest.cpp
@@ -14,18 +14,18 @@
   CPPUNIT_TEST_SUITE_END();
 
   asio::io_context Io{1};
-  std::vector<std::pair<ServerRun, quarantine::Fingerprint>> Crashes;
+  std::vector<std::pair<dispatch::ServerRun, quarantine::Fingerprint>> Crashes;
   std::unique_ptr<CrashDetector> Detector;
   std::unique_ptr<ScriptedServer> Server;
-  BackendInstance Instance;
+  dispatch::BackendInstance Instance;
   const quarantine::RequestTraits Traits{7, {}};
 
 public:
   void setUp() override {
     Crashes.clear();
     Detector = std::make_unique<CrashDetector>(
-        Io,
-        [this](const ServerRun &Run, const quarantine::RequestTraits &Lost) {
+        Io, [this](const dispatch::ServerRun &Run,
+                   const quarantine::RequestTraits &Lost) {
           Crashes.emplace_back(Run, Lost.fingerprint());
         });
     Server = std::make_unique<ScriptedServer>(Io);
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -129,7 +129,7 @@
   if (endIfQuarantined())
     return;
   const gateway::Service *ServiceConfig = Accepted.Config->findService(Service);
-  PlacementRequest R;
+  dispatch::PlacementRequest R;
   R.Service = Service;
   R.Excluded = Excluded;
   R.Priority = Accepted.Priority;
@@ -139,18 +139,18 @@
   if (Flow.hasAnswerBegun())
     R.ExpiresAt = std::min(Accepted.Deadline, LastProgress + callerTimeout());
   R.IsBatched = ServiceConfig && ServiceConfig->Engine;
-  Placement P = Context.Dispatch.place(R, now());
+  dispatch::Placement P = Context.Dispatch.place(R, now());
   switch (P.Result) {
-  case Placement::Decision::Send:
+  case dispatch::Placement::Decision::Send:
     sendTo(P.Server);
     return;
-  case Placement::Decision::Wait:
+  case dispatch::Placement::Decision::Wait:
     CurrentPhase = Phase::Waiting;
     Ticket = P.Ticket;
     Context.OnQueued(Ticket, weak_from_this());
     armTimer();
     return;
-  case Placement::Decision::Refuse:
+  case dispatch::Placement::Decision::Refuse:
     if (LastFault.empty())
       LastFault = toString(P.Refusal);
     RetryAfter = P.RetryAfter;
@@ -159,7 +159,7 @@
   }
 }
 
-void Forwarding::onDequeued(const DequeuedRequest &C) {
+void Forwarding::onDequeued(const dispatch::DequeuedRequest &C) {
   if (CurrentPhase != Phase::Waiting || C.Ticket != Ticket)
     return;
   auto Self = shared_from_this();
@@ -176,7 +176,7 @@
   carryOut(Flow.onNoBackend());
 }
 
-void Forwarding::sendTo(const BackendInstance &Chosen) {
+void Forwarding::sendTo(const dispatch::BackendInstance &Chosen) {
   Server = Chosen;
   IsCounted = true;
   Context.Dispatch.onStarted(Server.Id, now());
@@ -261,7 +261,7 @@
     Unparsed.erase(0, Taken);
     ParseStage Stage = Parser.stage();
     if (Stage == ParseStage::Failed || SkippedBytes > MaxWholeAnswerBytes) {
-      onServerFault(ServerFault::Malformed, "malformed-response");
+      onServerFault(dispatch::ServerFault::Malformed, "malformed-response");
       return;
     }
     if (Stage == ParseStage::Head)
@@ -289,7 +289,7 @@
 }
 
 void Forwarding::noteStatement() {
-  LoadTracker &Tracker = Context.Dispatch.loadTracker();
+  dispatch::LoadTracker &Tracker = Context.Dispatch.loadTracker();
   Stated = readStatement(Parser.head(), Context.Names, Server.Id);
   for (const HeaderField &Field : Stated.Malformed)
     Tracker.onMalformedField(Server.Id, Field.Name, Field.Value);
@@ -307,7 +307,7 @@
   noteStatement();
   bool IsStamped = !H.header(Context.Names.AnswerStamp).empty();
   if (isSuccess(H.Status) && !IsStamped) {
-    onServerFault(ServerFault::Malformed, "missing-answer-stamp");
+    onServerFault(dispatch::ServerFault::Malformed, "missing-answer-stamp");
     return false;
   }
   IsEventStream = Accepted.Target->IsStream && isSuccess(H.Status) &&
@@ -335,11 +335,11 @@
   if (!IsEventStream) {
     Body += Bytes;
     if (Body.size() > MaxWholeAnswerBytes)
-      onServerFault(ServerFault::Malformed, "answer-too-large");
+      onServerFault(dispatch::ServerFault::Malformed, "answer-too-large");
     return;
   }
   if (!Events.push(Bytes)) {
-    onServerFault(ServerFault::Malformed, "malformed-event");
+    onServerFault(dispatch::ServerFault::Malformed, "malformed-event");
     return;
   }
   std::string Complete = Events.takeCompleteEvents();
@@ -391,7 +391,7 @@
 
 void Forwarding::finishStream() {
   if (Events.hasPartialEvent()) {
-    onServerFault(ServerFault::Malformed, "incomplete-event");
+    onServerFault(dispatch::ServerFault::Malformed, "incomplete-event");
     return;
   }
   if (!Flow.hasAnswerBegun()) {
@@ -420,7 +420,7 @@
 
 void Forwarding::onDeclined() {
   const http::ResponseHead &H = Parser.head();
-  LoadTracker &Tracker = Context.Dispatch.loadTracker();
+  dispatch::LoadTracker &Tracker = Context.Dispatch.loadTracker();
   // A server that declines a request although it has free slots is not full but
   // unavailable.
   bool IsUnavailable = H.Status == StatusMisdirected ||
@@ -430,24 +430,25 @@
   if (Stated.IsReplaced)
     Tracker.onReplaced(Server.Id);
   else if (!Stated.Pause) // Otherwise, the server has stated when to come back.
-    Tracker.onFault(
-        Server.Id, IsUnavailable ? ServerFault::Unavailable : ServerFault::Full,
-        now());
+    Tracker.onFault(Server.Id,
+                    IsUnavailable ? dispatch::ServerFault::Unavailable
+                                  : dispatch::ServerFault::Full,
+                    now());
   Excluded.push_back(Server.Id);
   leaveServer(!Stated.IsReplaced);
   if (Stated.Pause)
     RetryAfter = Context.Dispatch.spread(*Stated.Pause);
   else
-    RetryAfter =
-        IsUnavailable ? Dispatcher::RecoveringRetryAfter : DefaultRetryAfter;
+    RetryAfter = IsUnavailable ? dispatch::Dispatcher::RecoveringRetryAfter
+                               : DefaultRetryAfter;
   carryOut(Stated.IsReplaced ? Flow.onMisdirected(retryConditions())
                              : Flow.onDeclined(retryConditions()));
 }
 
 void Forwarding::onFailureAnswer() {
   LastFault = "status-" + std::to_string(Parser.head().Status);
-  Context.Dispatch.loadTracker().onFault(Server.Id, ServerFault::Failure,
-                                         now());
+  Context.Dispatch.loadTracker().onFault(Server.Id,
+                                         dispatch::ServerFault::Failure, now());
   Step Next = Flow.onFailureAnswer(retryConditions());
   if (Next == Step::RelayAnswer) {
     relayAnswer();
@@ -478,7 +479,8 @@
        {"parts", Parts.substr(0, MaxLoggedPartsBytes)}});
 }
 
-void Forwarding::onServerFault(ServerFault Fault, std::string_view Text) {
+void Forwarding::onServerFault(dispatch::ServerFault Fault,
+                               std::string_view Text) {
   logFailedSend(Text);
   LastFault = Text;
   Context.Dispatch.loadTracker().onFault(Server.Id, Fault, now());
@@ -491,8 +493,8 @@
   auto Self = shared_from_this();
   if (CurrentPhase == Phase::Connecting) {
     LastFault = "connect-failed";
-    Context.Dispatch.loadTracker().onFault(Server.Id, ServerFault::Unreachable,
-                                           now());
+    Context.Dispatch.loadTracker().onFault(
+        Server.Id, dispatch::ServerFault::Unreachable, now());
     Excluded.push_back(Server.Id);
     leaveServer(false);
     carryOut(Flow.onConnectFailed(retryConditions()));
@@ -518,7 +520,7 @@
     carryOut(Flow.onBroken(retryConditions()));
     return;
   }
-  onServerFault(ServerFault::Unreachable, "connection-broken");
+  onServerFault(dispatch::ServerFault::Unreachable, "connection-broken");
 }
 
 void Forwarding::carryOut(Step Next) {
@@ -661,7 +663,7 @@
       // No retry is possible; wait until the deadline.
       IsProgressTimeoutOff = true;
     } else if (hasOtherFreeServer(At)) {
-      onServerFault(ServerFault::TimedOut, "response-timeout");
+      onServerFault(dispatch::ServerFault::TimedOut, "response-timeout");
       return;
     } else {
       // No other server is free: keep waiting instead of losing this run.
--- a/libs/gateway/src/Gateway.cpp
+++ b/libs/gateway/src/Gateway.cpp
@@ -29,7 +29,7 @@
   return std::chrono::milliseconds(Millis);
 }
 
-quarantine::RunKey keyOf(const ServerRun &Run) {
+quarantine::RunKey keyOf(const dispatch::ServerRun &Run) {
   return Run.InstanceKey ^
          hash64({reinterpret_cast<const char *>(&Run.BornMillis),
                  sizeof(Run.BornMillis)});
@@ -51,7 +51,7 @@
       Dispatch(Options.DataCentre, Options.RetryLimits, Options.Seed),
       Quarantine(Options.Seed, SteadyClock().now()),
       Crashes(Io,
-              [this](const ServerRun &Run,
+              [this](const dispatch::ServerRun &Run,
                      const quarantine::RequestTraits &Traits) {
                 Quarantine.onCrash(keyOf(Run), Traits, SteadyClock().now());
               }),
@@ -144,7 +144,7 @@
 }
 
 void Gateway::onPeerReport(std::string_view Peer,
-                           std::vector<InFlightReport> Report) {
+                           std::vector<dispatch::InFlightReport> Report) {
   Dispatch.loadTracker().onPeerReport(Peer, std::move(Report),
                                       SteadyClock().now());
   if (!Waiting.empty())
@@ -165,10 +165,10 @@
   // Repeats because each dispatched request changes the loads on which the next
   // decision is based.
   for (bool IsAny = true; IsAny && !Waiting.empty();) {
-    std::vector<DequeuedRequest> Dequeued =
+    std::vector<dispatch::DequeuedRequest> Dequeued =
         Dispatch.takeReady(SteadyClock().now());
     IsAny = !Dequeued.empty();
-    for (const DequeuedRequest &D : Dequeued) {
+    for (const dispatch::DequeuedRequest &D : Dequeued) {
       auto Found = Waiting.find(D.Ticket);
       if (Found == Waiting.end())
         continue;
@@ -268,7 +268,8 @@
   Set("ragwort_quarantine_suspects", Quarantine.suspectCount());
   Set("ragwort_quarantined_traits",
       Quarantine.quarantined(SteadyClock().now()).size());
-  ServerCounts Counts = Dispatch.loadTracker().counts(SteadyClock().now());
+  dispatch::ServerCounts Counts =
+      Dispatch.loadTracker().counts(SteadyClock().now());
   Set("ragwort_servers", Counts.Listed, "state=\"listed\"");
   Set("ragwort_servers", Counts.Draining, "state=\"draining\"");
   Set("ragwort_servers", Counts.Leaving, "state=\"leaving\"");
--- a/libs/gateway/src/GatewayTest.cpp
+++ b/libs/gateway/src/GatewayTest.cpp
@@ -117,9 +117,9 @@
     Config->requireKeys();
     Config->addOrganisation({"org", std::nullopt}, {"key"});
     Node->applyConfig(std::move(Config));
-    std::vector<BackendInstance> List;
+    std::vector<dispatch::BackendInstance> List;
     for (size_t I = 0; I < Servers.size(); ++I) {
-      BackendInstance B;
+      dispatch::BackendInstance B;
       B.Id = "i" + std::to_string(I);
       B.Service = "s";
       B.Address = Servers[I]->address();
@@ -610,7 +610,8 @@
   void reportFirstAsStraggler() {
     ScriptedServer &First = *Servers[Servers[0]->Requests.empty() ? 1 : 0];
     Node->dispatcher().loadTracker().onEngineNotice(
-        First.address(), EngineCondition::Straggles, SteadyClock().now());
+        First.address(), dispatch::EngineCondition::Straggles,
+        SteadyClock().now());
   }
 
   // A stalled server that sends a byte now and then makes no progress.
--- a/libs/gateway/src/ServerStatement.cpp
+++ b/libs/gateway/src/ServerStatement.cpp
@@ -1,6 +1,6 @@
 //===- ServerStatement.cpp - What a response says of its server -----------===//
 #include "ragwort/gateway/ServerStatement.h"
-#include "ragwort/gateway/SelfReports.h"
+#include "ragwort/dispatch/SelfReports.h"
 #include <charconv>
 
 namespace ragwort::gateway {
@@ -28,7 +28,7 @@
   std::string_view Value = Head.header(RetryAfterField);
   if (Head.Status != StatusUnavailable || Value.empty())
     return;
-  Result.Pause = parsePause(Value);
+  Result.Pause = dispatch::parsePause(Value);
   if (!Result.Pause)
     Result.Malformed.push_back(
         {std::string(RetryAfterField), std::string(Value)});
@@ -41,7 +41,7 @@
     Result.IsRateLimitKnown = isRunAnswer(Head, Names);
     return;
   }
-  std::optional<double> PerSecond = parseDecimal(Value);
+  std::optional<double> PerSecond = dispatch::parseDecimal(Value);
   if (!PerSecond)
     Result.Malformed.push_back({Names.RateLimit, std::string(Value)});
   else if (!Result.IsReplaced) {
