Take the health of servers out of LoadTracker, and kinds of peer news out of PeerExchange's switch

Cause: LoadTracker held 600 lines on three subjects, and each kind of news between nodes needed changes in three functions of PeerExchange. Change: ServerHealth judges one run of a server; Selection names the servers among which a request is placed; a NewsChannel is one kind of news with its encoding and its effect. A server that was paused and became unavailable now waits for each of the two trials by itself; both had shared one time. Nothing else changes.

--- a/libs/dispatch/include/ragwort/dispatch/LoadTracker.h
+++ b/libs/dispatch/include/ragwort/dispatch/LoadTracker.h
@@ -30,6 +30,7 @@
 #include "ragwort/dispatch/BackendDirectory.h"
 #include "ragwort/dispatch/RateLimits.h"
 #include "ragwort/dispatch/SelfReports.h"
+#include "ragwort/dispatch/ServerHealth.h"
 #include "ragwort/dispatch/ServerSpeed.h"
 #include <algorithm>
 #include <random>
@@ -38,35 +39,6 @@
 
 namespace ragwort::dispatch {
 
-/// How a send failed, from which the health of its server is judged.
-enum class ServerFault : uint8_t {
-  /// No connection, or the connection broke.
-  Unreachable,
-  /// No complete answer, or no further stream event, within the time limit.
-  TimedOut,
-  /// The received bytes are not a valid response to the request.
-  Malformed,
-  /// A response with a server error status.
-  Failure,
-  /// The server did not run the request because its group is broken or it is
-  /// shutting down.
-  Unavailable,
-  /// The server did not run the request because its queue is full.
-  Full,
-};
-
-/// The condition of an engine as reported by its agent.
-enum class EngineCondition : uint8_t {
-  /// The engine is so slow that its group waits for it in every pass.
-  Straggles,
-  /// Its group is broken or not formed yet; the engine declines all requests.
-  Closed,
-  /// Its group has just started to accept requests.
-  Opened,
-};
-
-std::string_view toString(EngineCondition Value);
-
 /// An engine's condition as nodes forward it to each other.
 struct EngineConditionReport {
   uint64_t InstanceKey = 0;
@@ -86,6 +58,13 @@
   uint32_t GapMillis = 0;
 };
 
+/// The servers to which a request may be sent.
+struct Selection {
+  std::string_view Service;
+  /// Instances that have already failed or declined the request.
+  std::span<const std::string> Excluded;
+};
+
 /// The server chosen for a request. Valid until the next change of the
 /// LoadTracker.
 struct Choice {
@@ -112,31 +91,15 @@
 public:
   /// Load reports of peers are ignored after this time.
   static constexpr Duration ReportLifetime = std::chrono::milliseconds(1500);
-  /// An agent's notice counts for this time; agents repeat it several times
-  /// within it.
-  static constexpr Duration NoticeLifetime = std::chrono::milliseconds(700);
-  /// Time for which an Opened notice is forwarded to peers: longer than the
-  /// interval between two heartbeats.
-  static constexpr Duration OpenedLifetime = std::chrono::milliseconds(300);
-  /// First time for which a failing server is excluded; doubles up to
-  /// MaxEjection.
-  static constexpr Duration FirstEjection = std::chrono::milliseconds(1000);
-  static constexpr Duration MaxEjection = std::chrono::milliseconds(8000);
-  /// Time between two trial requests to an unavailable server. Groups form
-  /// within seconds, and a declined trial costs only a few milliseconds.
-  static constexpr Duration TrialInterval = std::chrono::milliseconds(300);
-
   LoadTracker(std::string LocalDataCentre, uint64_t Seed)
       : LocalDataCentre(std::move(LocalDataCentre)), Random(Seed) {}
 
   /// Adopts the directory's entries. State of servers that remain is kept.
   void sync(const BackendDirectory &Directory);
 
-  /// A usable server of \p Service that is not in \p Excluded: the best by load
-  /// and speed of a few random ones, or of all if the best of those is full.
-  std::optional<Choice> choose(std::string_view Service,
-                               std::span<const std::string> Excluded,
-                               TimePoint Now);
+  /// A usable server of \p Among: the best by load and speed of a few random
+  /// ones, or of all if the best of those is full.
+  std::optional<Choice> choose(const Selection &Among, TimePoint Now);
   /// Whether \p Service has usable servers but all of them are unavailable or
   /// paused, and not all are paused.
   bool isRecovering(std::string_view Service, TimePoint Now) const {
@@ -145,11 +108,9 @@
   /// Since when isRecovering() has been true; nothing if it is not.
   std::optional<TimePoint> recoveringSince(std::string_view Service,
                                            TimePoint Now) const;
-  /// The earliest time at which a paused or rate-limited server of \p Service
-  /// that is not in \p Excluded may be sent a request; nothing if there is none
-  /// that this node may send to.
-  std::optional<TimePoint> pauseEnd(std::string_view Service,
-                                    std::span<const std::string> Excluded,
+  /// The earliest time at which a paused or rate-limited server of \p Among may
+  /// be sent a request; nothing if there is none that this node may send to.
+  std::optional<TimePoint> pauseEnd(const Selection &Among,
                                     TimePoint Now) const;
 
   /// Whether a server of \p Service has a rate limit.
@@ -227,22 +188,8 @@
     uint64_t Key = 0;
     uint32_t OwnInFlight = 0;
     uint32_t PeerInFlight = 0;
-    // Moving average of failures among recent answers, between 0 and 1.
-    double FailureRate = 0;
     ServerSpeed Speed;
-    TimePoint EjectedUntil{};
-    Duration NextEjection = FirstEjection;
-    // Reported unavailable; since then neither reported open nor successful.
-    bool IsUnavailable = false;
-    TimePoint ReportedUnavailableAt{}; // The most recent report.
-    TimePoint UnavailableSince{};      // The first of these reports.
-    TimePoint NextTrial{};
-    // Last condition reported by its agent to this node; forwarded to peers
-    // until ReportedUntil.
-    EngineCondition ReportedCondition = EngineCondition::Straggles;
-    TimePoint ReportedUntil{};
-    // End of the last straggler report, received from the agent or a peer.
-    TimePoint StragglerUntil{};
+    ServerHealth Health;
     // Another instance answered at its address.
     bool IsReplaced = false;
     // A newer instance is registered at the same address.
@@ -250,6 +197,7 @@
     // Copies of what Reports contains for this run.
     bool IsLeaving = false;
     TimePoint PausedUntil{};
+    TimePoint NextReturnTrial{};
     // It has been paused and has not answered successfully since.
     bool IsReturning = false;
     bool HasMalformedField = false;
@@ -261,7 +209,7 @@
     // Earliest time at which it may be sent a request, as far as it has asked
     // this node to pause.
     TimePoint pauseEnd() const {
-      return IsReturning ? std::max(PausedUntil, NextTrial) : PausedUntil;
+      return IsReturning ? std::max(PausedUntil, NextReturnTrial) : PausedUntil;
     }
   };
   struct PeerReport {
@@ -275,15 +223,12 @@
   static void markLeaving(Server &S, std::string_view Source);
   static void applyCondition(Server &S, EngineCondition Condition,
                              std::string_view Source, TimePoint Now);
-  static void markStraggler(Server &S, std::string_view Source, TimePoint Now);
-  static void markClosed(Server &S, std::string_view Source, TimePoint Now);
-  static void markOpened(Server &S, std::string_view Source);
   void markSuperseded();
-  void eject(Server &S, TimePoint Now);
-  static void setUnavailable(Server &S, TimePoint Now);
   std::string describeLimit(const Server &S) const;
   void logRateLimit(const ServerRun &Run, std::string_view Source) const;
   void recountPeers(TimePoint Now);
+  /// Whether \p S belongs to \p Among and may be sent requests at some time.
+  static bool isCandidate(const Server &S, const Selection &Among);
   UsualTimes usualTimesOf(std::string_view Service, TimePoint Now) const;
   const Server *bestOfSample(std::vector<const Server *> &Candidates,
                              const UsualTimes &Usual, TimePoint Now);
--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -77,7 +77,7 @@
   Duration Wait = RecoveringRetryAfter;
   if (!Tracker.isRecovering(Service, Now)) {
     // A pause is stated by the servers, so its length is not limited here.
-    if (!Tracker.choose(Service, Excluded, Now))
+    if (!Tracker.choose({Service, Excluded}, Now))
       if (auto Turn = nextTurn(Service, State, Excluded, Now))
         return spread(std::max(*Turn - Now, MinRetryAfter));
     Wait = State.Drain.timeToComplete(State.Queue.size() + 1, Now)
@@ -91,7 +91,7 @@
 Dispatcher::nextTurn(std::string_view Service, const ServiceState &State,
                      std::span<const std::string> Excluded,
                      TimePoint Now) const {
-  std::optional<TimePoint> Turn = Tracker.pauseEnd(Service, Excluded, Now);
+  std::optional<TimePoint> Turn = Tracker.pauseEnd({Service, Excluded}, Now);
   double Rate = Tracker.ownRate(Service);
   if (Turn && Rate > 0)
     *Turn += std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
@@ -131,7 +131,7 @@
 Placement Dispatcher::place(const PlacementRequest &R, TimePoint Now) {
   ServiceState &State = stateOf(R.Service);
   State.IsBatched = R.IsBatched;
-  std::optional<Choice> Best = Tracker.choose(R.Service, R.Excluded, Now);
+  std::optional<Choice> Best = Tracker.choose({R.Service, R.Excluded}, Now);
   if (Best && hasRoom(*Best, R.IsBatched)) {
     Placement P;
     P.Result = Placement::Decision::Send;
@@ -188,7 +188,7 @@
 bool Dispatcher::hasFreeServer(std::string_view Service,
                                std::span<const std::string> Excluded,
                                TimePoint Now) {
-  std::optional<Choice> Best = Tracker.choose(Service, Excluded, Now);
+  std::optional<Choice> Best = Tracker.choose({Service, Excluded}, Now);
   return Best && Best->HasFreeSlot;
 }
 
@@ -231,7 +231,7 @@
 Dispatcher::serverWithRoom(std::string_view Service, const ServiceState &State,
                            std::span<const std::string> Excluded,
                            TimePoint Now) {
-  std::optional<Choice> Best = Tracker.choose(Service, Excluded, Now);
+  std::optional<Choice> Best = Tracker.choose({Service, Excluded}, Now);
   if (!Best || !hasRoom(*Best, State.IsBatched))
     return std::nullopt;
   return *Best->Server;
--- a/libs/dispatch/src/LoadTracker.cpp
+++ b/libs/dispatch/src/LoadTracker.cpp
@@ -10,9 +10,6 @@
 
 namespace {
 
-// A server is ejected when its failure rate exceeds this value. It lies above
-// the rate of failures that services report in normal operation.
-constexpr double EjectionFailureRate = 0.55;
 // A server in another data centre is preferred only if its load, as a fraction
 // of its slots, is lower by this value.
 constexpr double RemotePenalty = 0.03;
@@ -31,18 +28,6 @@
 
 } // namespace
 
-std::string_view toString(EngineCondition Value) {
-  switch (Value) {
-  case EngineCondition::Straggles:
-    return "straggles";
-  case EngineCondition::Closed:
-    return "closed";
-  case EngineCondition::Opened:
-    return "opened";
-  }
-  return "invalid";
-}
-
 void LoadTracker::sync(const BackendDirectory &Directory) {
   for (auto It = Servers.begin(); It != Servers.end();) {
     if (Directory.instances().count(It->first)) {
@@ -124,7 +109,7 @@
               {"own", S->OwnInFlight},
               {"peers", S->PeerInFlight}});
   applyReports(*S);
-  S->NextTrial = S->PausedUntil;
+  S->NextReturnTrial = S->PausedUntil;
 }
 
 void LoadTracker::onRateLimit(const BackendInstance &Instance,
@@ -210,11 +195,11 @@
     return;
   ++S->OwnInFlight;
   Limits.onSent(S->run(), Now);
-  if (!S->IsUnavailable && !S->IsReturning)
-    return;
-  S->NextTrial = Now + TrialInterval;
-  if (S->IsUnavailable)
-    NextTrials[S->Entry.Service] = Now + TrialInterval;
+  S->Health.onSent(Now);
+  if (S->IsReturning)
+    S->NextReturnTrial = Now + ServerHealth::TrialInterval;
+  if (S->Health.isUnavailable())
+    NextTrials[S->Entry.Service] = Now + ServerHealth::TrialInterval;
 }
 
 void LoadTracker::onEnded(std::string_view Id) {
@@ -229,15 +214,11 @@
   if (!S)
     return;
   S->Speed.addLatency(Latency);
-  S->FailureRate *= 1 - AverageWeight;
-  // An answer to a request sent before the server was last reported unavailable
-  // does not show that it is available again.
-  if (Now - Latency >= S->ReportedUnavailableAt)
-    S->IsUnavailable = false;
-  // Nor does one to a request sent before the end of a pause.
+  S->Health.onAnswered(Now - Latency);
+  // An answer to a request sent before the end of a pause does not show that
+  // the server accepts requests again.
   if (Now - Latency >= S->PausedUntil)
     S->IsReturning = false;
-  S->NextEjection = FirstEjection;
 }
 
 void LoadTracker::onEvent(std::string_view Id, Duration Gap, TimePoint Now) {
@@ -245,93 +226,28 @@
     S->Speed.addGap(Gap, Now);
 }
 
-void LoadTracker::eject(Server &S, TimePoint Now) {
-  if (Now < S.EjectedUntil)
-    return;
-  S.EjectedUntil = Now + S.NextEjection;
-  S.NextEjection = std::min(2 * S.NextEjection, MaxEjection);
-}
-
-void LoadTracker::setUnavailable(Server &S, TimePoint Now) {
-  if (!std::exchange(S.IsUnavailable, true))
-    S.UnavailableSince = Now;
-  S.ReportedUnavailableAt = Now;
-}
-
 void LoadTracker::onFault(std::string_view Id, ServerFault Fault,
                           TimePoint Now) {
-  Server *S = find(Id);
-  if (!S || Fault == ServerFault::Full)
-    return;
-  S->FailureRate = (1 - AverageWeight) * S->FailureRate + AverageWeight;
-  switch (Fault) {
-  case ServerFault::Unavailable:
-    setUnavailable(*S, Now);
-    S->NextTrial = Now + TrialInterval;
-    break;
-  case ServerFault::Unreachable:
-  case ServerFault::TimedOut:
-    eject(*S, Now);
-    break;
-  case ServerFault::Malformed:
-  case ServerFault::Failure:
-    if (S->FailureRate > EjectionFailureRate)
-      eject(*S, Now);
-    break;
-  case ServerFault::Full:
-    break;
-  }
-}
-
-void LoadTracker::markStraggler(Server &S, std::string_view Source,
-                                TimePoint Now) {
-  if (Now >= S.StragglerUntil)
-    logEvent(LogLevel::Warning, "straggler-reported",
-             {{"instance", S.Entry.Id},
-              {"source", Source},
-              {"own", S.OwnInFlight},
-              {"peers", S.PeerInFlight}});
-  S.StragglerUntil = Now + NoticeLifetime;
-}
-
-void LoadTracker::markClosed(Server &S, std::string_view Source,
-                             TimePoint Now) {
-  if (!S.IsUnavailable)
-    logEvent(LogLevel::Warning, "server-unavailable",
-             {{"instance", S.Entry.Id},
-              {"source", Source},
-              {"own", S.OwnInFlight},
-              {"peers", S.PeerInFlight}});
-  setUnavailable(S, Now);
-  // No trial request is needed while the agent's notices arrive.
-  S.NextTrial = Now + NoticeLifetime;
-}
-
-void LoadTracker::markOpened(Server &S, std::string_view Source) {
-  if (!S.IsUnavailable)
-    return;
-  logEvent(LogLevel::Info, "server-available",
-           {{"instance", S.Entry.Id}, {"source", Source}});
-  S.IsUnavailable = false;
-  // Failures from before the group was formed again no longer count.
-  S.EjectedUntil = TimePoint();
-  S.NextEjection = FirstEjection;
-  S.FailureRate = 0;
+  if (Server *S = find(Id))
+    S->Health.onFault(Fault, Now);
 }
 
 void LoadTracker::applyCondition(Server &S, EngineCondition Condition,
                                  std::string_view Source, TimePoint Now) {
-  switch (Condition) {
-  case EngineCondition::Straggles:
-    markStraggler(S, Source, Now);
-    break;
-  case EngineCondition::Closed:
-    markClosed(S, Source, Now);
-    break;
-  case EngineCondition::Opened:
-    markOpened(S, Source);
-    break;
+  if (!S.Health.onCondition(Condition, Now))
+    return;
+  if (Condition == EngineCondition::Opened) {
+    logEvent(LogLevel::Info, "server-available",
+             {{"instance", S.Entry.Id}, {"source", Source}});
+    return;
   }
+  logEvent(LogLevel::Warning,
+           Condition == EngineCondition::Closed ? "server-unavailable"
+                                                : "straggler-reported",
+           {{"instance", S.Entry.Id},
+            {"source", Source},
+            {"own", S.OwnInFlight},
+            {"peers", S.PeerInFlight}});
 }
 
 void LoadTracker::onEngineNotice(std::string_view Address,
@@ -339,10 +255,7 @@
   for (auto &[Id, S] : Servers) {
     if (S.Entry.Address != Address || !S.isUsable())
       continue;
-    S.ReportedCondition = Condition;
-    S.ReportedUntil =
-        Now + (Condition == EngineCondition::Opened ? OpenedLifetime
-                                                    : NoticeLifetime);
+    S.Health.onOwnNotice(Condition, Now);
     applyCondition(S, Condition, "agent", Now);
   }
 }
@@ -358,14 +271,14 @@
 LoadTracker::ownConditions(TimePoint Now) const {
   std::vector<EngineConditionReport> Result;
   for (const auto &[Id, S] : Servers)
-    if (Now < S.ReportedUntil)
-      Result.push_back({S.Key, S.ReportedCondition});
+    if (std::optional<EngineCondition> Condition = S.Health.toForward(Now))
+      Result.push_back({S.Key, *Condition});
   return Result;
 }
 
 bool LoadTracker::isStraggler(std::string_view Id, TimePoint Now) const {
   auto Found = Servers.find(Id);
-  return Found != Servers.end() && Now < Found->second.StragglerUntil;
+  return Found != Servers.end() && Found->second.Health.isStraggler(Now);
 }
 
 bool LoadTracker::isStopping(std::string_view Id) const {
@@ -414,7 +327,7 @@
       (S.OwnInFlight + S.PeerInFlight + 1.0) / std::max(1u, S.Entry.Slots);
   double Remote = S.Entry.DataCentre == LocalDataCentre ? 0.0 : RemotePenalty;
   std::uniform_real_distribution<double> TieBreak(0, 0.01);
-  return Load * S.Speed.slowness(Usual, Now) + S.FailureRate + Remote +
+  return Load * S.Speed.slowness(Usual, Now) + S.Health.failureRate() + Remote +
          TieBreak(Random);
 }
 
@@ -424,20 +337,19 @@
   for (const auto &[Id, S] : Servers) {
     if (S.Entry.Service != Service || !S.isUsable() || Now < S.PausedUntil)
       continue;
-    if (!S.IsUnavailable)
+    std::optional<TimePoint> Closed = S.Health.unavailableSince();
+    if (!Closed)
       return std::nullopt;
-    Since = std::max(Since.value_or(S.UnavailableSince), S.UnavailableSince);
+    Since = std::max(Since.value_or(*Closed), *Closed);
   }
   return Since;
 }
 
-std::optional<TimePoint>
-LoadTracker::pauseEnd(std::string_view Service,
-                      std::span<const std::string> Excluded,
-                      TimePoint Now) const {
+std::optional<TimePoint> LoadTracker::pauseEnd(const Selection &Among,
+                                               TimePoint Now) const {
   std::optional<TimePoint> First;
   for (const auto &[Id, S] : Servers) {
-    if (S.Entry.Service != Service || !S.isUsable() || contains(Excluded, Id))
+    if (!isCandidate(S, Among))
       continue;
     TimePoint End = std::max(S.pauseEnd(), Limits.nextSend(S.run()));
     if (Now < End && End != TimePoint::max())
@@ -446,11 +358,15 @@
   return First;
 }
 
-std::optional<Choice> LoadTracker::choose(std::string_view Service,
-                                          std::span<const std::string> Excluded,
+bool LoadTracker::isCandidate(const Server &S, const Selection &Among) {
+  return S.Entry.Service == Among.Service && S.isUsable() &&
+         !contains(Among.Excluded, S.Entry.Id);
+}
+
+std::optional<Choice> LoadTracker::choose(const Selection &Among,
                                           TimePoint Now) {
-  if (isRecovering(Service, Now)) {
-    auto Trial = NextTrials.find(Service);
+  if (isRecovering(Among.Service, Now)) {
+    auto Trial = NextTrials.find(Among.Service);
     if (Trial != NextTrials.end() && Now < Trial->second)
       return std::nullopt;
   }
@@ -458,24 +374,23 @@
   size_t Ejected = 0;
   size_t Stragglers = 0;
   for (const auto &[Id, S] : Servers) {
-    if (S.Entry.Service != Service || !S.isUsable() || S.IsUnavailable ||
-        Now < S.pauseEnd())
+    if (S.Entry.Service != Among.Service || !S.isUsable() ||
+        S.Health.isUnavailable() || Now < S.pauseEnd())
       continue;
     ++Usable;
-    Ejected += Now < S.EjectedUntil;
-    Stragglers += Now < S.StragglerUntil;
+    Ejected += S.Health.isEjected(Now);
+    Stragglers += S.Health.isStraggler(Now);
   }
   // If more than half of a service seems to fail, the cause is probably not the
   // servers themselves, and excluding them would only overload the others.
   bool SkipsEjected = Ejected * 2 <= Usable;
   bool SkipsStragglers = Stragglers * 2 <= Usable;
-  UsualTimes Usual = usualTimesOf(Service, Now);
+  UsualTimes Usual = usualTimesOf(Among.Service, Now);
   std::vector<const Server *> Candidates;
   for (const auto &[Id, S] : Servers) {
-    if (S.Entry.Service != Service || !S.isUsable() || contains(Excluded, Id) ||
-        (SkipsEjected && Now < S.EjectedUntil) ||
-        (SkipsStragglers && Now < S.StragglerUntil) ||
-        (S.IsUnavailable && Now < S.NextTrial) || Now < S.pauseEnd() ||
+    if (!isCandidate(S, Among) || (SkipsEjected && S.Health.isEjected(Now)) ||
+        (SkipsStragglers && S.Health.isStraggler(Now)) ||
+        S.Health.awaitsTrial(Now) || Now < S.pauseEnd() ||
         !Limits.maySend(S.run(), Now))
       continue;
     Candidates.push_back(&S);
@@ -562,9 +477,9 @@
     Result.Leaving += S.IsLeaving;
     Result.Paused += Now < S.PausedUntil;
     Result.RateLimited += Limits.limit(S.run()).has_value();
-    Result.Unavailable += S.IsUnavailable;
-    Result.Ejected += Now < S.EjectedUntil;
-    Result.Stragglers += Now < S.StragglerUntil;
+    Result.Unavailable += S.Health.isUnavailable();
+    Result.Ejected += S.Health.isEjected(Now);
+    Result.Stragglers += S.Health.isStraggler(Now);
   }
   return Result;
 }
@@ -583,16 +498,16 @@
         Id + " service=" + S.Entry.Service +
         " own=" + std::to_string(S.OwnInFlight) +
         " peers=" + std::to_string(S.PeerInFlight) +
-        " slots=" + std::to_string(S.Entry.Slots) +
-        " failure_percent=" + std::to_string(std::lround(S.FailureRate * 100)) +
+        " slots=" + std::to_string(S.Entry.Slots) + " failure_percent=" +
+        std::to_string(std::lround(S.Health.failureRate() * 100)) +
         " latency_ms=" + std::to_string(std::lround(S.Speed.latencyMillis())) +
         " gap_ms=" + std::to_string(std::lround(S.Speed.gapMillis(Now))) +
         (S.Entry.IsDraining ? " draining" : "") +
         (S.IsLeaving ? " leaving" : "") +
         (Now < S.PausedUntil ? " paused" : "") + describeLimit(S) +
-        (S.IsUnavailable ? " unavailable" : "") +
-        (Now < S.StragglerUntil ? " straggler" : "") +
-        (Now < S.EjectedUntil ? " ejected" : "") + "\n";
+        (S.Health.isUnavailable() ? " unavailable" : "") +
+        (S.Health.isStraggler(Now) ? " straggler" : "") +
+        (S.Health.isEjected(Now) ? " ejected" : "") + "\n";
   }
   return Text;
 }
--- a/libs/dispatch/src/LoadTrackerTest.cpp
+++ b/libs/dispatch/src/LoadTrackerTest.cpp
@@ -58,7 +58,7 @@
   }
 
   std::string chosen(TimePoint Now) {
-    std::optional<Choice> C = Tracker->choose("s", {}, Now);
+    std::optional<Choice> C = Tracker->choose({"s", {}}, Now);
     return C ? C->Server->Id : "";
   }
 
@@ -425,7 +425,8 @@
         Ends.erase(Ends.begin());
       }
       size_t Node = Random() % Nodes;
-      std::string Id = Trackers[Node]->choose("s", {}, at(Millis))->Server->Id;
+      std::string Id =
+          Trackers[Node]->choose({"s", {}}, at(Millis))->Server->Id;
       Trackers[Node]->onStarted(Id, at(Millis));
       ++Placed;
       SentToFull += InFlight[Id]++ >= 10;
--- a/libs/fleet/include/ragwort/fleet/EngineNotifier.h
+++ b/libs/fleet/include/ragwort/fleet/EngineNotifier.h
@@ -56,7 +56,7 @@
 
   void setEntryNodes(std::set<std::string> Ips) { EntryIps = std::move(Ips); }
   /// Sends a notice to all entry nodes while there is a condition to report.
-  /// Must be called more often than once per LoadTracker::NoticeLifetime.
+  /// Must be called more often than once per ServerHealth::NoticeLifetime.
   void onReport(const rankgroup::EngineReport &Report);
 
 private:
--- a/libs/fleet/include/ragwort/fleet/PeerExchange.h
+++ b/libs/fleet/include/ragwort/fleet/PeerExchange.h
@@ -31,6 +31,19 @@
   std::string Bytes;
 };
 
+/// One kind of news that nodes send each other with their heartbeats. Lost
+/// datagrams are not sent again; the next ones replace them.
+struct NewsChannel {
+  /// Differs from those of all other datagrams between nodes.
+  uint16_t Protocol = 0;
+  /// \returns the datagrams to send now; none if there is no news.
+  std::function<std::vector<std::string>(TimePoint Now)> Encode;
+  /// Applies a datagram of the peer at \p Ip. Ignores malformed ones.
+  std::function<void(std::string_view Datagram, const std::string &Ip,
+                     TimePoint Now)>
+      Apply;
+};
+
 /// Sends and receives heartbeats over UDP, and serves and fetches documents
 /// over HTTP.
 class PeerExchange {
@@ -100,6 +113,8 @@
     }
   };
 
+  /// What this node and its peers tell each other beside the heartbeats.
+  std::vector<NewsChannel> newsChannels();
   void onDatagram(std::string_view Datagram, const Address &From);
   asio::awaitable<void> heartbeatLoop();
   asio::awaitable<void> fetchConfig(std::string Ip);
@@ -117,6 +132,7 @@
   const PeerOptions Options;
   gateway::Gateway &Node;
   const std::function<void(ConfigDocument)> ApplyConfig;
+  const std::vector<NewsChannel> News;
   DatagramSocket Socket;
   http::Server DocumentServer;
   ConfigDocument PublishedConfig;
--- a/libs/fleet/src/PeerExchange.cpp
+++ b/libs/fleet/src/PeerExchange.cpp
@@ -34,7 +34,7 @@
                            gateway::Gateway &Node,
                            std::function<void(ConfigDocument)> ApplyConfig)
     : Io(Io), Options(std::move(Given)), Node(Node),
-      ApplyConfig(std::move(ApplyConfig)),
+      ApplyConfig(std::move(ApplyConfig)), News(newsChannels()),
       Socket(Io.get_executor(), MaxPeerDatagramBytes,
              [this](std::string_view Datagram, const Address &From) {
                onDatagram(Datagram, From);
@@ -91,17 +91,10 @@
     if (Heartbeat.PeerIps.size() < MaxNamedPeers &&
         P.LastHeardAt != TimePoint())
       Heartbeat.PeerIps.push_back(Ip);
-  std::vector<std::string> Datagrams =
-      encodeDigests(Node.dispatcher().loadTracker().ownConditions(now()));
-  std::vector<std::string> Leaving =
-      encodeLeaving(Node.dispatcher().loadTracker().ownLeaving(now()));
-  Datagrams.insert(Datagrams.end(), Leaving.begin(), Leaving.end());
-  std::vector<std::string> Limits =
-      encodeRateLimits(Node.dispatcher().loadTracker().ownRateLimits(now()));
-  Datagrams.insert(Datagrams.end(), Limits.begin(), Limits.end());
-  std::vector<std::string> Quarantine = quarantine::encodeQuarantine(
-      Node.requestQuarantine().takeDigest(now()), MaxPeerDatagramBytes);
-  Datagrams.insert(Datagrams.end(), Quarantine.begin(), Quarantine.end());
+  std::vector<std::string> Datagrams;
+  for (const NewsChannel &Channel : News)
+    for (std::string &Bytes : Channel.Encode(now()))
+      Datagrams.push_back(std::move(Bytes));
   Datagrams.push_back(encodeHeartbeat(std::move(Heartbeat)));
   // Lost datagrams are not resent; the next heartbeat replaces them.
   for (const auto &[Ip, P] : Peers)
@@ -122,7 +115,8 @@
 }
 
 void PeerExchange::onDatagram(std::string_view Datagram, const Address &From) {
-  switch (wire::protocolOf(Datagram).value_or(0)) {
+  uint16_t Protocol = wire::protocolOf(Datagram).value_or(0);
+  switch (Protocol) {
   case PeerHeartbeat::Protocol:
     if (absl::StatusOr<PeerHeartbeat> Heartbeat = decodeHeartbeat(Datagram);
         Heartbeat.ok())
@@ -133,27 +127,61 @@
       Node.dispatcher().loadTracker().onEngineNotice(Notice->EngineAddress,
                                                      Notice->Condition, now());
     return;
-  case NoticeDigest::Protocol:
-    if (auto Digest = decodeDigest(Datagram); Digest.ok())
-      Node.dispatcher().loadTracker().onPeerConditions(Digest->Entries, now());
-    return;
-  case LeavingDigest::Protocol:
-    if (auto Digest = decodeLeaving(Datagram); Digest.ok())
-      Node.dispatcher().loadTracker().onPeerLeaving(Digest->Leaving, now());
-    return;
-  case RateLimitDigest::Protocol:
-    if (auto Digest = decodeRateLimits(Datagram); Digest.ok())
-      Node.dispatcher().loadTracker().onPeerRateLimits(Digest->Limits, now());
-    return;
-  case quarantine::QuarantineDigest::Protocol:
-    if (auto Digest =
-            quarantine::decodeQuarantine(Datagram, MaxPeerDatagramBytes);
-        Digest.ok())
-      Node.requestQuarantine().onPeerDigest(From.Ip, *Digest, now());
-    return;
+  default:
+    for (const NewsChannel &Channel : News)
+      if (Channel.Protocol == Protocol)
+        Channel.Apply(Datagram, From.Ip, now());
   }
 }
 
+std::vector<NewsChannel> PeerExchange::newsChannels() {
+  dispatch::LoadTracker &Tracker = Node.dispatcher().loadTracker();
+  quarantine::RequestQuarantine &Quarantine = Node.requestQuarantine();
+  NewsChannel Conditions{NoticeDigest::Protocol,
+                         [&Tracker](TimePoint Now) {
+                           return encodeDigests(Tracker.ownConditions(Now));
+                         },
+                         [&Tracker](std::string_view Datagram,
+                                    const std::string &, TimePoint Now) {
+                           if (auto Digest = decodeDigest(Datagram);
+                               Digest.ok())
+                             Tracker.onPeerConditions(Digest->Entries, Now);
+                         }};
+  NewsChannel Leaving{LeavingDigest::Protocol,
+                      [&Tracker](TimePoint Now) {
+                        return encodeLeaving(Tracker.ownLeaving(Now));
+                      },
+                      [&Tracker](std::string_view Datagram, const std::string &,
+                                 TimePoint Now) {
+                        if (auto Digest = decodeLeaving(Datagram); Digest.ok())
+                          Tracker.onPeerLeaving(Digest->Leaving, Now);
+                      }};
+  NewsChannel Limits{RateLimitDigest::Protocol,
+                     [&Tracker](TimePoint Now) {
+                       return encodeRateLimits(Tracker.ownRateLimits(Now));
+                     },
+                     [&Tracker](std::string_view Datagram, const std::string &,
+                                TimePoint Now) {
+                       if (auto Digest = decodeRateLimits(Datagram);
+                           Digest.ok())
+                         Tracker.onPeerRateLimits(Digest->Limits, Now);
+                     }};
+  NewsChannel Quarantines{
+      quarantine::QuarantineDigest::Protocol,
+      [&Quarantine](TimePoint Now) {
+        return quarantine::encodeQuarantine(Quarantine.takeDigest(Now),
+                                            MaxPeerDatagramBytes);
+      },
+      [&Quarantine](std::string_view Datagram, const std::string &Ip,
+                    TimePoint Now) {
+        if (auto Digest =
+                quarantine::decodeQuarantine(Datagram, MaxPeerDatagramBytes);
+            Digest.ok())
+          Quarantine.onPeerDigest(Ip, *Digest, Now);
+      }};
+  return {Conditions, Leaving, Limits, Quarantines};
+}
+
 void PeerExchange::onHeartbeat(const PeerHeartbeat &Heartbeat,
                                const std::string &Ip) {
   TimePoint At = now();
--- a/libs/fleet/src/StoreSinksTest.cpp
+++ b/libs/fleet/src/StoreSinksTest.cpp
@@ -98,7 +98,7 @@
     Servers->onList(list({2, 40}, "a", "ready"),
                     Now + dispatch::StoreRecoveryGrace);
     CPPUNIT_ASSERT(
-        !Node->dispatcher().loadTracker().choose("s", {}, Now).has_value());
+        !Node->dispatcher().loadTracker().choose({"s", {}}, Now).has_value());
   }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(StoreSinksTest);
