Send nothing to evacuated data centres

Cause: no module knew the operators' rows `evacuate/ZONE`; requests went on to the servers of such a data centre until the row was removed. Change: dispatch::Evacuations keeps the evacuated data centres at one version of the store, of which an older one never undoes a newer. LoadTracker::isCandidate leaves their servers out for new, waiting, retried and resumed requests and for the predictions of waits, recoveries and turns. If none is left, requests are refused at once as servers-evacuated, also those that wait. A request whose connection is still being opened is placed again. Nodes cut off from the store learn of it from peers (news 1008), and a node accepts no requests before it has read the table or has been told it. Selection also names the regions that a request is confined to; the configuration does not use that yet.

--- a/libs/dispatch/include/ragwort/dispatch/Dispatcher.h
+++ b/libs/dispatch/include/ragwort/dispatch/Dispatcher.h
@@ -25,6 +25,8 @@
   std::string_view Service;
   /// Instances that have already failed or declined this request.
   std::span<const std::string> Excluded;
+  /// The regions that it is confined to; null if it is not. Copied if it waits.
+  const RegionSet *Regions = nullptr;
   uint32_t Priority = 0;
   TimePoint Arrived;
   Duration TargetLatency{0};
@@ -32,6 +34,8 @@
   TimePoint ExpiresAt;
   /// The service batches requests: one beyond the slots delays all others.
   bool IsBatched = false;
+
+  Selection among() const { return {Service, Excluded, Regions}; }
 };
 
 /// Why a request is refused.
@@ -43,6 +47,10 @@
   /// All servers have stated rate limits that leave this node no turn in time.
   RateLimited,
   Overloaded,
+  /// All servers that it may be sent to are in evacuated data centres.
+  Evacuated,
+  /// No server is in the regions that it is confined to.
+  OutsideRegions,
 };
 
 std::string_view toString(PlacementRefusal Value);
@@ -64,10 +72,12 @@
 /// its time to wait has ended.
 struct DequeuedRequest {
   uint64_t Ticket = 0;
-  /// Empty if the request has expired.
+  /// Empty if the request has expired or is refused.
   std::optional<BackendInstance> Server;
-  /// For an expired request.
+  /// For an expired or refused request.
   Duration RetryAfter{0};
+  /// Why it is refused before its time to wait has ended.
+  std::optional<PlacementRefusal> Refusal;
 };
 
 /// \code
@@ -101,13 +111,12 @@
   const LoadTracker &loadTracker() const { return Tracker; }
 
   Placement place(const PlacementRequest &R, TimePoint Now);
-  /// Whether a server that is not in \p Excluded has a free slot now.
-  bool hasFreeServer(std::string_view Service,
-                     std::span<const std::string> Excluded, TimePoint Now);
+  /// Whether a server of \p Among has a free slot now.
+  bool hasFreeServer(const Selection &Among, TimePoint Now);
   void cancelWait(std::string_view Service, uint64_t Ticket);
   /// Removes the waiting requests that can be sent now, at most one for each
-  /// service, and those that have expired. onStarted() must be called for the
-  /// former before the next call.
+  /// service, and those that have expired or that no server may be used for any
+  /// more. onStarted() must be called for the former before the next call.
   std::vector<DequeuedRequest> takeReady(TimePoint Now);
   size_t waiting() const;
   /// A random time from \p RetryAfter to half as long again, so that callers
@@ -135,15 +144,22 @@
     DrainRate Drain;
     // Whether the service batches requests, as stated by its last request.
     bool IsBatched = false;
+    // LoadTracker::placesVersion() for which no barred request waits.
+    uint64_t CheckedPlaces = 0;
   };
   ServiceState &stateOf(std::string_view Service);
   bool hasRoom(const Choice &C, bool IsBatched) const;
-  std::optional<BackendInstance>
-  serverWithRoom(std::string_view Service, const ServiceState &State,
-                 std::span<const std::string> Excluded, TimePoint Now);
+  std::optional<BackendInstance> serverWithRoom(const Selection &Among,
+                                                const ServiceState &State,
+                                                TimePoint Now);
+  /// Why no server of \p Among may be used, if that will not pass by waiting.
+  std::optional<PlacementRefusal> barOf(const Selection &Among) const;
+  /// Removes the waiting requests that barOf() holds for.
+  void takeBarred(std::string_view Service, ServiceState &State,
+                  std::vector<DequeuedRequest> &Taken);
   /// Retry-After time for a request that no server has room for.
-  Duration retryAfter(std::string_view Service, ServiceState &State,
-                      std::span<const std::string> Excluded, TimePoint Now);
+  Duration retryAfter(const Selection &Among, ServiceState &State,
+                      TimePoint Now);
   static TimePoint giveUpAt(const PlacementRequest &R, bool IsRecovering);
   Placement wait(ServiceState &State, const PlacementRequest &R,
                  TimePoint GiveUpAt, TimePoint Now);
@@ -165,9 +181,8 @@
                         TimePoint Now);
   /// The earliest time at which a paused or rate-limited server may be sent a
   /// further request, after those that wait.
-  std::optional<TimePoint> nextTurn(std::string_view Service,
+  std::optional<TimePoint> nextTurn(const Selection &Among,
                                     const ServiceState &State,
-                                    std::span<const std::string> Excluded,
                                     TimePoint Now) const;
 
   LoadTracker Tracker;
--- a/libs/dispatch/include/ragwort/dispatch/LoadTracker.h
+++ b/libs/dispatch/include/ragwort/dispatch/LoadTracker.h
@@ -23,17 +23,22 @@
 // Servers that have stated a rate limit receive requests only when it is this
 // node's turn, see RateLimits.h.
 //
+// Servers in evacuated data centres receive no requests, nor do those outside
+// the regions that a request is confined to.
+//
 //===----------------------------------------------------------------------===//
 #ifndef RAGWORT_DISPATCH_LOADTRACKER_H
 #define RAGWORT_DISPATCH_LOADTRACKER_H
 
 #include "ragwort/dispatch/BackendDirectory.h"
+#include "ragwort/dispatch/Evacuations.h"
 #include "ragwort/dispatch/RateLimits.h"
 #include "ragwort/dispatch/SelfReports.h"
 #include "ragwort/dispatch/ServerHealth.h"
 #include "ragwort/dispatch/ServerSpeed.h"
 #include <algorithm>
 #include <random>
+#include <set>
 #include <span>
 #include <unordered_map>
 
@@ -58,11 +63,26 @@
   uint32_t GapMillis = 0;
 };
 
+/// Names of regions; each data centre is in one.
+using RegionSet = std::set<std::string, std::less<>>;
+
 /// The servers to which a request may be sent.
 struct Selection {
   std::string_view Service;
   /// Instances that have already failed or declined the request.
   std::span<const std::string> Excluded;
+  /// The regions that the request is confined to; null if it is not. Outlives
+  /// the Selection.
+  const RegionSet *Regions = nullptr;
+};
+
+/// Why a request may be sent to none of a service's servers, although there are
+/// some.
+enum class SelectionBar : uint8_t {
+  /// All that it may be sent to are in evacuated data centres.
+  Evacuated,
+  /// None is in the regions that it is confined to.
+  OutsideRegions,
 };
 
 /// The server chosen for a request. Valid until the next change of the
@@ -85,6 +105,7 @@
   size_t Unavailable = 0;
   size_t Ejected = 0;
   size_t Stragglers = 0;
+  size_t Evacuated = 0;
 };
 
 class LoadTracker {
@@ -97,27 +118,42 @@
   /// Adopts the directory's entries. State of servers that remain is kept.
   void sync(const BackendDirectory &Directory);
 
+  /// Sets the region of each data centre.
+  void setRegions(std::map<std::string, std::string, std::less<>> Given);
+  /// Sets the data centres whose servers are sent nothing.
+  void setEvacuated(DataCentreSet Names);
+  /// Whether the server is in an evacuated data centre.
+  bool isEvacuated(std::string_view Id) const;
+  /// Why no server of \p Among may be used; nothing if one may be, at this time
+  /// or later, or if the service has none.
+  std::optional<SelectionBar> barOf(const Selection &Among) const;
+  /// Changes whenever barOf() may have.
+  uint64_t placesVersion() const { return PlacesVersion; }
+
   /// A usable server of \p Among: the best by load and speed of a few random
   /// ones, or of all if the best of those is full.
   std::optional<Choice> choose(const Selection &Among, TimePoint Now);
-  /// Whether \p Service has usable servers but all of them are unavailable or
-  /// paused, and not all are paused.
+  /// Whether the request has usable servers, but all of them are unavailable or
+  /// paused, and not all are paused. Those excluded for it count.
+  bool isRecovering(const Selection &Among, TimePoint Now) const {
+    return recoveringSince(Among, Now).has_value();
+  }
   bool isRecovering(std::string_view Service, TimePoint Now) const {
-    return recoveringSince(Service, Now).has_value();
+    return isRecovering(Selection{Service, {}}, Now);
   }
   /// Since when isRecovering() has been true; nothing if it is not.
-  std::optional<TimePoint> recoveringSince(std::string_view Service,
+  std::optional<TimePoint> recoveringSince(const Selection &Among,
                                            TimePoint Now) const;
   /// The earliest time at which a paused or rate-limited server of \p Among may
   /// be sent a request; nothing if there is none that this node may send to.
   std::optional<TimePoint> pauseEnd(const Selection &Among,
                                     TimePoint Now) const;
 
-  /// Whether a server of \p Service has a rate limit.
-  bool isRateLimited(std::string_view Service) const;
+  /// Whether a server of \p Among has a rate limit. Excluded ones count.
+  bool isRateLimited(const Selection &Among) const;
   /// Requests per second that this node may send to the rate-limited servers of
-  /// \p Service.
-  double ownRate(std::string_view Service) const;
+  /// \p Among. Excluded ones count.
+  double ownRate(const Selection &Among) const;
 
   void onStarted(std::string_view Id, TimePoint Now);
   void onEnded(std::string_view Id);
@@ -201,6 +237,9 @@
     // It has been paused and has not answered successfully since.
     bool IsReturning = false;
     bool HasMalformedField = false;
+    // Copies of what is known of its data centre.
+    bool IsEvacuated = false;
+    std::string Region;
 
     ServerRun run() const { return {Key, Entry.BornMillis}; }
     bool isUsable() const {
@@ -227,6 +266,10 @@
   std::string describeLimit(const Server &S) const;
   void logRateLimit(const ServerRun &Run, std::string_view Source) const;
   void recountPeers(TimePoint Now);
+  void applyPlace(Server &S) const;
+  /// Whether \p S belongs to \p Among or is excluded from it only for having
+  /// failed the request.
+  static bool isEligible(const Server &S, const Selection &Among);
   /// Whether \p S belongs to \p Among and may be sent requests at some time.
   static bool isCandidate(const Server &S, const Selection &Among);
   UsualTimes usualTimesOf(std::string_view Service, TimePoint Now) const;
@@ -243,6 +286,10 @@
   std::map<std::string, PeerReport, std::less<>> Peers;
   SelfReports Reports;
   RateLimits Limits;
+  // Data centre -> region.
+  std::map<std::string, std::string, std::less<>> Regions;
+  DataCentreSet Evacuated;
+  uint64_t PlacesVersion = 0;
   // Service -> time of the next trial request while no server is available.
   std::map<std::string, TimePoint, std::less<>> NextTrials;
 };
--- a/libs/dispatch/include/ragwort/dispatch/WaitQueue.h
+++ b/libs/dispatch/include/ragwort/dispatch/WaitQueue.h
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -33,6 +34,12 @@
   TimePoint GiveUpAt;
   /// Instances that have already failed or declined the request.
   std::vector<std::string> Excluded;
+  /// The regions that the request is confined to; nothing if it is not.
+  std::optional<std::set<std::string, std::less<>>> Regions = std::nullopt;
+
+  const std::set<std::string, std::less<>> *regions() const {
+    return Regions ? &*Regions : nullptr;
+  }
 };
 
 /// \code
@@ -57,6 +64,17 @@
       }
     return std::nullopt;
   }
+  /// Removes the requests that satisfy \p Condition, which is called once for
+  /// each.
+  template <std::predicate<const Waiter &> Predicate>
+  void takeIf(Predicate Condition) {
+    std::erase_if(Waiters, [&](const auto &Item) {
+      if (!Condition(Item.second))
+        return false;
+      KeyByTicket.erase(Item.second.Ticket);
+      return true;
+    });
+  }
   /// Removes the requests whose GiveUpAt has passed. \returns their tickets.
   std::vector<uint64_t> takeExpired(TimePoint Now);
   size_t size() const { return Waiters.size(); }
--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -1,6 +1,7 @@
 //===- Dispatcher.cpp - Send, wait or refuse ------------------------------===//
 #include "ragwort/dispatch/Dispatcher.h"
 #include <algorithm>
+#include <utility>
 
 namespace ragwort::dispatch {
 
@@ -16,6 +17,10 @@
     return "servers-rate-limited";
   case PlacementRefusal::Overloaded:
     return "overloaded";
+  case PlacementRefusal::Evacuated:
+    return "servers-evacuated";
+  case PlacementRefusal::OutsideRegions:
+    return "servers-outside-regions";
   }
   return "invalid";
 }
@@ -71,14 +76,13 @@
   return scaled(RetryAfter, Factor(Random));
 }
 
-Duration Dispatcher::retryAfter(std::string_view Service, ServiceState &State,
-                                std::span<const std::string> Excluded,
+Duration Dispatcher::retryAfter(const Selection &Among, ServiceState &State,
                                 TimePoint Now) {
   Duration Wait = RecoveringRetryAfter;
-  if (!Tracker.isRecovering(Service, Now)) {
+  if (!Tracker.isRecovering(Among, Now)) {
     // A pause is stated by the servers, so its length is not limited here.
-    if (!Tracker.choose({Service, Excluded}, Now))
-      if (auto Turn = nextTurn(Service, State, Excluded, Now))
+    if (!Tracker.choose(Among, Now))
+      if (auto Turn = nextTurn(Among, State, Now))
         return spread(std::max(*Turn - Now, MinRetryAfter));
     Wait = State.Drain.timeToComplete(State.Queue.size() + 1, Now)
                .value_or(MaxRetryAfter);
@@ -87,12 +91,11 @@
                   MaxRetryAfter);
 }
 
-std::optional<TimePoint>
-Dispatcher::nextTurn(std::string_view Service, const ServiceState &State,
-                     std::span<const std::string> Excluded,
-                     TimePoint Now) const {
-  std::optional<TimePoint> Turn = Tracker.pauseEnd({Service, Excluded}, Now);
-  double Rate = Tracker.ownRate(Service);
+std::optional<TimePoint> Dispatcher::nextTurn(const Selection &Among,
+                                              const ServiceState &State,
+                                              TimePoint Now) const {
+  std::optional<TimePoint> Turn = Tracker.pauseEnd(Among, Now);
+  double Rate = Tracker.ownRate(Among);
   if (Turn && Rate > 0)
     *Turn += std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
         static_cast<double>(State.Queue.size()) / Rate));
@@ -124,14 +127,15 @@
                     Now,
                     R.Arrived + scaled(R.TargetLatency, OnTimeQueueFraction),
                     GiveUpAt,
-                    {R.Excluded.begin(), R.Excluded.end()}});
+                    {R.Excluded.begin(), R.Excluded.end()},
+                    R.Regions ? std::optional(*R.Regions) : std::nullopt});
   return P;
 }
 
 Placement Dispatcher::place(const PlacementRequest &R, TimePoint Now) {
   ServiceState &State = stateOf(R.Service);
   State.IsBatched = R.IsBatched;
-  std::optional<Choice> Best = Tracker.choose({R.Service, R.Excluded}, Now);
+  std::optional<Choice> Best = Tracker.choose(R.among(), Now);
   if (Best && hasRoom(*Best, R.IsBatched)) {
     Placement P;
     P.Result = Placement::Decision::Send;
@@ -141,7 +145,7 @@
   }
   if (Best)
     return waitForSlot(State, R, Now);
-  if (std::optional<TimePoint> Since = Tracker.recoveringSince(R.Service, Now))
+  if (std::optional<TimePoint> Since = Tracker.recoveringSince(R.among(), Now))
     return waitForRecovery(State, R, *Since, Now);
   return waitForTurn(State, R, Now);
 }
@@ -150,7 +154,7 @@
                                  ServiceState &State, const PlacementRequest &R,
                                  TimePoint GiveUpAt, TimePoint Now) {
   if (IsRefused || State.Queue.size() >= MaxWaiting || Now >= GiveUpAt)
-    return refuse(Refusal, retryAfter(R.Service, State, R.Excluded, Now));
+    return refuse(Refusal, retryAfter(R.among(), State, Now));
   return wait(State, R, GiveUpAt, Now);
 }
 
@@ -172,8 +176,10 @@
 
 Placement Dispatcher::waitForTurn(ServiceState &State,
                                   const PlacementRequest &R, TimePoint Now) {
-  std::optional<TimePoint> Turn = nextTurn(R.Service, State, R.Excluded, Now);
-  bool IsRateLimited = Tracker.isRateLimited(R.Service);
+  if (std::optional<PlacementRefusal> Bar = barOf(R.among()))
+    return refuse(*Bar, spread(NoServerRetryAfter));
+  std::optional<TimePoint> Turn = nextTurn(R.among(), State, Now);
+  bool IsRateLimited = Tracker.isRateLimited(R.among());
   if (!Turn && IsRateLimited)
     return refuse(PlacementRefusal::RateLimited, spread(NoServerRetryAfter));
   if (!Turn)
@@ -185,10 +191,31 @@
                     State, R, GiveUpAt, Now);
 }
 
-bool Dispatcher::hasFreeServer(std::string_view Service,
-                               std::span<const std::string> Excluded,
-                               TimePoint Now) {
-  std::optional<Choice> Best = Tracker.choose({Service, Excluded}, Now);
+std::optional<PlacementRefusal>
+Dispatcher::barOf(const Selection &Among) const {
+  std::optional<SelectionBar> Bar = Tracker.barOf(Among);
+  if (!Bar)
+    return std::nullopt;
+  return *Bar == SelectionBar::Evacuated ? PlacementRefusal::Evacuated
+                                         : PlacementRefusal::OutsideRegions;
+}
+
+void Dispatcher::takeBarred(std::string_view Service, ServiceState &State,
+                            std::vector<DequeuedRequest> &Taken) {
+  if (std::exchange(State.CheckedPlaces, Tracker.placesVersion()) ==
+      Tracker.placesVersion())
+    return;
+  State.Queue.takeIf([&](const Waiter &W) {
+    std::optional<PlacementRefusal> Bar = barOf({Service, {}, W.regions()});
+    if (Bar)
+      Taken.push_back(
+          {W.Ticket, std::nullopt, spread(NoServerRetryAfter), Bar});
+    return Bar.has_value();
+  });
+}
+
+bool Dispatcher::hasFreeServer(const Selection &Among, TimePoint Now) {
+  std::optional<Choice> Best = Tracker.choose(Among, Now);
   return Best && Best->HasFreeSlot;
 }
 
@@ -202,36 +229,37 @@
     const std::string &Service = Item.first;
     ServiceState &State = Item.second;
     for (uint64_t Ticket : State.Queue.takeExpired(Now))
-      Result.push_back(
-          {Ticket, std::nullopt, retryAfter(Service, State, {}, Now)});
+      Result.push_back({Ticket, std::nullopt,
+                        retryAfter({Service, {}}, State, Now), std::nullopt});
+    takeBarred(Service, State, Result);
     if (State.Queue.size() == 0)
       continue;
     // Choosing a server is slow: most waiting requests can use the same one.
     std::optional<BackendInstance> Usual =
-        serverWithRoom(Service, State, {}, Now);
+        serverWithRoom({Service, {}}, State, Now);
     if (!Usual)
       continue;
-    // A request must not be dequeued for a server that has already failed it:
-    // it would only join the queue again.
+    // A request must not be dequeued for a server that has already failed it or
+    // that it may not be sent to: it would only join the queue again.
     std::optional<BackendInstance> Server;
     std::optional<uint64_t> Ticket =
         State.Queue.popFirst(Now, [&](const Waiter &W) {
-          Server = W.Excluded.empty()
+          Server = W.Excluded.empty() && !W.Regions
                        ? Usual
-                       : serverWithRoom(Service, State, W.Excluded, Now);
+                       : serverWithRoom({Service, W.Excluded, W.regions()},
+                                        State, Now);
           return Server.has_value();
         });
     if (Ticket)
-      Result.push_back({*Ticket, std::move(Server), Duration(0)});
+      Result.push_back({*Ticket, std::move(Server), Duration(0), std::nullopt});
   }
   return Result;
 }
 
 std::optional<BackendInstance>
-Dispatcher::serverWithRoom(std::string_view Service, const ServiceState &State,
-                           std::span<const std::string> Excluded,
+Dispatcher::serverWithRoom(const Selection &Among, const ServiceState &State,
                            TimePoint Now) {
-  std::optional<Choice> Best = Tracker.choose({Service, Excluded}, Now);
+  std::optional<Choice> Best = Tracker.choose(Among, Now);
   if (!Best || !hasRoom(*Best, State.IsBatched))
     return std::nullopt;
   return *Best->Server;
--- a/libs/dispatch/src/LoadTracker.cpp
+++ b/libs/dispatch/src/LoadTracker.cpp
@@ -26,6 +26,10 @@
   return std::find(Ids.begin(), Ids.end(), Id) != Ids.end();
 }
 
+bool isWithin(const RegionSet *Regions, std::string_view Region) {
+  return !Regions || Regions->contains(Region);
+}
+
 } // namespace
 
 void LoadTracker::sync(const BackendDirectory &Directory) {
@@ -53,8 +57,51 @@
     S.Key = hash64(Id);
     IdByKey[S.Key] = Id;
     applyReports(S);
+    applyPlace(S);
   }
   markSuperseded();
+  ++PlacesVersion;
+}
+
+void LoadTracker::applyPlace(Server &S) const {
+  S.IsEvacuated = Evacuated.contains(S.Entry.DataCentre);
+  auto Region = Regions.find(S.Entry.DataCentre);
+  S.Region = Region == Regions.end() ? "" : Region->second;
+}
+
+void LoadTracker::setRegions(
+    std::map<std::string, std::string, std::less<>> Given) {
+  Regions = std::move(Given);
+  for (auto &[Id, S] : Servers)
+    applyPlace(S);
+  ++PlacesVersion;
+}
+
+void LoadTracker::setEvacuated(DataCentreSet Names) {
+  Evacuated = std::move(Names);
+  for (auto &[Id, S] : Servers)
+    applyPlace(S);
+  ++PlacesVersion;
+}
+
+bool LoadTracker::isEvacuated(std::string_view Id) const {
+  auto Found = Servers.find(Id);
+  return Found != Servers.end() && Found->second.IsEvacuated;
+}
+
+std::optional<SelectionBar> LoadTracker::barOf(const Selection &Among) const {
+  std::optional<SelectionBar> Bar;
+  for (const auto &[Id, S] : Servers) {
+    if (S.Entry.Service != Among.Service || !S.isUsable())
+      continue;
+    if (isEligible(S, Among))
+      return std::nullopt;
+    if (isWithin(Among.Regions, S.Region))
+      Bar = SelectionBar::Evacuated;
+    else if (!Bar)
+      Bar = SelectionBar::OutsideRegions;
+  }
+  return Bar;
 }
 
 void LoadTracker::applyReports(Server &S) const {
@@ -137,17 +184,17 @@
             {"source", Source}});
 }
 
-bool LoadTracker::isRateLimited(std::string_view Service) const {
+bool LoadTracker::isRateLimited(const Selection &Among) const {
   return std::any_of(Servers.begin(), Servers.end(), [&](const auto &Item) {
     const Server &S = Item.second;
-    return S.Entry.Service == Service && S.isUsable() && Limits.limit(S.run());
+    return isEligible(S, Among) && Limits.limit(S.run());
   });
 }
 
-double LoadTracker::ownRate(std::string_view Service) const {
+double LoadTracker::ownRate(const Selection &Among) const {
   double Sum = 0;
   for (const auto &[Id, S] : Servers)
-    if (S.Entry.Service == Service && S.isUsable())
+    if (isEligible(S, Among))
       Sum += Limits.ownRate(S.run()).value_or(0);
   return Sum;
 }
@@ -331,11 +378,11 @@
          TieBreak(Random);
 }
 
-std::optional<TimePoint> LoadTracker::recoveringSince(std::string_view Service,
+std::optional<TimePoint> LoadTracker::recoveringSince(const Selection &Among,
                                                       TimePoint Now) const {
   std::optional<TimePoint> Since;
   for (const auto &[Id, S] : Servers) {
-    if (S.Entry.Service != Service || !S.isUsable() || Now < S.PausedUntil)
+    if (!isEligible(S, Among) || Now < S.PausedUntil)
       continue;
     std::optional<TimePoint> Closed = S.Health.unavailableSince();
     if (!Closed)
@@ -358,14 +405,18 @@
   return First;
 }
 
+bool LoadTracker::isEligible(const Server &S, const Selection &Among) {
+  return S.Entry.Service == Among.Service && S.isUsable() && !S.IsEvacuated &&
+         isWithin(Among.Regions, S.Region);
+}
+
 bool LoadTracker::isCandidate(const Server &S, const Selection &Among) {
-  return S.Entry.Service == Among.Service && S.isUsable() &&
-         !contains(Among.Excluded, S.Entry.Id);
+  return isEligible(S, Among) && !contains(Among.Excluded, S.Entry.Id);
 }
 
 std::optional<Choice> LoadTracker::choose(const Selection &Among,
                                           TimePoint Now) {
-  if (isRecovering(Among.Service, Now)) {
+  if (isRecovering(Among, Now)) {
     auto Trial = NextTrials.find(Among.Service);
     if (Trial != NextTrials.end() && Now < Trial->second)
       return std::nullopt;
@@ -374,8 +425,7 @@
   size_t Ejected = 0;
   size_t Stragglers = 0;
   for (const auto &[Id, S] : Servers) {
-    if (S.Entry.Service != Among.Service || !S.isUsable() ||
-        S.Health.isUnavailable() || Now < S.pauseEnd())
+    if (!isEligible(S, Among) || S.Health.isUnavailable() || Now < S.pauseEnd())
       continue;
     ++Usable;
     Ejected += S.Health.isEjected(Now);
@@ -480,6 +530,7 @@
     Result.Unavailable += S.Health.isUnavailable();
     Result.Ejected += S.Health.isEjected(Now);
     Result.Stragglers += S.Health.isStraggler(Now);
+    Result.Evacuated += S.IsEvacuated;
   }
   return Result;
 }
@@ -503,7 +554,7 @@
         " latency_ms=" + std::to_string(std::lround(S.Speed.latencyMillis())) +
         " gap_ms=" + std::to_string(std::lround(S.Speed.gapMillis(Now))) +
         (S.Entry.IsDraining ? " draining" : "") +
-        (S.IsLeaving ? " leaving" : "") +
+        (S.IsEvacuated ? " evacuated" : "") + (S.IsLeaving ? " leaving" : "") +
         (Now < S.PausedUntil ? " paused" : "") + describeLimit(S) +
         (S.Health.isUnavailable() ? " unavailable" : "") +
         (S.Health.isStraggler(Now) ? " straggler" : "") +
--- a/libs/fleet/src/LoopbackFleet.h
+++ b/libs/fleet/src/LoopbackFleet.h
@@ -26,12 +26,19 @@
   static inline const std::string LookupPrefix = "/lookups/";
   static inline const std::string Served = "HTTP/1.1 200 OK";
 
-  LoopbackFleet(asio::io_context &Io, size_t Size) : Io(Io), Port(freePort()) {
+  /// \p AwaitsEvacuations: as in GatewayOptions.
+  LoopbackFleet(asio::io_context &Io, size_t Size,
+                bool AwaitsEvacuations = false)
+      : Io(Io), Port(freePort()), AwaitsEvacuations(AwaitsEvacuations) {
     for (size_t I = 0; I < Size; ++I)
       start(I, Size);
   }
 
+  /// Starts a further node, which knows the others.
+  void startAnother() { start(Nodes.size(), Nodes.size()); }
   size_t size() const { return Nodes.size(); }
+  gateway::Gateway &front(size_t Index) { return Nodes[Index]->Front; }
+  MetricsRegistry &metrics(size_t Index) { return Nodes[Index]->Metrics; }
 
   /// Lists the running servers as instances `i0`, `i1`, ... at all nodes.
   void list(std::span<const std::unique_ptr<gateway::ScriptedServer>> Servers) {
@@ -85,11 +92,16 @@
 
 private:
   struct Node {
-    Node(asio::io_context &Io, const Address &Listen)
-        : Front(Io, gateway::loopbackOptions(RetryAllowance),
-                gateway::ProtocolNames(), Metrics),
+    Node(asio::io_context &Io, const Address &Listen, bool AwaitsEvacuations)
+        : Front(Io, options(AwaitsEvacuations), gateway::ProtocolNames(),
+                Metrics),
           Peers(Io, {Listen.Ip, 1, Listen}, Front, [](ConfigDocument) {}) {}
     static constexpr double RetryAllowance = 1000;
+    static gateway::GatewayOptions options(bool AwaitsEvacuations) {
+      gateway::GatewayOptions Result = gateway::loopbackOptions(RetryAllowance);
+      Result.AwaitsEvacuations = AwaitsEvacuations;
+      return Result;
+    }
     MetricsRegistry Metrics;
     gateway::Gateway Front;
     PeerExchange Peers;
@@ -109,7 +121,8 @@
   }
 
   void start(size_t Index, size_t Size) {
-    auto N = std::make_unique<Node>(Io, Address{ipOf(Index), Port});
+    auto N = std::make_unique<Node>(Io, Address{ipOf(Index), Port},
+                                    AwaitsEvacuations);
     CPPUNIT_ASSERT(N->Front.listen().ok());
     CPPUNIT_ASSERT(N->Peers.listen().ok());
     for (size_t I = 0; I < Size; ++I)
@@ -136,6 +149,7 @@
 
   asio::io_context &Io;
   const uint16_t Port;
+  const bool AwaitsEvacuations;
   std::vector<std::unique_ptr<Node>> Nodes;
   uint64_t DirectoryVersion = 0;
   uint64_t LastRequest = 0;
--- a/libs/fleet/src/PeerExchange.cpp
+++ b/libs/fleet/src/PeerExchange.cpp
@@ -1,6 +1,7 @@
 //===- PeerExchange.cpp - Exchanges load and versions with peer nodes -----===//
 #include "ragwort/fleet/PeerExchange.h"
 #include "ragwort/base/Hash.h"
+#include "ragwort/fleet/EvacuationNews.h"
 #include "ragwort/http/HttpClient.h"
 #include "ragwort/observe/Log.h"
 #include "ragwort/quarantine/QuarantineWire.h"
@@ -179,7 +180,7 @@
             Digest.ok())
           Quarantine.onPeerDigest(Ip, *Digest, Now);
       }};
-  return {Conditions, Leaving, Limits, Quarantines};
+  return {Conditions, Leaving, Limits, Quarantines, evacuationNews(Node)};
 }
 
 void PeerExchange::onHeartbeat(const PeerHeartbeat &Heartbeat,
--- a/libs/gateway/include/ragwort/gateway/Forwarding.h
+++ b/libs/gateway/include/ragwort/gateway/Forwarding.h
@@ -118,6 +118,9 @@
   /// Ends the request if one of its traits is quarantined. \returns whether
   /// one is.
   bool endIfQuarantined();
+  /// Places the request again if its server's data centre was evacuated while
+  /// the connection was being opened. \returns whether it was.
+  bool moveIfEvacuated();
   void noteSurvival();
   void noteConnectionEnd();
   void place();
--- a/libs/gateway/include/ragwort/gateway/Gateway.h
+++ b/libs/gateway/include/ragwort/gateway/Gateway.h
@@ -20,6 +20,10 @@
 struct GatewayOptions {
   Address Listen;
   std::string DataCentre;
+  /// Data centre -> region, of all that there are; empty if not known.
+  std::map<std::string, std::string, std::less<>> Regions = {};
+  /// Whether no request is accepted before evacuations() are known.
+  bool AwaitsEvacuations = false;
   /// Limits on retries, for the whole fleet.
   dispatch::RetryBudgetLimits RetryLimits;
   /// Maximum number of caller connections. Further ones are closed on accept.
@@ -54,6 +58,9 @@
   const dispatch::BackendDirectory &directory() const { return Directory; }
   /// Call after each change of directory().
   void onDirectoryChanged();
+  dispatch::Evacuations &evacuations() { return Evacuated; }
+  /// Call after each change of evacuations().
+  void onEvacuationsChanged();
   /// Records the load that \p Peer reported.
   void onPeerReport(std::string_view Peer,
                     std::vector<dispatch::InFlightReport> Report);
@@ -87,6 +94,8 @@
   bool isDraining() const override { return IsDraining; }
 
 private:
+  /// Whether it has what it needs to place requests.
+  bool hasState() const;
   void acceptNext();
   void tick();
   void dispatchWaiting();
@@ -103,6 +112,7 @@
   quarantine::RequestQuarantine Quarantine;
   CrashDetector Crashes;
   dispatch::BackendDirectory Directory;
+  dispatch::Evacuations Evacuated;
   std::shared_ptr<const TrafficConfig> Config;
   ForwardingContext Context;
   std::set<std::shared_ptr<CallerSession>> Sessions;
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -113,6 +113,20 @@
   return true;
 }
 
+bool Forwarding::moveIfEvacuated() {
+  if (!Context.Dispatch.loadTracker().isEvacuated(Server.Id))
+    return false;
+  logEvent(LogLevel::Info, "request-moved",
+           {{"request", Accepted.RequestId},
+            {"cause", "evacuation"},
+            {"instance", Server.Id},
+            {"events", Events.events()},
+            {"sends", Flow.sends()}});
+  leaveServer(false);
+  place();
+  return true;
+}
+
 void Forwarding::noteSurvival() {
   if (!std::exchange(HasSurvived, true))
     Context.Quarantine.onSurvived(Accepted.Traits, SentAt, now());
@@ -171,7 +185,7 @@
     return;
   }
   if (LastFault.empty())
-    LastFault = "queue-timeout";
+    LastFault = C.Refusal ? toString(*C.Refusal) : "queue-timeout";
   RetryAfter = C.RetryAfter;
   carryOut(Flow.onNoBackend());
 }
@@ -201,7 +215,7 @@
 
 void Forwarding::onConnected() {
   auto Self = shared_from_this();
-  if (!endIfQuarantined())
+  if (!endIfQuarantined() && !moveIfEvacuated())
     writeRequest();
 }
 
@@ -598,7 +612,7 @@
 bool Forwarding::hasOtherFreeServer(TimePoint At) {
   std::vector<std::string> Tried = Excluded;
   Tried.push_back(Server.Id);
-  return Context.Dispatch.hasFreeServer(Service, Tried, At);
+  return Context.Dispatch.hasFreeServer({Service, Tried}, At);
 }
 
 void Forwarding::onTick(TimePoint At) {
--- a/libs/gateway/src/Gateway.cpp
+++ b/libs/gateway/src/Gateway.cpp
@@ -35,6 +35,23 @@
                  sizeof(Run.BornMillis)});
 }
 
+dispatch::DataCentreSet existingDataCentres(const GatewayOptions &Options) {
+  dispatch::DataCentreSet Result;
+  if (Options.Regions.empty())
+    return Result;
+  for (const auto &[DataCentre, Region] : Options.Regions)
+    Result.insert(DataCentre);
+  Result.insert(Options.DataCentre);
+  return Result;
+}
+
+std::string join(const dispatch::DataCentreSet &Names) {
+  std::string Text;
+  for (const std::string &Name : Names)
+    Text += (Text.empty() ? "" : ",") + Name;
+  return Text;
+}
+
 size_t count(const HeaderFields &Fields, std::string_view Name) {
   return static_cast<size_t>(std::count_if(
       Fields.begin(), Fields.end(), [Name](const HeaderField &Field) {
@@ -55,6 +72,7 @@
                      const quarantine::RequestTraits &Traits) {
                 Quarantine.onCrash(keyOf(Run), Traits, SteadyClock().now());
               }),
+      Evacuated(existingDataCentres(Options), SteadyClock().now()),
       Context{Io,
               Names,
               Dispatch,
@@ -66,7 +84,9 @@
                 Waiting.emplace(Ticket, std::move(Request));
               },
               [this] { scheduleDispatch(); },
-              [this] { return toString(Directory.version()); }} {}
+              [this] { return toString(Directory.version()); }} {
+  Dispatch.loadTracker().setRegions(Options.Regions);
+}
 
 Gateway::~Gateway() = default;
 
@@ -120,6 +140,8 @@
     }
     if (Directory.expire(Now) > 0)
       onDirectoryChanged();
+    if (Evacuated.expire(Now))
+      onEvacuationsChanged();
     Pool.expire(Now);
     Quarantine.update(Now);
     dispatchWaiting();
@@ -143,6 +165,11 @@
   scheduleDispatch();
 }
 
+void Gateway::onEvacuationsChanged() {
+  Dispatch.loadTracker().setEvacuated(Evacuated.inForce());
+  scheduleDispatch();
+}
+
 void Gateway::onPeerReport(std::string_view Peer,
                            std::vector<dispatch::InFlightReport> Report) {
   Dispatch.loadTracker().onPeerReport(Peer, std::move(Report),
@@ -182,10 +209,13 @@
                 [](const auto &Item) { return Item.second.expired(); });
 }
 
-bool Gateway::isReady() const {
-  return Config && Directory.isKnown() && !IsDraining;
+bool Gateway::hasState() const {
+  return Config && Directory.isKnown() &&
+         (Evacuated.isKnown() || !Options.AwaitsEvacuations);
 }
 
+bool Gateway::isReady() const { return hasState() && !IsDraining; }
+
 void Gateway::beginDrain() { IsDraining = true; }
 
 void Gateway::closeIdle() {
@@ -214,7 +244,7 @@
 
 std::variant<AcceptedRequest, LocalReply> Gateway::accept(http::Request Message,
                                                           TimePoint Arrived) {
-  if (!Config || !Directory.isKnown())
+  if (!hasState())
     return LocalReply{503, "starting", StartingRetryAfter};
   std::string_view Host = Message.header("Host");
   std::string_view RequestId = Message.header(Names.RequestId);
@@ -278,6 +308,8 @@
   Set("ragwort_servers", Counts.Unavailable, "state=\"unavailable\"");
   Set("ragwort_servers", Counts.Ejected, "state=\"ejected\"");
   Set("ragwort_servers", Counts.Stragglers, "state=\"straggler\"");
+  Set("ragwort_servers", Counts.Evacuated, "state=\"evacuated\"");
+  Set("ragwort_evacuated_data_centres", Evacuated.inForce().size());
 }
 
 std::string Gateway::describe() const {
@@ -285,6 +317,8 @@
          " draining=" + std::to_string(IsDraining) +
          " config=" + std::to_string(configVersion()) +
          " directory=" + toString(Directory.version()) +
+         " evacuations=" + toString(Evacuated.version()) +
+         " evacuated=" + join(Evacuated.inForce()) +
          " callers=" + std::to_string(Sessions.size()) +
          " active=" + std::to_string(activeRequests()) +
          " waiting=" + std::to_string(Dispatch.waiting()) +
