Keep a closed group closed to its new runs, and open it gradually

A rank that came back to a closed group counted as available, because a new run had no state, and as the only one: the fleet's waiting requests went to it at once. It fell over, refused connections and stayed the choice, because ejections do not count when most of the available servers are ejected.

A new run takes over its group's closure; a server to which no connection can be made is unavailable until there is news of it; requests that waited return at the pace of the open slots.

--- a/libs/dispatch/include/ragwort/dispatch/Dispatcher.h
+++ b/libs/dispatch/include/ragwort/dispatch/Dispatcher.h
@@ -7,13 +7,15 @@
 // rate at which this node's requests have been completing. While all servers
 // have asked this node to pause, it compares the end of the first pause with
 // the time for which the caller can wait; likewise this node's next turn while
-// all servers have stated rate limits.
+// all servers have stated rate limits. When a closed group opens, requests
+// leave the queue at the pace of OpeningRamp.h.
 //
 //===----------------------------------------------------------------------===//
 #ifndef RAGWORT_DISPATCH_DISPATCHER_H
 #define RAGWORT_DISPATCH_DISPATCHER_H
 
 #include "ragwort/dispatch/LoadTracker.h"
+#include "ragwort/dispatch/OpeningRamp.h"
 #include "ragwort/dispatch/RetryBudget.h"
 #include "ragwort/dispatch/WaitQueue.h"
 #include <random>
@@ -129,14 +131,18 @@
 
 private:
   struct ServiceState {
-    explicit ServiceState(RetryBudgetLimits Limits) : Budget(Limits) {}
+    ServiceState(RetryBudgetLimits Limits, uint64_t Seed)
+        : Budget(Limits), Ramp(Seed) {}
     RetryBudget Budget;
+    OpeningRamp Ramp;
     WaitQueue Queue;
     DrainRate Drain;
     // Whether the service batches requests, as stated by its last request.
     bool IsBatched = false;
   };
   ServiceState &stateOf(std::string_view Service);
+  /// Tells the ramp of \p State whether the service's group is closed.
+  void updateRamp(std::string_view Service, ServiceState &State, TimePoint Now);
   bool hasRoom(const Choice &C, bool IsBatched) const;
   std::optional<BackendInstance>
   serverWithRoom(std::string_view Service, const ServiceState &State,
@@ -156,6 +162,9 @@
   /// All usable servers are full.
   Placement waitForSlot(ServiceState &State, const PlacementRequest &R,
                         TimePoint Now);
+  /// The service's group has just opened, and it is not this request's turn.
+  Placement waitForOpening(ServiceState &State, const PlacementRequest &R,
+                           TimePoint Now);
   /// All usable servers have been unavailable since \p Since.
   Placement waitForRecovery(ServiceState &State, const PlacementRequest &R,
                             TimePoint Since, TimePoint Now);
@@ -172,6 +181,7 @@
 
   LoadTracker Tracker;
   const RetryBudgetLimits Budget;
+  const uint64_t Seed;
   std::map<std::string, ServiceState, std::less<>> ServiceStates;
   std::mt19937_64 Random;
   uint64_t NextTicket = 1;
--- a/libs/dispatch/include/ragwort/dispatch/LoadTracker.h
+++ b/libs/dispatch/include/ragwort/dispatch/LoadTracker.h
@@ -12,7 +12,9 @@
 // failing server is excluded for a limited time and then tried again. Servers
 // that report themselves unavailable, or whose agents do, are excluded even if
 // that leaves none; they return when their agent reports them open or, without
-// a report, when one of the trial requests, sent one at a time, succeeds.
+// a report, when one of the trial requests, sent one at a time, succeeds. So
+// are servers to which no connection can be made. A server that starts while
+// its group is closed is unavailable from the beginning.
 //
 // Servers that have said that they are leaving receive nothing more in that
 // run. Servers that asked this node to pause receive nothing until the pause is
@@ -113,6 +115,11 @@
   std::optional<TimePoint> pauseEnd(const Selection &Among,
                                     TimePoint Now) const;
 
+  /// Whether isRecovering() is true and agents say that the group is closed.
+  bool isGroupClosed(std::string_view Service, TimePoint Now) const;
+  /// Slots of the servers of \p Service that are available.
+  uint32_t availableSlots(std::string_view Service, TimePoint Now) const;
+
   /// Whether a server of \p Service has a rate limit.
   bool isRateLimited(std::string_view Service) const;
   /// Requests per second that this node may send to the rate-limited servers of
@@ -121,6 +128,8 @@
 
   void onStarted(std::string_view Id, TimePoint Now);
   void onEnded(std::string_view Id);
+  /// A connection to the server was made.
+  void onConnected(std::string_view Id);
   /// The server answered successfully after \p Latency.
   void onAnswered(std::string_view Id, Duration Latency, TimePoint Now);
   /// A stream event arrived from the server \p Gap after the previous one.
@@ -145,6 +154,8 @@
   void setNodes(uint64_t Self, std::vector<uint64_t> Peers, TimePoint Now) {
     Limits.setNodes(Self, std::move(Peers), Now);
   }
+  /// Number of nodes that share the rate limits, this one included.
+  size_t nodeCount() const { return Limits.nodeCount(); }
   /// A peer forwarded which servers told it that they are leaving.
   void onPeerLeaving(std::span<const ServerRun> Leaving, TimePoint Now);
   /// A server sent a header field that cannot be understood. Logged once for
@@ -219,6 +230,12 @@
 
   Server *find(std::string_view Id);
   void applyReports(Server &S) const;
+  /// Since when the group of the new run \p Entry has been closed by the word
+  /// of agents; nothing if it is not.
+  std::optional<TimePoint> groupClosedSince(const BackendInstance &Entry) const;
+  /// Whether agents say of so many servers of \p Service that they are closed
+  /// that the other unavailable ones need no trial: of more than half.
+  bool areMostReportedClosed(std::string_view Service, TimePoint Now) const;
   /// Logs that \p S is leaving and excludes it.
   static void markLeaving(Server &S, std::string_view Source);
   static void applyCondition(Server &S, EngineCondition Condition,
--- a/libs/dispatch/include/ragwort/dispatch/RateLimits.h
+++ b/libs/dispatch/include/ragwort/dispatch/RateLimits.h
@@ -70,6 +70,7 @@
   /// What servers said to this node, for its peers.
   std::vector<RateLimitReport> toForward(TimePoint Now) const;
   size_t size() const { return Entries.size(); }
+  size_t nodeCount() const { return Peers.size() + 1; }
 
 private:
   struct Entry {
--- a/libs/dispatch/include/ragwort/dispatch/ServerHealth.h
+++ b/libs/dispatch/include/ragwort/dispatch/ServerHealth.h
@@ -3,7 +3,8 @@
 // Judges one run of a server by its answers and faults and by what its agent
 // reports. A failing server is ejected for a limited time and then tried again.
 // One that is reported unavailable stays so until its agent reports it open or
-// a trial request succeeds.
+// a trial request succeeds. One to which no connection can be made is down
+// until its agent reports it open or a connection is made.
 //
 // Pure: without sockets, clocks and threads.
 //
@@ -20,7 +21,9 @@
 
 /// How a send failed, from which the health of its server is judged.
 enum class ServerFault : uint8_t {
-  /// No connection, or the connection broke.
+  /// No connection could be made.
+  NotConnected,
+  /// The connection broke.
   Unreachable,
   /// No complete answer, or no further stream event, within the time limit.
   TimedOut,
@@ -72,6 +75,10 @@
   void onFault(ServerFault Fault, TimePoint Now);
   /// A request was sent to it.
   void onSent(TimePoint Now);
+  /// A connection to it was made.
+  void onConnected() { DownSince.reset(); }
+  /// The run begins in a group that has been closed since \p Since.
+  void beginInClosedGroup(TimePoint Since);
   /// Its agent or a peer reported \p Condition. \returns whether that is news.
   bool onCondition(EngineCondition Condition, TimePoint Now);
   /// Its agent reported \p Condition to this node, which tells its peers.
@@ -81,10 +88,24 @@
   double failureRate() const { return FailureRate; }
   bool isEjected(TimePoint Now) const { return Now < EjectedUntil; }
   bool isStraggler(TimePoint Now) const { return Now < StragglerUntil; }
-  /// Reported unavailable; since then neither reported open nor successful.
-  bool isUnavailable() const { return UnavailableSince.has_value(); }
-  /// The first of the reports that it is unavailable.
-  std::optional<TimePoint> unavailableSince() const { return UnavailableSince; }
+  /// Down, or reported unavailable; since then neither reported open nor
+  /// successful.
+  bool isUnavailable() const { return UnavailableSince || DownSince; }
+  /// The first of the signs that it is unavailable.
+  std::optional<TimePoint> unavailableSince() const {
+    return UnavailableSince ? UnavailableSince : DownSince;
+  }
+  /// No connection could be made, and nothing else has been heard since.
+  bool isDown() const { return DownSince.has_value(); }
+  /// By the word of its agent, its group is closed.
+  bool isGroupClosed() const { return UnavailableSince && IsGroupClosed; }
+  /// Its agent has reported the group closed within the last NoticeLifetime.
+  bool hasClosedNotice(TimePoint Now) const {
+    return isGroupClosed() && Now < ClosedNoticeUntil;
+  }
+  /// This run began while its group was closed, and its own agent has not
+  /// reported it yet.
+  bool awaitsGroup() const { return isGroupClosed() && IsAwaitingGroup; }
   /// Whether it is unavailable and it is not yet time for a trial request.
   bool awaitsTrial(TimePoint Now) const {
     return isUnavailable() && Now < NextTrial;
@@ -99,7 +120,12 @@
   double FailureRate = 0;
   TimePoint EjectedUntil{};
   Duration NextEjection = FirstEjection;
+  std::optional<TimePoint> DownSince;
   std::optional<TimePoint> UnavailableSince;
+  // The following two hold only while UnavailableSince is set.
+  bool IsGroupClosed = false;
+  bool IsAwaitingGroup = false;
+  TimePoint ClosedNoticeUntil{};
   // The most recent report that it is unavailable.
   TimePoint ReportedUnavailableAt{};
   TimePoint NextTrial{};
--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -1,5 +1,6 @@
 //===- Dispatcher.cpp - Send, wait or refuse ------------------------------===//
 #include "ragwort/dispatch/Dispatcher.h"
+#include "ragwort/observe/Log.h"
 #include <algorithm>
 
 namespace ragwort::dispatch {
@@ -49,17 +50,34 @@
 
 Dispatcher::Dispatcher(std::string LocalDataCentre, RetryBudgetLimits Budget,
                        uint64_t Seed)
-    : Tracker(std::move(LocalDataCentre), Seed), Budget(Budget), Random(~Seed) {
-}
+    : Tracker(std::move(LocalDataCentre), Seed), Budget(Budget), Seed(Seed),
+      Random(~Seed) {}
 
 Dispatcher::ServiceState &Dispatcher::stateOf(std::string_view Service) {
   auto Found = ServiceStates.find(Service);
   if (Found == ServiceStates.end())
     Found =
-        ServiceStates.emplace(std::string(Service), ServiceState(Budget)).first;
+        ServiceStates.emplace(std::string(Service), ServiceState(Budget, Seed))
+            .first;
   return Found->second;
 }
 
+void Dispatcher::updateRamp(std::string_view Service, ServiceState &State,
+                            TimePoint Now) {
+  if (Tracker.isGroupClosed(Service, Now)) {
+    State.Ramp.onClosed();
+    return;
+  }
+  if (!State.Ramp.isPending() || Tracker.isRecovering(Service, Now))
+    return;
+  uint32_t Slots = Tracker.availableSlots(Service, Now);
+  if (State.Ramp.onAvailable(Slots, Nodes.value_or(Tracker.nodeCount()), Now))
+    logEvent(LogLevel::Info, "group-opens",
+             {{"service", Service},
+              {"slots", Slots},
+              {"waiting", State.Queue.size()}});
+}
+
 bool Dispatcher::hasRoom(const Choice &C, bool IsBatched) const {
   uint32_t Slots = C.Server->Slots;
   // A server that does not batch may have twice as many requests as slots.
@@ -131,8 +149,12 @@
 Placement Dispatcher::place(const PlacementRequest &R, TimePoint Now) {
   ServiceState &State = stateOf(R.Service);
   State.IsBatched = R.IsBatched;
+  updateRamp(R.Service, State, Now);
   std::optional<Choice> Best = Tracker.choose({R.Service, R.Excluded}, Now);
+  if (Best && !State.Ramp.maySend())
+    return waitForOpening(State, R, Now);
   if (Best && hasRoom(*Best, R.IsBatched)) {
+    State.Ramp.onSent();
     Placement P;
     P.Result = Placement::Decision::Send;
     P.Server = *Best->Server;
@@ -163,6 +185,12 @@
                     PlacementRefusal::Overloaded, State, R, GiveUpAt, Now);
 }
 
+Placement Dispatcher::waitForOpening(ServiceState &State,
+                                     const PlacementRequest &R, TimePoint Now) {
+  return waitUnless(/*IsRefused=*/false, PlacementRefusal::Recovering, State, R,
+                    giveUpAt(R, /*IsRecovering=*/true), Now);
+}
+
 Placement Dispatcher::waitForRecovery(ServiceState &State,
                                       const PlacementRequest &R,
                                       TimePoint Since, TimePoint Now) {
@@ -188,8 +216,10 @@
 bool Dispatcher::hasFreeServer(std::string_view Service,
                                std::span<const std::string> Excluded,
                                TimePoint Now) {
+  ServiceState &State = stateOf(Service);
+  updateRamp(Service, State, Now);
   std::optional<Choice> Best = Tracker.choose({Service, Excluded}, Now);
-  return Best && Best->HasFreeSlot;
+  return Best && Best->HasFreeSlot && !State.Ramp.isActive();
 }
 
 void Dispatcher::cancelWait(std::string_view Service, uint64_t Ticket) {
@@ -206,6 +236,9 @@
           {Ticket, std::nullopt, retryAfter(Service, State, {}, Now)});
     if (State.Queue.size() == 0)
       continue;
+    updateRamp(Service, State, Now);
+    if (!State.Ramp.maySend())
+      continue;
     // Choosing a server is slow: most waiting requests can use the same one.
     std::optional<BackendInstance> Usual =
         serverWithRoom(Service, State, {}, Now);
@@ -221,8 +254,10 @@
                        : serverWithRoom(Service, State, W.Excluded, Now);
           return Server.has_value();
         });
-    if (Ticket)
-      Result.push_back({*Ticket, std::move(Server), Duration(0)});
+    if (!Ticket)
+      continue;
+    State.Ramp.onSent();
+    Result.push_back({*Ticket, std::move(Server), Duration(0)});
   }
   return Result;
 }
--- a/libs/dispatch/src/LoadTracker.cpp
+++ b/libs/dispatch/src/LoadTracker.cpp
@@ -46,8 +46,13 @@
     if (S.Entry.BornMillis != Entry.BornMillis ||
         S.Entry.Address != Entry.Address) {
       uint32_t OwnInFlight = S.OwnInFlight;
+      std::optional<TimePoint> Closed = groupClosedSince(Entry);
       S = Server();
       S.OwnInFlight = OwnInFlight;
+      if (Closed) {
+        S.Health.beginInClosedGroup(*Closed);
+        logEvent(LogLevel::Info, "server-awaits-group", {{"instance", Id}});
+      }
     }
     S.Entry = Entry;
     S.Key = hash64(Id);
@@ -57,6 +62,47 @@
   markSuperseded();
 }
 
+std::optional<TimePoint>
+LoadTracker::groupClosedSince(const BackendInstance &Entry) const {
+  for (const auto &[Id, S] : Servers)
+    if (S.Entry.Service == Entry.Service && S.isUsable() &&
+        S.Health.isGroupClosed())
+      return S.Health.unavailableSince();
+  return std::nullopt;
+}
+
+bool LoadTracker::areMostReportedClosed(std::string_view Service,
+                                        TimePoint Now) const {
+  size_t Usable = 0;
+  size_t Closed = 0;
+  for (const auto &[Id, S] : Servers) {
+    if (S.Entry.Service != Service || !S.isUsable())
+      continue;
+    ++Usable;
+    Closed += S.Health.hasClosedNotice(Now);
+  }
+  return Closed * 2 > Usable;
+}
+
+bool LoadTracker::isGroupClosed(std::string_view Service, TimePoint Now) const {
+  return isRecovering(Service, Now) &&
+         std::any_of(Servers.begin(), Servers.end(), [&](const auto &Item) {
+           const Server &S = Item.second;
+           return S.Entry.Service == Service && S.isUsable() &&
+                  S.Health.isGroupClosed();
+         });
+}
+
+uint32_t LoadTracker::availableSlots(std::string_view Service,
+                                     TimePoint Now) const {
+  uint32_t Sum = 0;
+  for (const auto &[Id, S] : Servers)
+    if (S.Entry.Service == Service && S.isUsable() &&
+        !S.Health.isUnavailable() && Now >= S.pauseEnd())
+      Sum += S.Entry.Slots;
+  return Sum;
+}
+
 void LoadTracker::applyReports(Server &S) const {
   S.IsLeaving = Reports.isLeaving(S.run());
   TimePoint Until = Reports.pausedUntil(S.run());
@@ -208,6 +254,11 @@
     --S->OwnInFlight;
 }
 
+void LoadTracker::onConnected(std::string_view Id) {
+  if (Server *S = find(Id))
+    S->Health.onConnected();
+}
+
 void LoadTracker::onAnswered(std::string_view Id, Duration Latency,
                              TimePoint Now) {
   Server *S = find(Id);
@@ -367,15 +418,19 @@
                                           TimePoint Now) {
   if (isRecovering(Among.Service, Now)) {
     auto Trial = NextTrials.find(Among.Service);
-    if (Trial != NextTrials.end() && Now < Trial->second)
+    if ((Trial != NextTrials.end() && Now < Trial->second) ||
+        areMostReportedClosed(Among.Service, Now))
       return std::nullopt;
   }
   size_t Usable = 0;
   size_t Ejected = 0;
   size_t Stragglers = 0;
+  bool IsAnyReportedClosed = false;
   for (const auto &[Id, S] : Servers) {
-    if (S.Entry.Service != Among.Service || !S.isUsable() ||
-        S.Health.isUnavailable() || Now < S.pauseEnd())
+    if (S.Entry.Service != Among.Service || !S.isUsable())
+      continue;
+    IsAnyReportedClosed |= S.Health.hasClosedNotice(Now);
+    if ((S.Health.isUnavailable() && !S.Health.isDown()) || Now < S.pauseEnd())
       continue;
     ++Usable;
     Ejected += S.Health.isEjected(Now);
@@ -390,7 +445,8 @@
   for (const auto &[Id, S] : Servers) {
     if (!isCandidate(S, Among) || (SkipsEjected && S.Health.isEjected(Now)) ||
         (SkipsStragglers && S.Health.isStraggler(Now)) ||
-        S.Health.awaitsTrial(Now) || Now < S.pauseEnd() ||
+        S.Health.awaitsTrial(Now) ||
+        (S.Health.awaitsGroup() && IsAnyReportedClosed) || Now < S.pauseEnd() ||
         !Limits.maySend(S.run(), Now))
       continue;
     Candidates.push_back(&S);
--- a/libs/dispatch/src/ServerHealth.cpp
+++ b/libs/dispatch/src/ServerHealth.cpp
@@ -31,18 +31,31 @@
   // does not show that it is available again.
   if (SentAt >= ReportedUnavailableAt)
     UnavailableSince.reset();
+  DownSince.reset();
   NextEjection = FirstEjection;
 }
 
+void ServerHealth::beginInClosedGroup(TimePoint Since) {
+  UnavailableSince = Since;
+  IsGroupClosed = true;
+  IsAwaitingGroup = true;
+}
+
 void ServerHealth::onFault(ServerFault Fault, TimePoint Now) {
   if (Fault == ServerFault::Full)
     return;
+  if (Fault == ServerFault::NotConnected) {
+    if (!DownSince)
+      DownSince = Now;
+    NextTrial = std::max(NextTrial, Now + TrialInterval);
+  }
   FailureRate = (1 - AverageWeight) * FailureRate + AverageWeight;
   switch (Fault) {
   case ServerFault::Unavailable:
     setUnavailable(Now);
     NextTrial = Now + TrialInterval;
     break;
+  case ServerFault::NotConnected:
   case ServerFault::Unreachable:
   case ServerFault::TimedOut:
     eject(Now);
@@ -70,8 +83,13 @@
     return IsNews;
   }
   case EngineCondition::Closed: {
-    bool IsNews = !isUnavailable();
+    bool IsNews = !UnavailableSince || DownSince || IsAwaitingGroup;
     setUnavailable(Now);
+    // An agent speaks only of an engine that answers it.
+    DownSince.reset();
+    IsGroupClosed = true;
+    IsAwaitingGroup = false;
+    ClosedNoticeUntil = Now + NoticeLifetime;
     // No trial request is needed while the agent's notices arrive.
     NextTrial = Now + NoticeLifetime;
     return IsNews;
@@ -80,6 +98,7 @@
     if (!isUnavailable())
       return false;
     UnavailableSince.reset();
+    DownSince.reset();
     // Failures from before the group was formed again no longer count.
     EjectedUntil = TimePoint();
     NextEjection = FirstEjection;
@@ -107,8 +126,11 @@
 }
 
 void ServerHealth::setUnavailable(TimePoint Now) {
-  if (!UnavailableSince)
+  if (!UnavailableSince) {
     UnavailableSince = Now;
+    IsGroupClosed = false;
+    IsAwaitingGroup = false;
+  }
   ReportedUnavailableAt = Now;
 }
 
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -201,6 +201,7 @@
 
 void Forwarding::onConnected() {
   auto Self = shared_from_this();
+  Context.Dispatch.loadTracker().onConnected(Server.Id);
   if (!endIfQuarantined())
     writeRequest();
 }
@@ -494,7 +495,7 @@
   if (CurrentPhase == Phase::Connecting) {
     LastFault = "connect-failed";
     Context.Dispatch.loadTracker().onFault(
-        Server.Id, dispatch::ServerFault::Unreachable, now());
+        Server.Id, dispatch::ServerFault::NotConnected, now());
     Excluded.push_back(Server.Id);
     leaveServer(false);
     carryOut(Flow.onConnectFailed(retryConditions()));
