Keep cold servers within their rate, over the whole fleet

A server that has just started falls over at a rate that it bears later, and no node counts what the others send it within a heartbeat. Each node now has a whole number of sends in any one second at a cold server; owners are chosen as for stated rate limits, so that all nodes together stay within warmupPerS. Services without warmupPerS have no such limit. A crash of a cold server is no evidence against its requests.

--- a/libs/dispatch/include/ragwort/dispatch/BackendDirectory.h
+++ b/libs/dispatch/include/ragwort/dispatch/BackendDirectory.h
@@ -35,6 +35,9 @@
   /// Unix time of its start in milliseconds; distinguishes two runs with the
   /// same id.
   uint64_t BornMillis = 0;
+  /// Time for which it remains cold, as of its entry; nothing if the entry does
+  /// not say so, or in a list from a peer.
+  std::optional<uint32_t> ColdMillis;
 
   friend bool operator==(const BackendInstance &,
                          const BackendInstance &) = default;
--- a/libs/dispatch/include/ragwort/dispatch/LoadTracker.h
+++ b/libs/dispatch/include/ragwort/dispatch/LoadTracker.h
@@ -23,13 +23,14 @@
 // the others.
 //
 // Servers that have stated a rate limit receive requests only when it is this
-// node's turn, see RateLimits.h.
+// node's turn, see RateLimits.h. Likewise cold ones, see ColdServers.h.
 //
 //===----------------------------------------------------------------------===//
 #ifndef RAGWORT_DISPATCH_LOADTRACKER_H
 #define RAGWORT_DISPATCH_LOADTRACKER_H
 
 #include "ragwort/dispatch/BackendDirectory.h"
+#include "ragwort/dispatch/ColdServers.h"
 #include "ragwort/dispatch/RateLimits.h"
 #include "ragwort/dispatch/SelfReports.h"
 #include "ragwort/dispatch/ServerHealth.h"
@@ -84,6 +85,7 @@
   size_t Leaving = 0;
   size_t Paused = 0;
   size_t RateLimited = 0;
+  size_t Cold = 0;
   size_t Unavailable = 0;
   size_t Ejected = 0;
   size_t Stragglers = 0;
@@ -97,7 +99,10 @@
       : LocalDataCentre(std::move(LocalDataCentre)), Random(Seed) {}
 
   /// Adopts the directory's entries. State of servers that remain is kept.
-  void sync(const BackendDirectory &Directory);
+  void sync(const BackendDirectory &Directory, TimePoint Now);
+  /// How the servers of services warm up; others have no limit while cold.
+  void setWarmUps(std::map<std::string, WarmUp, std::less<>> ByService,
+                  TimePoint Now);
 
   /// A usable server of \p Among: the best by load and speed of a few random
   /// ones, or of all if the best of those is full.
@@ -120,11 +125,11 @@
   /// Slots of the servers of \p Service that are available.
   uint32_t availableSlots(std::string_view Service, TimePoint Now) const;
 
-  /// Whether a server of \p Service has a rate limit.
-  bool isRateLimited(std::string_view Service) const;
-  /// Requests per second that this node may send to the rate-limited servers of
-  /// \p Service.
-  double ownRate(std::string_view Service) const;
+  /// Whether a server of \p Service has a rate limit or is cold.
+  bool isRateLimited(std::string_view Service, TimePoint Now) const;
+  /// Requests per second that this node may send to the rate-limited and cold
+  /// servers of \p Service.
+  double ownRate(std::string_view Service, TimePoint Now) const;
 
   void onStarted(std::string_view Id, TimePoint Now);
   void onEnded(std::string_view Id);
@@ -150,6 +155,17 @@
   /// A peer forwarded what servers said about their rate limits.
   void onPeerRateLimits(std::span<const RateLimitReport> Reports,
                         TimePoint Now);
+  /// A peer forwarded which servers are cold.
+  void onPeerCold(std::span<const ColdReport> Reports, TimePoint Now);
+  /// The nodes that share what cold servers take, see ColdServers::setNodes().
+  void setKnownNodes(uint64_t Self, std::vector<uint64_t> Peers,
+                     std::optional<size_t> Count) {
+    Cold.setNodes(Self, std::move(Peers), Count);
+  }
+  /// Whether \p Run is known to be cold.
+  bool isCold(const ServerRun &Run, TimePoint Now) const {
+    return Cold.isCold(Run, Now);
+  }
   /// The nodes that share the rate limits, as hashes of their addresses.
   void setNodes(uint64_t Self, std::vector<uint64_t> Peers, TimePoint Now) {
     Limits.setNodes(Self, std::move(Peers), Now);
@@ -184,6 +200,10 @@
   std::vector<RateLimitReport> ownRateLimits(TimePoint Now) const {
     return Limits.toForward(Now);
   }
+  /// What the store's entries said about cold servers, for its peers.
+  std::vector<ColdReport> ownCold(TimePoint Now) const {
+    return Cold.toForward(Now);
+  }
   bool isStraggler(std::string_view Id, TimePoint Now) const;
   /// Whether the server is expected to end: it drains, has said that it leaves,
   /// or is no longer listed.
@@ -230,6 +250,9 @@
 
   Server *find(std::string_view Id);
   void applyReports(Server &S) const;
+  /// Adopts what the changed entry of \p S says about its warm-up.
+  void applyWarmUp(const Server &S, bool IsNewRun, TimePoint Now);
+  void logCold(const Server &S, std::string_view Source, TimePoint Now) const;
   /// Since when the group of the new run \p Entry has been closed by the word
   /// of agents; nothing if it is not.
   std::optional<TimePoint> groupClosedSince(const BackendInstance &Entry) const;
@@ -260,6 +283,8 @@
   std::map<std::string, PeerReport, std::less<>> Peers;
   SelfReports Reports;
   RateLimits Limits;
+  ColdServers Cold;
+  std::map<std::string, WarmUp, std::less<>> WarmUps;
   // Service -> time of the next trial request while no server is available.
   std::map<std::string, TimePoint, std::less<>> NextTrials;
 };
--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -110,7 +110,7 @@
                      std::span<const std::string> Excluded,
                      TimePoint Now) const {
   std::optional<TimePoint> Turn = Tracker.pauseEnd({Service, Excluded}, Now);
-  double Rate = Tracker.ownRate(Service);
+  double Rate = Tracker.ownRate(Service, Now);
   if (Turn && Rate > 0)
     *Turn += std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
         static_cast<double>(State.Queue.size()) / Rate));
@@ -201,7 +201,7 @@
 Placement Dispatcher::waitForTurn(ServiceState &State,
                                   const PlacementRequest &R, TimePoint Now) {
   std::optional<TimePoint> Turn = nextTurn(R.Service, State, R.Excluded, Now);
-  bool IsRateLimited = Tracker.isRateLimited(R.Service);
+  bool IsRateLimited = Tracker.isRateLimited(R.Service, Now);
   if (!Turn && IsRateLimited)
     return refuse(PlacementRefusal::RateLimited, spread(NoServerRetryAfter));
   if (!Turn)
--- a/libs/dispatch/src/DispatcherTest.cpp
+++ b/libs/dispatch/src/DispatcherTest.cpp
@@ -48,7 +48,7 @@
       List.push_back(B);
     }
     Directory.replaceAll(List, {0, 1}, std::nullopt);
-    Dispatch.loadTracker().sync(Directory);
+    Dispatch.loadTracker().sync(Directory, TimePoint());
   }
 
   /// Lets all servers decline requests between these times.
@@ -216,7 +216,7 @@
     }
     BackendDirectory Directory;
     Directory.replaceAll(List, {0, 1}, std::nullopt);
-    D.loadTracker().sync(Directory);
+    D.loadTracker().sync(Directory, TimePoint());
     return List;
   }
 
--- a/libs/dispatch/src/GroupOpeningTest.cpp
+++ b/libs/dispatch/src/GroupOpeningTest.cpp
@@ -26,6 +26,7 @@
 constexpr size_t MaxSends = 4;
 /// Requests a second that a cold rank may get: warmupPerS x coldOvershoot +
 /// coldSlack.
+constexpr double ColdPerSecond = 28;
 constexpr size_t MaxColdPerSecond = 28 * 3 / 2 + 5;
 /// recoverS.
 constexpr int64_t RecoverMillis = 15000;
@@ -65,7 +66,11 @@
       std::vector<uint64_t> Peers = Keys;
       Peers.erase(Peers.begin() + static_cast<ptrdiff_t>(I));
       N->Dispatch.setNodes(Nodes);
-      N->Dispatch.loadTracker().setNodes(Keys[I], std::move(Peers), at(0));
+      N->Dispatch.loadTracker().setNodes(Keys[I], Peers, at(0));
+      N->Dispatch.loadTracker().setKnownNodes(Keys[I], std::move(Peers), Nodes);
+      N->Dispatch.loadTracker().setWarmUps(
+          {{"s", {std::chrono::milliseconds(ColdMillis), ColdPerSecond}}},
+          at(0));
       All.push_back(std::move(N));
     }
     list();
@@ -119,11 +124,13 @@
       B.DataCentre = "here";
       B.Slots = Slots;
       B.BornMillis = Group[I].Born;
+      B.ColdMillis = static_cast<uint32_t>(
+          std::max<int64_t>(Group[I].ColdUntil - Events.now(), 0));
       List.push_back(B);
     }
     Directory.replaceAll(List, {0, ++Version}, std::nullopt);
     for (auto &N : All)
-      N->Dispatch.loadTracker().sync(Directory);
+      N->Dispatch.loadTracker().sync(Directory, at(Events.now()));
   }
 
   void restart(size_t Index) {
--- a/libs/dispatch/src/LoadTracker.cpp
+++ b/libs/dispatch/src/LoadTracker.cpp
@@ -28,13 +28,14 @@
 
 } // namespace
 
-void LoadTracker::sync(const BackendDirectory &Directory) {
+void LoadTracker::sync(const BackendDirectory &Directory, TimePoint Now) {
   for (auto It = Servers.begin(); It != Servers.end();) {
     if (Directory.instances().count(It->first)) {
       ++It;
       continue;
     }
     IdByKey.erase(It->second.Key);
+    Cold.forget(It->second.Key);
     It = Servers.erase(It);
   }
   for (const auto &[Id, Entry] : Directory.instances()) {
@@ -43,8 +44,9 @@
       continue;
     // A restarted instance with the same id does not inherit the statistics of
     // its previous run, only the count of requests in flight.
-    if (S.Entry.BornMillis != Entry.BornMillis ||
-        S.Entry.Address != Entry.Address) {
+    bool IsNewRun = S.Entry.BornMillis != Entry.BornMillis ||
+                    S.Entry.Address != Entry.Address;
+    if (IsNewRun) {
       uint32_t OwnInFlight = S.OwnInFlight;
       std::optional<TimePoint> Closed = groupClosedSince(Entry);
       S = Server();
@@ -58,10 +60,62 @@
     S.Key = hash64(Id);
     IdByKey[S.Key] = Id;
     applyReports(S);
+    applyWarmUp(S, IsNewRun, Now);
   }
   markSuperseded();
 }
 
+void LoadTracker::setWarmUps(
+    std::map<std::string, WarmUp, std::less<>> ByService, TimePoint Now) {
+  if (WarmUps == ByService)
+    return;
+  WarmUps = std::move(ByService);
+  for (const auto &[Id, S] : Servers)
+    applyWarmUp(S, /*IsNewRun=*/false, Now);
+}
+
+void LoadTracker::applyWarmUp(const Server &S, bool IsNewRun, TimePoint Now) {
+  auto Found = WarmUps.find(S.Entry.Service);
+  if (Found == WarmUps.end()) {
+    Cold.forget(S.Key);
+    return;
+  }
+  Duration Remaining{0};
+  if (S.Entry.ColdMillis)
+    Remaining = std::chrono::milliseconds(*S.Entry.ColdMillis);
+  else if (IsNewRun)
+    Remaining = Found->second.Length;
+  else
+    return;
+  if (Cold.onEntry(S.run(), Found->second.PerSecond, Now + Remaining, Now))
+    logCold(S, "entry", Now);
+}
+
+void LoadTracker::onPeerCold(std::span<const ColdReport> Reports,
+                             TimePoint Now) {
+  for (const ColdReport &Report : Reports) {
+    auto Id = IdByKey.find(Report.Run.InstanceKey);
+    if (Id == IdByKey.end())
+      continue;
+    const Server &S = Servers[Id->second];
+    auto Found = WarmUps.find(S.Entry.Service);
+    if (Found == WarmUps.end())
+      continue;
+    // A remaining time is never longer than entries may say.
+    TimePoint Until = Now + std::chrono::milliseconds(Report.RemainingMillis);
+    if (Cold.onPeerReport(Report.Run, Found->second.PerSecond, Until, Now))
+      logCold(S, "peer", Now);
+  }
+}
+
+void LoadTracker::logCold(const Server &S, std::string_view Source,
+                          TimePoint Now) const {
+  logEvent(LogLevel::Info, "server-cold",
+           {{"instance", S.Entry.Id},
+            {"own_per_second", Cold.ownSends(S.run(), Now).value_or(0)},
+            {"source", Source}});
+}
+
 std::optional<TimePoint>
 LoadTracker::groupClosedSince(const BackendInstance &Entry) const {
   for (const auto &[Id, S] : Servers)
@@ -183,18 +237,26 @@
             {"source", Source}});
 }
 
-bool LoadTracker::isRateLimited(std::string_view Service) const {
+bool LoadTracker::isRateLimited(std::string_view Service, TimePoint Now) const {
   return std::any_of(Servers.begin(), Servers.end(), [&](const auto &Item) {
     const Server &S = Item.second;
-    return S.Entry.Service == Service && S.isUsable() && Limits.limit(S.run());
+    return S.Entry.Service == Service && S.isUsable() &&
+           (Limits.limit(S.run()) || Cold.ownSends(S.run(), Now));
   });
 }
 
-double LoadTracker::ownRate(std::string_view Service) const {
+double LoadTracker::ownRate(std::string_view Service, TimePoint Now) const {
   double Sum = 0;
-  for (const auto &[Id, S] : Servers)
-    if (S.Entry.Service == Service && S.isUsable())
-      Sum += Limits.ownRate(S.run()).value_or(0);
+  for (const auto &[Id, S] : Servers) {
+    if (S.Entry.Service != Service || !S.isUsable())
+      continue;
+    std::optional<double> Rate = Limits.ownRate(S.run());
+    if (std::optional<size_t> Sends = Cold.ownSends(S.run(), Now)) {
+      auto PerSecond = static_cast<double>(*Sends);
+      Rate = std::min(Rate.value_or(PerSecond), PerSecond);
+    }
+    Sum += Rate.value_or(0);
+  }
   return Sum;
 }
 
@@ -241,6 +303,7 @@
     return;
   ++S->OwnInFlight;
   Limits.onSent(S->run(), Now);
+  Cold.onSent(S->run(), Now);
   S->Health.onSent(Now);
   if (S->IsReturning)
     S->NextReturnTrial = Now + ServerHealth::TrialInterval;
@@ -402,7 +465,8 @@
   for (const auto &[Id, S] : Servers) {
     if (!isCandidate(S, Among))
       continue;
-    TimePoint End = std::max(S.pauseEnd(), Limits.nextSend(S.run()));
+    TimePoint End = std::max(
+        {S.pauseEnd(), Limits.nextSend(S.run()), Cold.nextSend(S.run(), Now)});
     if (Now < End && End != TimePoint::max())
       First = std::min(First.value_or(End), End);
   }
@@ -447,7 +511,7 @@
         (SkipsStragglers && S.Health.isStraggler(Now)) ||
         S.Health.awaitsTrial(Now) ||
         (S.Health.awaitsGroup() && IsAnyReportedClosed) || Now < S.pauseEnd() ||
-        !Limits.maySend(S.run(), Now))
+        !Limits.maySend(S.run(), Now) || !Cold.maySend(S.run(), Now))
       continue;
     Candidates.push_back(&S);
   }
@@ -533,6 +597,7 @@
     Result.Leaving += S.IsLeaving;
     Result.Paused += Now < S.PausedUntil;
     Result.RateLimited += Limits.limit(S.run()).has_value();
+    Result.Cold += Cold.isCold(S.run(), Now);
     Result.Unavailable += S.Health.isUnavailable();
     Result.Ejected += S.Health.isEjected(Now);
     Result.Stragglers += S.Health.isStraggler(Now);
@@ -560,7 +625,8 @@
         " gap_ms=" + std::to_string(std::lround(S.Speed.gapMillis(Now))) +
         (S.Entry.IsDraining ? " draining" : "") +
         (S.IsLeaving ? " leaving" : "") +
-        (Now < S.PausedUntil ? " paused" : "") + describeLimit(S) +
+        (Now < S.PausedUntil ? " paused" : "") +
+        (Cold.isCold(S.run(), Now) ? " cold" : "") + describeLimit(S) +
         (S.Health.isUnavailable() ? " unavailable" : "") +
         (S.Health.isStraggler(Now) ? " straggler" : "") +
         (S.Health.isEjected(Now) ? " ejected" : "") + "\n";
--- a/libs/dispatch/src/LoadTrackerTest.cpp
+++ b/libs/dispatch/src/LoadTrackerTest.cpp
@@ -54,7 +54,7 @@
 
   void list(std::vector<BackendInstance> Servers) {
     Directory.replaceAll(std::move(Servers), {0, ++Version}, std::nullopt);
-    Tracker->sync(Directory);
+    Tracker->sync(Directory, at(0));
   }
 
   std::string chosen(TimePoint Now) {
@@ -397,7 +397,7 @@
     std::vector<std::unique_ptr<LoadTracker>> Trackers;
     for (size_t N = 0; N < Nodes; ++N) {
       Trackers.push_back(std::make_unique<LoadTracker>("here", N + 1));
-      Trackers.back()->sync(Directory);
+      Trackers.back()->sync(Directory, at(0));
     }
     std::mt19937_64 Random(3);
     std::exponential_distribution<double> Gap(0.24);
--- a/libs/dispatch/src/RateLimits.cpp
+++ b/libs/dispatch/src/RateLimits.cpp
@@ -1,6 +1,6 @@
 //===- RateLimits.cpp - Rates that servers take from all nodes together ---===//
 #include "ragwort/dispatch/RateLimits.h"
-#include "ragwort/base/Hash.h"
+#include "ragwort/dispatch/Rendezvous.h"
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -14,11 +14,6 @@
 constexpr size_t ExtraOwners = 2;
 constexpr double MilliPerUnit = 1000;
 
-uint64_t rank(uint64_t Node, uint64_t InstanceKey) {
-  return hash64({reinterpret_cast<const char *>(&Node), sizeof(Node)},
-                InstanceKey);
-}
-
 /// The value that peers get, so that all nodes have the same.
 double inReportUnits(double PerSecond) {
   return std::round(PerSecond * MilliPerUnit) / MilliPerUnit;
@@ -47,14 +42,9 @@
   bool WasOwner = std::exchange(E.OwnRate, 0) > 0;
   if (!E.PerSecond)
     return;
-  uint64_t OwnRank = rank(Self, InstanceKey);
-  auto Before = static_cast<size_t>(
-      std::count_if(Peers.begin(), Peers.end(), [&](uint64_t Peer) {
-        return rank(Peer, InstanceKey) > OwnRank;
-      }));
   size_t Owners = std::min(static_cast<size_t>(*E.PerSecond) + ExtraOwners,
                            Peers.size() + 1);
-  if (Before >= Owners)
+  if (nodesBefore(Self, Peers, InstanceKey) >= Owners)
     return;
   E.OwnRate = *E.PerSecond / static_cast<double>(Owners);
   // New owners begin at different moments.
@@ -67,7 +57,8 @@
 }
 
 double RateLimits::phase(uint64_t InstanceKey) const {
-  return std::ldexp(static_cast<double>(rank(InstanceKey, Self)), -64);
+  return std::ldexp(static_cast<double>(rendezvousRank(InstanceKey, Self)),
+                    -64);
 }
 
 bool RateLimits::apply(const ServerRun &Run, std::optional<double> PerSecond,
--- a/libs/fleet/include/ragwort/fleet/PeerExchange.h
+++ b/libs/fleet/include/ragwort/fleet/PeerExchange.h
@@ -124,6 +124,9 @@
   void sendHeartbeats();
   /// The nodes that share servers' rate limits, as hashes of their addresses.
   std::vector<uint64_t> sharingPeers(TimePoint Now) const;
+  /// All peers that have not said that they leave, heard of late or not, as
+  /// hashes of their addresses.
+  std::vector<uint64_t> knownPeers() const;
   void onHeartbeat(const PeerHeartbeat &Heartbeat, const std::string &Ip);
   void fetchNewerVersions(TimePoint Now);
   void removeSilentPeers(TimePoint Now);
--- a/libs/fleet/include/ragwort/fleet/PeerHeartbeat.h
+++ b/libs/fleet/include/ragwort/fleet/PeerHeartbeat.h
@@ -89,6 +89,17 @@
 encodeRateLimits(std::span<const dispatch::RateLimitReport> Limits);
 absl::StatusOr<RateLimitDigest> decodeRateLimits(std::string_view Datagram);
 
+/// The servers that the store's entries name as cold, for a node's peers.
+struct ColdDigest {
+  static constexpr uint16_t Protocol = 1009;
+
+  std::vector<dispatch::ColdReport> Cold;
+};
+/// \returns as many datagrams as \p Cold requires; none if it is empty.
+std::vector<std::string> encodeCold(std::span<const dispatch::ColdReport> Cold);
+/// Fails for a remaining time of more than ten minutes, too.
+absl::StatusOr<ColdDigest> decodeCold(std::string_view Datagram);
+
 /// The directory of backend servers at one version.
 struct DirectorySnapshot {
   dispatch::StoreVersion Version;
--- a/libs/fleet/src/PeerExchange.cpp
+++ b/libs/fleet/src/PeerExchange.cpp
@@ -109,6 +109,8 @@
     removeSilentPeers(At);
     Node.dispatcher().loadTracker().setNodes(hash64(Options.Listen.Ip),
                                              sharingPeers(At), At);
+    Node.dispatcher().loadTracker().setKnownNodes(
+        hash64(Options.Listen.Ip), knownPeers(), Fleet.nodes(At));
     fetchNewerVersions(At);
     co_await sleepFor(HeartbeatInterval);
   }
@@ -166,6 +168,14 @@
                            Digest.ok())
                          Tracker.onPeerRateLimits(Digest->Limits, Now);
                      }};
+  NewsChannel Cold{
+      ColdDigest::Protocol,
+      [&Tracker](TimePoint Now) { return encodeCold(Tracker.ownCold(Now)); },
+      [&Tracker](std::string_view Datagram, const std::string &,
+                 TimePoint Now) {
+        if (auto Digest = decodeCold(Datagram); Digest.ok())
+          Tracker.onPeerCold(Digest->Cold, Now);
+      }};
   NewsChannel Quarantines{
       quarantine::QuarantineDigest::Protocol,
       [&Quarantine](TimePoint Now) {
@@ -179,7 +189,7 @@
             Digest.ok())
           Quarantine.onPeerDigest(Ip, *Digest, Now);
       }};
-  return {Conditions, Leaving, Limits, Quarantines};
+  return {Conditions, Leaving, Limits, Cold, Quarantines};
 }
 
 void PeerExchange::onHeartbeat(const PeerHeartbeat &Heartbeat,
@@ -242,6 +252,14 @@
   return Live.size() * 2 < Known.size() ? Known : Live;
 }
 
+std::vector<uint64_t> PeerExchange::knownPeers() const {
+  std::vector<uint64_t> Result;
+  for (const auto &[Ip, P] : Peers)
+    if (!P.IsLeaving)
+      Result.push_back(hash64(Ip));
+  return Result;
+}
+
 void PeerExchange::removeSilentPeers(TimePoint Now) {
   std::erase_if(Peers, [Now](const auto &Item) {
     TimePoint Last = std::max(Item.second.LastHeardAt, Item.second.AddedAt);
--- a/libs/fleet/src/PeerHeartbeat.cpp
+++ b/libs/fleet/src/PeerHeartbeat.cpp
@@ -46,6 +46,13 @@
   Ar(Report.AgeMillis);
 }
 
+template <class Archive> void serialize(Archive &Ar, ColdReport &Report) {
+  constexpr uint32_t MaxRemainingMillis = 600'000;
+  Ar(Report.Run, Report.RemainingMillis);
+  if (Report.RemainingMillis > MaxRemainingMillis)
+    throw cereal::Exception("cold time is out of range");
+}
+
 } // namespace ragwort::dispatch
 
 namespace ragwort::fleet {
@@ -98,6 +105,11 @@
   wire::transferList(Ar, Digest.Limits, MaxPeerDatagramBytes);
 }
 
+template <class Archive> void serialize(Archive &Ar, ColdDigest &Digest) {
+  wire::transferProtocol(Ar, ColdDigest::Protocol);
+  wire::transferList(Ar, Digest.Cold, MaxPeerDatagramBytes);
+}
+
 /// Datagrams of type \p Digest with all of \p Entries, each of which takes
 /// \p EntryBytes.
 template <class Digest, class Entry>
@@ -177,6 +189,16 @@
   return wire::fromDatagram<RateLimitDigest>(Datagram, MaxPeerDatagramBytes);
 }
 
+std::vector<std::string>
+encodeCold(std::span<const dispatch::ColdReport> Cold) {
+  return encodeInParts<ColdDigest>(Cold, sizeof(dispatch::ServerRun) +
+                                             sizeof(uint32_t));
+}
+
+absl::StatusOr<ColdDigest> decodeCold(std::string_view Datagram) {
+  return wire::fromDatagram<ColdDigest>(Datagram, MaxPeerDatagramBytes);
+}
+
 template <class Archive> void serialize(Archive &Ar, EngineList &List) {
   size_t Count = wire::transferLength(Ar, List.Ips.size(), wire::MaxListLength);
   List.Ips.resize(Count);
--- a/libs/fleet/src/StoreSinks.cpp
+++ b/libs/fleet/src/StoreSinks.cpp
@@ -67,8 +67,13 @@
                               bool IsInGrace) const {
   const auto &Known = Node.directory().instances();
   auto Before = Known.find(Row.Key);
-  if (Change.Entry && Before != Known.end() && Before->second == *Change.Entry)
-    return;
+  if (Change.Entry && Before != Known.end()) {
+    // While a server warms up, each of its entries has another cold time.
+    dispatch::BackendInstance Same = Before->second;
+    Same.ColdMillis = Change.Entry->ColdMillis;
+    if (Same == *Change.Entry)
+      return;
+  }
   std::string_view State = "gone";
   if (Change.Entry)
     State = Change.Entry->IsDraining ? "draining" : "ready";
--- a/libs/gateway/include/ragwort/gateway/Gateway.h
+++ b/libs/gateway/include/ragwort/gateway/Gateway.h
@@ -91,6 +91,9 @@
   void tick();
   void dispatchWaiting();
   void scheduleDispatch();
+  /// A request with \p Traits was at a server when \p Run of it ended.
+  void onCrash(const dispatch::ServerRun &Run,
+               const quarantine::RequestTraits &Traits);
 
   asio::io_context &Io;
   const GatewayOptions Options;
--- a/libs/gateway/include/ragwort/gateway/TrafficConfig.h
+++ b/libs/gateway/include/ragwort/gateway/TrafficConfig.h
@@ -8,8 +8,10 @@
 #define RAGWORT_GATEWAY_TRAFFICCONFIG_H
 
 #include "ragwort/base/Time.h"
+#include "ragwort/dispatch/ColdServers.h"
 #include "ragwort/rankgroup/GroupShape.h"
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -67,6 +69,8 @@
   std::string Name;
   /// Set for services whose servers batch requests.
   std::optional<EngineSpec> Engine;
+  /// Set for services whose servers start cold.
+  std::optional<dispatch::WarmUp> WarmUp;
 };
 
 /// Limits on callers' requests. HeaderTimeout covers reading the body as well.
@@ -103,6 +107,8 @@
   /// The route of \p Host with the longest prefix of \p Path, or null.
   const Route *findRoute(std::string_view Host, std::string_view Path) const;
   const Service *findService(std::string_view Name) const;
+  /// The services whose servers start cold.
+  std::map<std::string, dispatch::WarmUp, std::less<>> warmUps() const;
   /// The shortest target gap of the routes to \p Service, or zero.
   Duration targetGapOf(std::string_view Service) const;
   const Organisation *findByKey(std::string_view ApiKey) const;
--- a/libs/gateway/src/Gateway.cpp
+++ b/libs/gateway/src/Gateway.cpp
@@ -53,7 +53,7 @@
       Crashes(Io,
               [this](const dispatch::ServerRun &Run,
                      const quarantine::RequestTraits &Traits) {
-                Quarantine.onCrash(keyOf(Run), Traits, SteadyClock().now());
+                onCrash(Run, Traits);
               }),
       Context{Io,
               Names,
@@ -135,11 +135,23 @@
             {"before", configVersion()},
             {"routes", Newer->routeCount()}});
   Config = std::move(Newer);
+  Dispatch.loadTracker().setWarmUps(Config->warmUps(), SteadyClock().now());
   return true;
 }
 
+void Gateway::onCrash(const dispatch::ServerRun &Run,
+                      const quarantine::RequestTraits &Traits) {
+  TimePoint Now = SteadyClock().now();
+  // Cold servers fall over for the number of their requests.
+  if (Dispatch.loadTracker().isCold(Run, Now))
+    logEvent(LogLevel::Info, "cold-crash-ignored",
+             {{"fingerprint", quarantine::toString(Traits.fingerprint())}});
+  else
+    Quarantine.onCrash(keyOf(Run), Traits, Now);
+}
+
 void Gateway::onDirectoryChanged() {
-  Dispatch.loadTracker().sync(Directory);
+  Dispatch.loadTracker().sync(Directory, SteadyClock().now());
   scheduleDispatch();
 }
 
@@ -275,6 +287,7 @@
   Set("ragwort_servers", Counts.Leaving, "state=\"leaving\"");
   Set("ragwort_servers", Counts.Paused, "state=\"paused\"");
   Set("ragwort_servers", Counts.RateLimited, "state=\"rate-limited\"");
+  Set("ragwort_servers", Counts.Cold, "state=\"cold\"");
   Set("ragwort_servers", Counts.Unavailable, "state=\"unavailable\"");
   Set("ragwort_servers", Counts.Ejected, "state=\"ejected\"");
   Set("ragwort_servers", Counts.Stragglers, "state=\"straggler\"");
--- a/libs/gateway/src/TrafficConfig.cpp
+++ b/libs/gateway/src/TrafficConfig.cpp
@@ -73,6 +73,15 @@
   return Shortest;
 }
 
+std::map<std::string, dispatch::WarmUp, std::less<>>
+TrafficConfig::warmUps() const {
+  std::map<std::string, dispatch::WarmUp, std::less<>> Result;
+  for (const auto &[Name, S] : Services)
+    if (S.WarmUp)
+      Result.emplace(Name, *S.WarmUp);
+  return Result;
+}
+
 const Organisation *TrafficConfig::findByKey(std::string_view ApiKey) const {
   auto Found = KeyIndex.find(ApiKey);
   return Found == KeyIndex.end() ? nullptr : &Organisations[Found->second];
