--- a/libs/dispatch/include/ragwort/dispatch/LoadTracker.h
+++ b/libs/dispatch/include/ragwort/dispatch/LoadTracker.h
@@ -23,7 +23,7 @@
 // the others.
 //
 // Servers that have stated a rate limit receive requests only when it is this
-// node's turn, see RateLimits.h.
+// node's turn, see RateLimits.h. Likewise cold ones, see ColdServers.h.
 //
 // Servers in evacuated data centres receive no requests, nor do those outside
 // the regions that a request is confined to.
@@ -33,6 +33,7 @@
 #define RAGWORT_DISPATCH_LOADTRACKER_H
 
 #include "ragwort/dispatch/BackendDirectory.h"
+#include "ragwort/dispatch/ColdServers.h"
 #include "ragwort/dispatch/Evacuations.h"
 #include "ragwort/dispatch/RateLimits.h"
 #include "ragwort/dispatch/SelfReports.h"
@@ -104,6 +105,7 @@
   size_t Leaving = 0;
   size_t Paused = 0;
   size_t RateLimited = 0;
+  size_t Cold = 0;
   size_t Unavailable = 0;
   size_t Ejected = 0;
   size_t Stragglers = 0;
@@ -118,7 +120,10 @@
       : LocalDataCentre(std::move(LocalDataCentre)), Random(Seed) {}
 
   /// Adopts the directory's entries. State of servers that remain is kept.
-  void sync(const BackendDirectory &Directory);
+  void sync(const BackendDirectory &Directory, TimePoint Now);
+  /// How the servers of services warm up; others have no limit while cold.
+  void setWarmUps(std::map<std::string, WarmUp, std::less<>> ByService,
+                  TimePoint Now);
 
   /// Sets the region of each data centre.
   void setRegions(std::map<std::string, std::string, std::less<>> Given);
@@ -156,11 +161,12 @@
   /// Slots of the servers of \p Service that are available.
   uint32_t availableSlots(std::string_view Service, TimePoint Now) const;
 
-  /// Whether a server of \p Among has a rate limit. Excluded ones count.
-  bool isRateLimited(const Selection &Among) const;
-  /// Requests per second that this node may send to the rate-limited servers of
-  /// \p Among. Excluded ones count.
-  double ownRate(const Selection &Among) const;
+  /// Whether a server of \p Among has a rate limit or is cold. Excluded ones
+  /// count.
+  bool isRateLimited(const Selection &Among, TimePoint Now) const;
+  /// Requests per second that this node may send to the rate-limited and cold
+  /// servers of \p Among. Excluded ones count.
+  double ownRate(const Selection &Among, TimePoint Now) const;
 
   void onStarted(std::string_view Id, TimePoint Now);
   void onEnded(std::string_view Id);
@@ -186,6 +192,17 @@
   /// A peer forwarded what servers said about their rate limits.
   void onPeerRateLimits(std::span<const RateLimitReport> Reports,
                         TimePoint Now);
+  /// A peer forwarded which servers are cold.
+  void onPeerCold(std::span<const ColdReport> Reports, TimePoint Now);
+  /// The nodes that share what cold servers take, see ColdServers::setNodes().
+  void setKnownNodes(uint64_t Self, std::vector<uint64_t> Peers,
+                     std::optional<size_t> Count) {
+    Cold.setNodes(Self, std::move(Peers), Count);
+  }
+  /// Whether \p Run is known to be cold.
+  bool isCold(const ServerRun &Run, TimePoint Now) const {
+    return Cold.isCold(Run, Now);
+  }
   /// The nodes that share the rate limits, as hashes of their addresses.
   void setNodes(uint64_t Self, std::vector<uint64_t> Peers, TimePoint Now) {
     Limits.setNodes(Self, std::move(Peers), Now);
@@ -220,6 +237,10 @@
   std::vector<RateLimitReport> ownRateLimits(TimePoint Now) const {
     return Limits.toForward(Now);
   }
+  /// What the store's entries said about cold servers, for its peers.
+  std::vector<ColdReport> ownCold(TimePoint Now) const {
+    return Cold.toForward(Now);
+  }
   bool isStraggler(std::string_view Id, TimePoint Now) const;
   /// Whether the server is expected to end: it drains, has said that it leaves,
   /// or is no longer listed.
@@ -269,6 +290,9 @@
 
   Server *find(std::string_view Id);
   void applyReports(Server &S) const;
+  /// Adopts what the changed entry of \p S says about its warm-up.
+  void applyWarmUp(const Server &S, bool IsNewRun, TimePoint Now);
+  void logCold(const Server &S, std::string_view Source, TimePoint Now) const;
   /// Since when the group of the new run \p Entry has been closed by the word
   /// of agents; nothing if it is not.
   std::optional<TimePoint> groupClosedSince(const BackendInstance &Entry) const;
@@ -303,6 +327,8 @@
   std::map<std::string, PeerReport, std::less<>> Peers;
   SelfReports Reports;
   RateLimits Limits;
+  ColdServers Cold;
+  std::map<std::string, WarmUp, std::less<>> WarmUps;
   // Data centre -> region.
   std::map<std::string, std::string, std::less<>> Regions;
   DataCentreSet Evacuated;
--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -113,7 +113,7 @@
                                               const ServiceState &State,
                                               TimePoint Now) const {
   std::optional<TimePoint> Turn = Tracker.pauseEnd(Among, Now);
-  double Rate = Tracker.ownRate(Among);
+  double Rate = Tracker.ownRate(Among, Now);
   if (Turn && Rate > 0)
     *Turn += std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
         static_cast<double>(State.Queue.size()) / Rate));
@@ -207,7 +207,7 @@
   if (std::optional<PlacementRefusal> Bar = barOf(R.among()))
     return refuse(*Bar, spread(NoServerRetryAfter));
   std::optional<TimePoint> Turn = nextTurn(R.among(), State, Now);
-  bool IsRateLimited = Tracker.isRateLimited(R.among());
+  bool IsRateLimited = Tracker.isRateLimited(R.among(), Now);
   if (!Turn && IsRateLimited)
     return refuse(PlacementRefusal::RateLimited, spread(NoServerRetryAfter));
   if (!Turn)
--- a/libs/dispatch/src/EvacuationsTest.cpp
+++ b/libs/dispatch/src/EvacuationsTest.cpp
@@ -43,7 +43,7 @@
     Dispatch->loadTracker().setRegions({{"a", "north"}, {"b", "south"}});
     BackendDirectory Directory;
     Directory.replaceAll({server("a"), server("b")}, {0, 1}, std::nullopt);
-    Dispatch->loadTracker().sync(Directory);
+    Dispatch->loadTracker().sync(Directory, at(0));
   }
 
 private:
@@ -195,7 +195,7 @@
     BackendInstance Late = server("a");
     Late.Id = "late";
     Directory.replaceAll({Late}, {0, 2}, std::nullopt);
-    Tracker.sync(Directory);
+    Tracker.sync(Directory, at(0));
     CPPUNIT_ASSERT(!Tracker.choose({"s", {}}, at(0)).has_value());
     Tracker.setEvacuated({});
     CPPUNIT_ASSERT(Tracker.choose({"s", {}}, at(0)).has_value());
