Confine requests to the regions that route and organisation allow

Cause: `allowedRegions` of routes and organisations was not read; requests went to servers in any region. A request takes the regions on both lists from the configuration it was accepted under and keeps them for its retries and resumes; servers elsewhere are no candidates.

--- a/libs/dispatch/include/ragwort/dispatch/LoadTracker.h
+++ b/libs/dispatch/include/ragwort/dispatch/LoadTracker.h
@@ -33,12 +33,12 @@
 #include "ragwort/dispatch/BackendDirectory.h"
 #include "ragwort/dispatch/Evacuations.h"
 #include "ragwort/dispatch/RateLimits.h"
+#include "ragwort/dispatch/RegionSet.h"
 #include "ragwort/dispatch/SelfReports.h"
 #include "ragwort/dispatch/ServerHealth.h"
 #include "ragwort/dispatch/ServerSpeed.h"
 #include <algorithm>
 #include <random>
-#include <set>
 #include <span>
 #include <unordered_map>
 
@@ -63,9 +63,6 @@
   uint32_t GapMillis = 0;
 };
 
-/// Names of regions; each data centre is in one.
-using RegionSet = std::set<std::string, std::less<>>;
-
 /// The servers to which a request may be sent.
 struct Selection {
   std::string_view Service;
--- a/libs/dispatch/include/ragwort/dispatch/WaitQueue.h
+++ b/libs/dispatch/include/ragwort/dispatch/WaitQueue.h
@@ -11,11 +11,11 @@
 #define RAGWORT_DISPATCH_WAITQUEUE_H
 
 #include "ragwort/base/Time.h"
+#include "ragwort/dispatch/RegionSet.h"
 #include <concepts>
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -35,11 +35,9 @@
   /// Instances that have already failed or declined the request.
   std::vector<std::string> Excluded;
   /// The regions that the request is confined to; nothing if it is not.
-  std::optional<std::set<std::string, std::less<>>> Regions = std::nullopt;
+  std::optional<RegionSet> Regions = std::nullopt;
 
-  const std::set<std::string, std::less<>> *regions() const {
-    return Regions ? &*Regions : nullptr;
-  }
+  const RegionSet *regions() const { return Regions ? &*Regions : nullptr; }
 };
 
 /// \code
--- a/libs/gateway/include/ragwort/gateway/Forwarding.h
+++ b/libs/gateway/include/ragwort/gateway/Forwarding.h
@@ -86,6 +86,12 @@
   std::shared_ptr<const TrafficConfig> Config;
   /// Points into Config.
   const Route *Target = nullptr;
+  /// The regions that it is confined to; nothing if it is not.
+  std::optional<dispatch::RegionSet> Regions;
+
+  const dispatch::RegionSet *regions() const {
+    return Regions ? &*Regions : nullptr;
+  }
 };
 
 class Forwarding final : public SocketHandler,
--- a/libs/gateway/include/ragwort/gateway/Gateway.h
+++ b/libs/gateway/include/ragwort/gateway/Gateway.h
@@ -21,7 +21,7 @@
   Address Listen;
   std::string DataCentre;
   /// Data centre -> region, of all that there are; empty if not known.
-  std::map<std::string, std::string, std::less<>> Regions = {};
+  std::map<std::string, std::string, std::less<>> Regions;
   /// Whether no request is accepted before evacuations() are known.
   bool AwaitsEvacuations = false;
   /// Limits on retries, for the whole fleet.
--- a/libs/gateway/include/ragwort/gateway/TrafficConfig.h
+++ b/libs/gateway/include/ragwort/gateway/TrafficConfig.h
@@ -8,6 +8,7 @@
 #define RAGWORT_GATEWAY_TRAFFICCONFIG_H
 
 #include "ragwort/base/Time.h"
+#include "ragwort/dispatch/RegionSet.h"
 #include "ragwort/rankgroup/GroupShape.h"
 #include <cstdint>
 #include <optional>
@@ -54,6 +55,8 @@
   uint32_t Priority = 0;
   /// Never empty.
   std::vector<WeightedService> Split;
+  /// The regions whose servers may be used; empty if all may.
+  dispatch::RegionSet AllowedRegions = {};
 };
 
 /// Properties of a service's model engines, as published by the operators.
@@ -81,6 +84,8 @@
 struct Organisation {
   std::string Name;
   std::optional<uint32_t> Priority;
+  /// The regions whose servers may be used; empty if all may.
+  dispatch::RegionSet AllowedRegions = {};
 };
 
 /// One version of the configuration.
@@ -130,6 +135,12 @@
   bool AreKeysRequired = false;
 };
 
+/// The regions that requests of \p Caller on route \p R are confined to, which
+/// may be none; nothing if they are not confined. \p Caller is null on public
+/// routes.
+std::optional<dispatch::RegionSet> allowedRegions(const Route &R,
+                                                  const Organisation *Caller);
+
 /// The service to which the request \p RequestId on route \p R is sent. All
 /// nodes choose the same service for the same id.
 std::string_view chooseService(const Route &R, std::string_view RequestId);
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -146,6 +146,7 @@
   dispatch::PlacementRequest R;
   R.Service = Service;
   R.Excluded = Excluded;
+  R.Regions = Accepted.regions();
   R.Priority = Accepted.Priority;
   R.Arrived = Accepted.Arrived;
   R.TargetLatency = Accepted.Target->TargetLatency;
@@ -612,7 +613,8 @@
 bool Forwarding::hasOtherFreeServer(TimePoint At) {
   std::vector<std::string> Tried = Excluded;
   Tried.push_back(Server.Id);
-  return Context.Dispatch.hasFreeServer({Service, Tried}, At);
+  return Context.Dispatch.hasFreeServer({Service, Tried, Accepted.regions()},
+                                        At);
 }
 
 void Forwarding::onTick(TimePoint At) {
--- a/libs/gateway/src/Gateway.cpp
+++ b/libs/gateway/src/Gateway.cpp
@@ -256,9 +256,9 @@
     return LocalReply{404, "no-route", std::nullopt};
   AcceptedRequest Result;
   Result.Priority = Target->Priority;
+  const Organisation *Owner = nullptr;
   if (Config->areKeysRequired() && !Target->IsPublic) {
     std::string_view Key = Message.header("Authorization");
-    const Organisation *Owner = nullptr;
     if (Key.starts_with(BearerScheme))
       Owner = Config->findByKey(Key.substr(BearerScheme.size()));
     if (!Owner)
@@ -282,6 +282,7 @@
   Result.Deadline = Arrived + Time;
   Result.Config = Config;
   Result.Target = Target;
+  Result.Regions = allowedRegions(*Target, Owner);
   Result.Message = std::move(Message);
   return Result;
 }
--- a/libs/gateway/src/TrafficConfig.cpp
+++ b/libs/gateway/src/TrafficConfig.cpp
@@ -78,6 +78,19 @@
   return Found == KeyIndex.end() ? nullptr : &Organisations[Found->second];
 }
 
+std::optional<dispatch::RegionSet> allowedRegions(const Route &R,
+                                                  const Organisation *Caller) {
+  if (!Caller || Caller->AllowedRegions.empty())
+    return R.AllowedRegions.empty() ? std::nullopt
+                                    : std::optional(R.AllowedRegions);
+  dispatch::RegionSet Result = Caller->AllowedRegions;
+  if (!R.AllowedRegions.empty())
+    std::erase_if(Result, [&R](const std::string &Region) {
+      return !R.AllowedRegions.contains(Region);
+    });
+  return Result;
+}
+
 std::string_view chooseService(const Route &R, std::string_view RequestId) {
   uint64_t Total = 0;
   for (const WeightedService &Part : R.Split)
--- a/libs/gateway/src/TrafficConfigTest.cpp
+++ b/libs/gateway/src/TrafficConfigTest.cpp
@@ -11,6 +11,7 @@
   CPPUNIT_TEST(routeWhenHostHasPortOrCapitalsIsFound);
   CPPUNIT_TEST(splitWhenWeightedFollowsTheWeights);
   CPPUNIT_TEST(keyWhenUnknownHasNoOrganisation);
+  CPPUNIT_TEST(regionsWhenRouteAndOrganisationLimitThemAreThoseOfBoth);
   CPPUNIT_TEST_SUITE_END();
 
   static Route route(const char *Name, const char *Prefix) {
@@ -22,6 +23,24 @@
     return R;
   }
 
+public:
+  void regionsWhenRouteAndOrganisationLimitThemAreThoseOfBoth() {
+    Route R = route("r", "/");
+    Organisation O;
+    CPPUNIT_ASSERT(!allowedRegions(R, nullptr) && !allowedRegions(R, &O));
+    R.AllowedRegions = {"n", "s"};
+    CPPUNIT_ASSERT(allowedRegions(R, nullptr) == R.AllowedRegions);
+    CPPUNIT_ASSERT(allowedRegions(R, &O) == R.AllowedRegions);
+    O.AllowedRegions = {"s", "w"};
+    CPPUNIT_ASSERT(allowedRegions(R, &O) == dispatch::RegionSet{"s"});
+    O.AllowedRegions = {"w"};
+    // Nothing is left, which is not the same as no limit.
+    CPPUNIT_ASSERT(allowedRegions(R, &O) == dispatch::RegionSet());
+    R.AllowedRegions = {};
+    CPPUNIT_ASSERT(allowedRegions(R, &O) == O.AllowedRegions);
+  }
+
+private:
   static TrafficConfig config() {
     TrafficConfig C;
     C.addRoute(route("outer", "/x/"));
