--- a/libs/gateway/include/ragwort/gateway/TrafficConfig.h
+++ b/libs/gateway/include/ragwort/gateway/TrafficConfig.h
@@ -9,6 +9,7 @@
 
 #include "ragwort/base/Time.h"
 #include "ragwort/dispatch/ColdServers.h"
+#include "ragwort/dispatch/RegionSet.h"
 #include "ragwort/rankgroup/GroupShape.h"
 #include <cstdint>
 #include <map>
@@ -56,6 +57,8 @@
   uint32_t Priority = 0;
   /// Never empty.
   std::vector<WeightedService> Split;
+  /// The regions whose servers may be used; empty if all may.
+  dispatch::RegionSet AllowedRegions = {};
 };
 
 /// Properties of a service's model engines, as published by the operators.
@@ -85,6 +88,8 @@
 struct Organisation {
   std::string Name;
   std::optional<uint32_t> Priority;
+  /// The regions whose servers may be used; empty if all may.
+  dispatch::RegionSet AllowedRegions = {};
 };
 
 /// One version of the configuration.
@@ -136,6 +141,12 @@
   bool AreKeysRequired = false;
 };
 
+/// The regions that requests of \p Caller on route \p R are confined to, which
+/// may be none; nothing if they are not confined. \p Caller is null on public
+/// routes.
+std::optional<dispatch::RegionSet> allowedRegions(const Route &R,
+                                                  const Organisation *Caller);
+
 /// The service to which the request \p RequestId on route \p R is sent. All
 /// nodes choose the same service for the same id.
 std::string_view chooseService(const Route &R, std::string_view RequestId);
