Expert maps: plan by counts of the new demand alone, and make a small change first

Cause: with 72 ranks, passes wait for the most loaded rank long after each shift of demand. The first map after a shift was planned for a mixture of the old and the new demand and reached a skew of 1.5 to 2.0 where 1.2 was in reach; the second followed a second later. A change of 250 copies takes 200 to 350 ms to send and copy, in which passes take 15% longer, and the held pass lay four to five passes ahead, although arming takes 30 ms.

From a large skew, only the copies that gain most are made first, and the others in a change of their own. The time to arm is measured. A rank that reports the version of the latest map need not list its experts.

--- a/libs/rankgroup/include/ragwort/rankgroup/GroupAgent.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/GroupAgent.h
@@ -507,8 +507,10 @@
                   {"skew_before_percent", int(Change->SkewBefore * 100)},
                   {"skew_after_percent", int(Change->SkewAfter * 100)},
                   {"copies", Change->Copies},
+                  {"counts_age_ms", toMillis(Change->CountsAge)},
                   {"pass_us", C.passTime().count()}});
       }
+    logObservations();
     sendOrders();
     for (const ReportRequest &R : C.mapSwitch().awaitedReports())
       requestReport(R, At);
@@ -534,10 +536,26 @@
   /// reached.
   static int64_t stepMillis(TimePoint Begin, TimePoint End) {
     bool IsKnown = Begin != TimePoint() && End != TimePoint();
-    return IsKnown ? std::chrono::duration_cast<std::chrono::milliseconds>(
-                         End - Begin)
-                         .count()
-                   : 0;
+    return IsKnown ? toMillis(End - Begin) : 0;
+  }
+
+  static int64_t toMillis(Duration Time) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(Time).count();
+  }
+
+  void logObservations() {
+    if (std::optional<DemandShift> Shift = Controller->takeDemandShift())
+      logEvent(LogLevel::Info, "demand-shifted",
+               {{"group", ControlledGroup},
+                {"skew_before_percent", int(Shift->SkewBefore * 100)},
+                {"skew_after_percent", int(Shift->SkewAfter * 100)},
+                {"settling_ms", toMillis(Shift->Settling)}});
+    if (std::optional<ReachedSkew> Skew = Controller->takeReachedSkew())
+      logEvent(LogLevel::Info, "map-change-reached",
+               {{"group", ControlledGroup},
+                {"version", Skew->Version},
+                {"skew_planned_percent", int(Skew->Planned * 100)},
+                {"skew_reached_percent", int(Skew->Reached * 100)}});
   }
 
   void logFinishedChange(SwitchPhase Before, TimePoint At) {
--- a/libs/rankgroup/include/ragwort/rankgroup/GroupController.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/GroupController.h
@@ -11,6 +11,7 @@
 #include "ragwort/rankgroup/MapSwitch.h"
 #include "ragwort/rankgroup/Popularity.h"
 #include "ragwort/rankgroup/SetPlanner.h"
+#include <utility>
 
 namespace ragwort::rankgroup {
 
@@ -27,6 +28,24 @@
   double SkewBefore = 1;
   double SkewAfter = 1;
   uint32_t Copies = 0;
+  /// Mean age of the counts that the plan was made from.
+  Duration CountsAge{0};
+};
+
+/// A shift of demand that is over, for the log.
+struct DemandShift {
+  /// Mean of skewOf() over the sets, with the map in use.
+  double SkewBefore = 1;
+  double SkewAfter = 1;
+  /// Time until the counts of the new demand were settled.
+  Duration Settling{0};
+};
+
+/// What a completed change of the map has led to, for the log.
+struct ReachedSkew {
+  uint64_t Version = 0;
+  double Planned = 1;
+  double Reached = 1;
 };
 
 /// Decides when a group's expert map is changed, and to which map.
@@ -57,8 +76,16 @@
   /// the same in every group, while its gain grows with the number of ranks
   /// that wait for the slowest one.
   static constexpr double MinGroupGainPerCopy = 0.32;
+  /// The same for a change from a map with LargeSkew. Few copies take off most
+  /// of such a skew; the others would delay them, since all ranks have to copy
+  /// before any may use the map. They follow in a change of their own.
+  static constexpr double MinGroupGainPerUrgentCopy = 4;
+  /// Fraction of the skew beyond an even load that few copies must take off, or
+  /// the change is made as a whole.
+  static constexpr double MinUrgentGain = 0.5;
   /// Time that the controller takes to arm one rank, in milliseconds: a
-  /// datagram and its answer on a seventh of a CPU core.
+  /// datagram and its answer on a seventh of a CPU core. Until a change has
+  /// shown how long it takes.
   static constexpr double ArmMillisPerRank = 2;
   /// Running requests in the group below which its counts are not meaningful.
   static constexpr uint32_t MinRunningRequests = 4;
@@ -79,6 +106,15 @@
 
   /// Starts a change of the map if it is due and worthwhile.
   std::optional<PlannedChange> plan(TimePoint Now);
+  /// \returns the latest shift of demand that plan() has seen the end of, once.
+  std::optional<DemandShift> takeDemandShift() {
+    return std::exchange(Shifted, std::nullopt);
+  }
+  /// \returns the skew that the latest change has led to, once, when counts
+  /// under the new map are known.
+  std::optional<ReachedSkew> takeReachedSkew() {
+    return std::exchange(Reached, std::nullopt);
+  }
   /// Starts to complete or roll back the unfinished change of a previous
   /// controller. \returns whether there was one to recover.
   bool recover(TimePoint Now);
@@ -99,6 +135,11 @@
   std::vector<double> slowdownOfRanks() const;
   double skewInUse(const ExpertMap &InUse,
                    std::span<const double> Slowdown) const;
+  PlannedChange planCopies(const ExpertMap &InUse,
+                           std::span<const double> Slowdown,
+                           double MinGroupGain, ExpertMap &Target) const;
+  void updateArmingTime();
+  void observe(double Skew, uint64_t VersionInUse, TimePoint Now);
   uint64_t armingPasses() const;
   uint64_t nextVersion() const;
 
@@ -115,6 +156,23 @@
   TimePoint LastSeenAt{};
   // Smoothed duration of a pass while requests run, 0 while unknown.
   double PassMillis = 0;
+  // Number of completed changes, and the time from the end of the copying until
+  // all ranks were armed, as a maximum that halves with each change; 0 while
+  // unknown.
+  uint64_t Completed = 0;
+  double ArmingMillis = 0;
+  // The latest skew with settled counts, and since when they are not settled.
+  double SettledSkew = 1;
+  std::optional<TimePoint> ShiftingSince;
+  std::optional<DemandShift> Shifted;
+  // The latest map that was planned, and its version, or 0.
+  uint64_t LatestVersion = 0;
+  ExpertMap LatestMap;
+  // The same change until its skew is known, when its map was first seen in
+  // use, and the skew that it has led to.
+  std::optional<PlannedChange> Latest;
+  std::optional<TimePoint> InUseSince;
+  std::optional<ReachedSkew> Reached;
 };
 
 } // namespace ragwort::rankgroup
--- a/libs/rankgroup/src/GroupController.cpp
+++ b/libs/rankgroup/src/GroupController.cpp
@@ -37,6 +37,13 @@
   if (Rank == 0)
     updatePassTime(Report, Now);
   Reports[Rank] = Report;
+  // Versions are never used twice, so the rank need not list its experts.
+  if (Report.MapVersion == LatestVersion && LatestVersion != 0 &&
+      HeldExperts[Rank].MapVersion != LatestVersion) {
+    HeldExperts[Rank] = {LatestVersion, {}};
+    for (const SetMap &Set : LatestMap.At)
+      HeldExperts[Rank].Sets.push_back(Set[Rank]);
+  }
   Switch.onReport(Rank, Report, Token, Now);
 }
 
@@ -73,12 +80,30 @@
 uint64_t GroupController::armingPasses() const {
   if (PassMillis <= 0)
     return 0;
-  double Millis =
-      ArmMillisPerRank * static_cast<double>(HeldExperts.size()) +
+  double ResendMillis =
       std::chrono::duration<double, std::milli>(MapSwitch::ResendAfter).count();
+  if (ArmingMillis > 0) {
+    // Of MinPassesAhead, one pass is still to begin when the first order is
+    // sent, and to end before the held one.
+    double Millis = ArmingMillis + ResendMillis - PassMillis;
+    return static_cast<uint64_t>(std::ceil(std::max(0.0, Millis) / PassMillis));
+  }
+  double Millis =
+      ArmMillisPerRank * static_cast<double>(HeldExperts.size()) + ResendMillis;
   return static_cast<uint64_t>(std::ceil(Millis / PassMillis));
 }
 
+void GroupController::updateArmingTime() {
+  const SwitchTimes &Times = Switch.times();
+  if (Switch.completed() == std::exchange(Completed, Switch.completed()) ||
+      Times.Prepared == TimePoint() || Times.Armed == TimePoint())
+    return;
+  double Millis =
+      std::chrono::duration<double, std::milli>(Times.Armed - Times.Prepared)
+          .count();
+  ArmingMillis = std::max(Millis, ArmingMillis / 2);
+}
+
 bool GroupController::onExperts(uint32_t Rank, RankExperts Experts) {
   auto IsKnown = [this](ExpertId E) { return E < Shape.Experts; };
   bool AreKnown = std::all_of(
@@ -93,7 +118,11 @@
 
 void GroupController::onCounts(
     const std::vector<std::vector<uint64_t>> &Selections, TimePoint Now) {
+  bool WasSettled = Demand.isSettled();
   Demand.add(Selections, Now);
+  // The map no longer fits, so the next plan is made without delay.
+  if (!WasSettled && Demand.isSettled())
+    LastPlan = TimePoint();
 }
 
 std::optional<ExpertMap> GroupController::mapInUse() const {
@@ -127,6 +156,29 @@
   return Skew;
 }
 
+void GroupController::observe(double Skew, uint64_t VersionInUse,
+                              TimePoint Now) {
+  if (!Demand.isSettled()) {
+    if (!ShiftingSince)
+      ShiftingSince = Now;
+    return;
+  }
+  if (ShiftingSince) {
+    Shifted = {SettledSkew, Skew, Now - *ShiftingSince};
+    ShiftingSince.reset();
+  }
+  SettledSkew = Skew;
+  if (!Latest || Latest->Version != VersionInUse)
+    return;
+  if (!InUseSince)
+    InUseSince = Now;
+  // By then most of the counts are of passes that used the new map.
+  if (Now - *InUseSince >= Popularity::HalfLife) {
+    Reached = {Latest->Version, Latest->SkewAfter, Skew};
+    Latest.reset();
+  }
+}
+
 uint64_t GroupController::nextVersion() const {
   uint64_t Block = Switch.highestVersion() / VersionBlockSize + 1;
   return Block * VersionBlockSize + Salt;
@@ -142,39 +194,62 @@
   return true;
 }
 
+PlannedChange GroupController::planCopies(const ExpertMap &InUse,
+                                          std::span<const double> Slowdown,
+                                          double MinGroupGain,
+                                          ExpertMap &Target) const {
+  PlannedChange Change;
+  Change.SkewAfter = 0;
+  Target.At.clear();
+  SetLimits Limits{Shape.Places, Shape.Spare,
+                   MinGroupGain / static_cast<double>(HeldExperts.size())};
+  for (uint32_t Set = 0; Set < Shape.Sets; ++Set) {
+    SetPlan P =
+        planSet(InUse.At[Set], {Demand.weightsOf(Set), Slowdown}, Limits);
+    Change.SkewAfter += P.SkewAfter / Shape.Sets;
+    Change.Copies += P.Copies;
+    Target.At.push_back(std::move(P.Target));
+  }
+  return Change;
+}
+
 std::optional<PlannedChange> GroupController::plan(TimePoint Now) {
   if (!Switch.canBegin() || Now - LastPlan < MinPlanInterval)
     return std::nullopt;
   LastPlan = Now;
+  updateArmingTime();
   uint32_t Running = 0;
   for (const EngineReport &R : Reports)
     Running += R.Running;
   std::optional<ExpertMap> InUse = mapInUse();
   if (Running < MinRunningRequests || Demand.totalWeight() <= 0 || !InUse)
     return std::nullopt;
-  PlannedChange Change;
-  Change.SkewAfter = 0;
-  ExpertMap Target;
   std::vector<double> Slowdown = slowdownOfRanks();
   double Skew = skewInUse(*InUse, Slowdown);
-  Change.SkewBefore = Skew;
+  observe(Skew, HeldExperts[0].MapVersion, Now);
   // No plan can be better than an even load, which has a skew of 1.
-  if (arePassesFastEnough(Skew, Running) || Skew * (1 - MinGain) < 1)
+  if (!Demand.isSettled() || arePassesFastEnough(Skew, Running) ||
+      Skew * (1 - MinGain) < 1)
     return std::nullopt;
-  SetLimits Limits{Shape.Places, Shape.Spare,
-                   MinGroupGainPerCopy /
-                       static_cast<double>(HeldExperts.size())};
-  for (uint32_t Set = 0; Set < Shape.Sets; ++Set) {
-    SetPlan P =
-        planSet(InUse->At[Set], {Demand.weightsOf(Set), Slowdown}, Limits);
-    Change.SkewAfter += P.SkewAfter / Shape.Sets;
-    Change.Copies += P.Copies;
-    Target.At.push_back(std::move(P.Target));
+  ExpertMap Target;
+  PlannedChange Change;
+  bool IsUrgent = Skew >= LargeSkew;
+  if (IsUrgent) {
+    Change = planCopies(*InUse, Slowdown, MinGroupGainPerUrgentCopy, Target);
+    IsUrgent = Change.SkewAfter - 1 <= (Skew - 1) * (1 - MinUrgentGain);
   }
-  if (Change.SkewAfter > Change.SkewBefore * (1 - MinGain))
+  if (!IsUrgent)
+    Change = planCopies(*InUse, Slowdown, MinGroupGainPerCopy, Target);
+  if (Change.SkewAfter > Skew * (1 - MinGain))
     return std::nullopt;
+  Change.SkewBefore = Skew;
+  Change.CountsAge = Demand.meanAge(Now);
   Change.Version = nextVersion();
   Switch.setArmingPasses(armingPasses());
+  LatestVersion = Change.Version;
+  LatestMap = Target;
+  Latest = Change;
+  InUseSince.reset();
   Switch.begin(std::move(*InUse), std::move(Target), Change.Version, Now);
   return Change;
 }
