--- a/libs/rankgroup/include/ragwort/rankgroup/GroupController.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/GroupController.h
@@ -151,6 +151,8 @@
   std::vector<RankExperts> HeldExperts;
   std::vector<EngineReport> Reports;
   TimePoint LastPlan{};
+  // Whether a change could begin at the last call of plan().
+  bool CouldBegin = false;
   // The latest pass reported by rank 0, and when it was first reported.
   uint64_t LastSeenStep = 0;
   TimePoint LastSeenAt{};
--- a/libs/rankgroup/include/ragwort/rankgroup/HeartbeatSchedule.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/HeartbeatSchedule.h
@@ -29,7 +29,9 @@
   /// thirds of a link of 8 Mbit/s; larger groups report fewer counts, see
   /// CountRota.h.
   static constexpr Duration OpeningInterval = std::chrono::milliseconds(75);
-  /// Interval of reading the engine while it copies experts for a map.
+  /// Interval of reading the engine while it copies experts for a map or is
+  /// armed for one: the next change of the map waits for all ranks' reports
+  /// that they use it.
   static constexpr Duration CopyInterval = std::chrono::milliseconds(40);
   /// Time after the opening of a group during which OpeningInterval applies. It
   /// covers two reports of each rank and the first plan.
@@ -56,6 +58,10 @@
   // at which the copy times out.
   uint64_t Preparing = 0;
   TimePoint PreparingUntil{};
+  // Whether the engine is armed for a map, and the map in use when the last
+  // heartbeat was sent.
+  bool IsArmed = false;
+  uint64_t SentMapVersion = 0;
   TimePoint SentAt{};
 };
 
--- a/libs/rankgroup/src/GroupController.cpp
+++ b/libs/rankgroup/src/GroupController.cpp
@@ -214,7 +214,9 @@
 }
 
 std::optional<PlannedChange> GroupController::plan(TimePoint Now) {
-  if (!Switch.canBegin() || Now - LastPlan < MinPlanInterval)
+  bool CanBegin = Switch.canBegin();
+  bool IsPossibleAgain = CanBegin && !std::exchange(CouldBegin, CanBegin);
+  if (!CanBegin || (!IsPossibleAgain && Now - LastPlan < MinPlanInterval))
     return std::nullopt;
   LastPlan = Now;
   updateArmingTime();
--- a/libs/rankgroup/src/HeartbeatSchedule.cpp
+++ b/libs/rankgroup/src/HeartbeatSchedule.cpp
@@ -22,9 +22,13 @@
   if (IsCopied || Now >= PreparingUntil)
     Preparing = 0;
   Duration Usual = isOpening(Now) ? OpeningInterval : UsualInterval;
-  bool IsDue = IsCopied || Now - SentAt + TimerSlack >= Usual;
-  if (IsDue)
+  bool HasSwitched = IsArmed && Report.MapVersion != SentMapVersion;
+  IsArmed = Report.Armed.has_value();
+  bool IsDue = IsCopied || HasSwitched || Now - SentAt + TimerSlack >= Usual;
+  if (IsDue) {
     SentAt = Now;
+    SentMapVersion = Report.MapVersion;
+  }
   return IsDue;
 }
 
@@ -34,7 +38,7 @@
 }
 
 Duration HeartbeatSchedule::interval(TimePoint Now) const {
-  if (Preparing != 0)
+  if (Preparing != 0 || IsArmed)
     return CopyInterval;
   return isOpening(Now) ? OpeningInterval : UsualInterval;
 }
--- a/libs/rankgroup/src/Popularity.cpp
+++ b/libs/rankgroup/src/Popularity.cpp
@@ -8,10 +8,8 @@
 
 namespace {
 
-// Weight of the newest distance in the moving average. It falls faster than it
-// rises, since a shift at the beginning must not hide the later ones.
-constexpr double DistanceRise = 0.1;
-constexpr double DistanceFall = 0.3;
+// Weight of the newest distance in the moving average.
+constexpr double DistanceSmoothing = 0.1;
 
 double sumOf(std::span<const double> Values) {
   return std::accumulate(Values.begin(), Values.end(), 0.0);
@@ -73,8 +71,7 @@
   } else if (UsualDistance == 0) {
     UsualDistance = Distance;
   } else {
-    UsualDistance += (Distance > UsualDistance ? DistanceRise : DistanceFall) *
-                     (Distance - UsualDistance);
+    UsualDistance += DistanceSmoothing * (Distance - UsualDistance);
   }
   for (auto &Set : Batch)
     std::fill(Set.begin(), Set.end(), 0.0);
