Bound what an entry node holds for callers and servers by its memory

Cause: bytes for slow callers were bounded for each caller (256 KiB), whole answers and bodies by their size, the node not at all: 1,600 callers that read slowly are 400 MiB on an instance of 112 MB. A paused server was also blamed for its silence, a connection could be pooled while reading was paused, an answer still being written was dropped by the idle time limit and at shutdown, and a reader that never stopped kept all of its answer in the write buffer.

Change: MemoryBudget counts what is held, by kind; half of limits.memoryMb is the budget. At half of it callers may have 16 KiB unread instead of 256, at 0.8 new requests are refused with 503 and Retry-After before their body, and the rest of the body is discarded so that the refusal arrives. CallerPace ends a pause of reading before servers cut off: a caller that takes nothing for two seconds is given up (slow-caller). A finished answer stays for a caller that takes something every ten seconds. Without limits.memoryMb the levels do not apply.

--- a/libs/gateway/include/ragwort/gateway/CallerSession.h
+++ b/libs/gateway/include/ragwort/gateway/CallerSession.h
@@ -42,7 +42,8 @@
   /// Closes the connection unless a request is being read or answered.
   void closeIfIdle();
   bool isClosed() const { return IsClosed; }
-  bool isAnswering() const { return Active != nullptr; }
+  /// Whether an answer is in progress, or not yet written completely.
+  bool isAnswering() const { return Active || Socket->unsent() > 0; }
 
   void onBytes(std::string_view Bytes) override;
   void onEnd(SocketEnd End) override;
@@ -56,12 +57,20 @@
   void endStream() override;
   void cut() override;
   size_t unsent() const override { return Socket->unsent(); }
+  dispatch::CallerPace &pace() override;
 
 private:
   void readRequests();
   // Returns whether a request was read completely.
   bool readRequest();
   void refuse(unsigned Status, std::string_view Reason);
+  // Reserves the memory that the request being read is known to need. Returns
+  // whether there is room.
+  bool reserve(const http::Request &R);
+  // Refuses the request being read for lack of room. Returns whether the next
+  // one can be read.
+  bool decline(const http::Request &R);
+  void updateCharge();
   void beginRequest();
   std::string headText(const http::ResponseHead &Head) const;
   bool closesAfterAnswer() const;
@@ -77,10 +86,16 @@
   // in Unparsed.
   std::shared_ptr<Forwarding> Active;
   std::string RequestId;
+  dispatch::CallerPace Pace;
+  dispatch::MemoryCharge RequestCharge;
+  // Bytes for the request that is being read or answered.
+  size_t Reserved = 0;
   TimePoint ReadSince{};
   TimePoint IdleSince{};
   bool IsKeepAlive = true;
   bool IsClosed = false;
+  // The last answer is still being written; then the connection closes.
+  bool IsClosing = false;
   // Guards readRequests() against reentry.
   bool IsReading = false;
   bool HasSentContinue = false;
--- a/libs/gateway/include/ragwort/gateway/Forwarding.h
+++ b/libs/gateway/include/ragwort/gateway/Forwarding.h
@@ -8,7 +8,9 @@
 #ifndef RAGWORT_GATEWAY_FORWARDING_H
 #define RAGWORT_GATEWAY_FORWARDING_H
 
+#include "ragwort/dispatch/CallerPace.h"
 #include "ragwort/dispatch/Dispatcher.h"
+#include "ragwort/dispatch/MemoryBudget.h"
 #include "ragwort/gateway/BackendPool.h"
 #include "ragwort/gateway/CrashDetector.h"
 #include "ragwort/gateway/EventStream.h"
@@ -45,6 +47,8 @@
   virtual void cut() = 0;
   /// Bytes that have not been written to the caller's connection yet.
   virtual size_t unsent() const = 0;
+  /// How the caller reads, as of now.
+  virtual dispatch::CallerPace &pace() = 0;
 };
 
 /// Why a request with a quarantined trait of \p Kind is refused.
@@ -64,6 +68,7 @@
   quarantine::RequestQuarantine &Quarantine;
   CrashDetector &Crashes;
   MetricsRegistry &Metrics;
+  std::shared_ptr<dispatch::MemoryBudget> Memory;
   /// Registers a waiting request by its ticket, until it is dequeued.
   std::function<void(uint64_t, std::weak_ptr<Forwarding>)> OnQueued;
   /// Called when a slot may have become free.
@@ -132,6 +137,11 @@
   /// Complete events have arrived.
   void noteEvents();
   void forwardBody();
+  void pauseServer();
+  void resumeServer();
+  /// Decides how long reading from the server stays paused.
+  void whilePaused(TimePoint At);
+  void giveUpSlowCaller();
   void finishAnswer();
   void finishStream();
   void relayAnswer();
@@ -186,6 +196,8 @@
   ServerStatement Stated;
   bool IsEventStream = false;
   std::string Body;
+  // Body and Unparsed.
+  dispatch::MemoryCharge AnswerCharge;
   // Head of a stream that has begun, as sent by the first server.
   http::ResponseHead Head;
   TimePoint SentAt{};
--- a/libs/gateway/include/ragwort/gateway/Gateway.h
+++ b/libs/gateway/include/ragwort/gateway/Gateway.h
@@ -24,6 +24,9 @@
   dispatch::RetryBudgetLimits RetryLimits;
   /// Maximum number of caller connections. Further ones are closed on accept.
   size_t MaxCallers = 1024;
+  /// Memory of the instance in bytes; 0 if unknown. Half of it may be held for
+  /// callers and servers.
+  size_t MemoryBytes = 0;
   uint64_t Seed = 1;
 };
 
@@ -59,6 +62,7 @@
                     std::vector<dispatch::InFlightReport> Report);
   dispatch::Dispatcher &dispatcher() { return Dispatch; }
   quarantine::RequestQuarantine &requestQuarantine() { return Quarantine; }
+  const dispatch::MemoryBudget &memory() const { return *Memory; }
 
   /// Whether a load balancer may send callers to this node: it has a
   /// configuration and a directory, and is not draining.
@@ -98,6 +102,7 @@
   MetricsRegistry &Metrics;
   asio::ip::tcp::acceptor Acceptor;
   asio::steady_timer Ticker;
+  std::shared_ptr<dispatch::MemoryBudget> Memory;
   dispatch::Dispatcher Dispatch;
   BackendPool Pool;
   quarantine::RequestQuarantine Quarantine;
--- a/libs/gateway/include/ragwort/gateway/StreamSocket.h
+++ b/libs/gateway/include/ragwort/gateway/StreamSocket.h
@@ -10,6 +10,7 @@
 #define RAGWORT_GATEWAY_STREAMSOCKET_H
 
 #include "ragwort/base/Time.h"
+#include "ragwort/dispatch/MemoryBudget.h"
 #include "ragwort/transport/Asio.h"
 #include <memory>
 #include <string>
@@ -49,12 +50,20 @@
   /// Takes over an accepted socket and starts reading.
   void adopt(asio::ip::tcp::socket Accepted);
   void setHandler(SocketHandler *NewHandler) { Handler = NewHandler; }
+  /// Charges what the connection holds to \p NewCharge.
+  void setCharge(dispatch::MemoryCharge NewCharge);
+  /// Time after which the connection is dropped if the peer does not accept
+  /// bytes; set before it opens.
+  void setUnsentTimeout(Duration Timeout) { UnsentTimeout = Timeout; }
 
   /// Does nothing unless the socket is open.
   void write(std::string_view Bytes);
   /// Number of bytes that the kernel has not accepted yet.
   size_t unsent() const { return Out.size() - OutTaken; }
-  void pauseReading() { IsPaused = true; }
+  /// Number of bytes that the kernel has accepted.
+  uint64_t written() const { return Written; }
+  bool isReadingPaused() const { return IsPaused; }
+  void pauseReading();
   void resumeReading();
 
   /// Closes immediately and discards unsent bytes.
@@ -64,6 +73,10 @@
   void abort();
   /// Closes once the unsent bytes are written.
   void closeAfterWrite();
+  /// As closeAfterWrite(), but discards what the peer still sends, for at most
+  /// \p Timeout. Closing with unread bytes would reset the connection, and the
+  /// peer might lose what was written.
+  void closeAfterReading(Duration Timeout);
   bool isOpen() const { return State == Stage::Open; }
 
 private:
@@ -75,6 +88,8 @@
   void waitWritable();
   void flush();
   void end(SocketEnd How);
+  void updateCharge();
+  void finishWriting();
 
   asio::ip::tcp::socket Socket;
   asio::steady_timer ConnectTimer;
@@ -82,11 +97,16 @@
   std::string Out;
   // Invariant: OutTaken <= Out.size().
   size_t OutTaken = 0;
+  uint64_t Written = 0;
+  dispatch::MemoryCharge Charge;
+  Duration UnsentTimeout = std::chrono::milliseconds(2000);
   Stage State = Stage::New;
   bool IsPaused = false;
   bool IsReadWaiting = false;
   bool IsWriteWaiting = false;
   bool ClosesAfterWrite = false;
+  // The peer's bytes are discarded until it closes the connection.
+  bool IsDiscarding = false;
 };
 
 } // namespace ragwort::gateway
--- a/libs/gateway/src/CallerSession.cpp
+++ b/libs/gateway/src/CallerSession.cpp
@@ -2,6 +2,7 @@
 #include "ragwort/gateway/CallerSession.h"
 #include "ragwort/base/Bytes.h"
 #include "ragwort/observe/Log.h"
+#include <algorithm>
 #include <boost/beast/http/status.hpp>
 #include <charconv>
 #include <cmath>
@@ -13,6 +14,16 @@
 // Bytes of pipelined requests that are buffered while a response is pending.
 // Above it, reading from the caller pauses.
 constexpr size_t MaxReadAhead = 64 * KiB;
+// What a session and a request in progress take besides buffers and bodies.
+constexpr size_t SessionBytes = 2 * KiB;
+constexpr size_t RequestBytes = 12 * KiB;
+// Larger buffers are released when they are empty.
+constexpr size_t KeptBufferBytes = 4 * KiB;
+// Retry-After time of a request for which there is no memory: slow callers are
+// given up within about two seconds.
+constexpr Duration NoMemoryRetryAfter = std::chrono::milliseconds(1000);
+// Time for which the rest of a refused request is read and discarded.
+constexpr Duration DiscardTime = std::chrono::milliseconds(1000);
 
 TimePoint now() { return SteadyClock().now(); }
 
@@ -47,7 +58,12 @@
 } // namespace
 
 CallerSession::CallerSession(RequestHandler &Handler, asio::io_context &Io)
-    : Handler(Handler), Socket(std::make_shared<StreamSocket>(Io)) {}
+    : Handler(Handler), Socket(std::make_shared<StreamSocket>(Io)),
+      RequestCharge(Handler.context().Memory, dispatch::Held::CallerRequests) {
+  Socket->setCharge({Handler.context().Memory, dispatch::Held::CallerAnswers});
+  Socket->setUnsentTimeout(dispatch::CallerPace::MaxUnread);
+  updateCharge();
+}
 
 CallerSession::~CallerSession() { Socket->close(); }
 
@@ -63,11 +79,43 @@
   if (Active) {
     if (Unparsed.size() > MaxReadAhead)
       Socket->pauseReading();
+    updateCharge();
     return;
   }
   readRequests();
 }
 
+void CallerSession::updateCharge() {
+  RequestCharge.set(SessionBytes + Unparsed.capacity() + Reserved);
+}
+
+bool CallerSession::reserve(const http::Request &R) {
+  size_t Needed =
+      RequestBytes + std::max<size_t>(declaredLength(R), R.Body.size());
+  if (Needed <= Reserved)
+    return true;
+  if (!Handler.context().Memory->admits(Needed - Reserved))
+    return false;
+  Reserved = Needed;
+  updateCharge();
+  return true;
+}
+
+bool CallerSession::decline(const http::Request &R) {
+  RequestId = R.header(Handler.context().Names.RequestId);
+  bool IsComplete = Parser->stage() == ParseStage::Done;
+  IsKeepAlive = IsComplete && Parser->isKeepAlive();
+  logEvent(
+      LogLevel::Warning, "request-refused",
+      {{"request", RequestId}, {"status", 503}, {"reason", "memory-full"}});
+  Handler.context().Metrics.counter("ragwort_memory_refusals_total").add();
+  if (IsComplete)
+    Parser.reset();
+  sendLocalReply({503, "memory-full",
+                  Handler.context().Dispatch.spread(NoMemoryRetryAfter)});
+  return IsComplete;
+}
+
 void CallerSession::readRequests() {
   // finishAnswer() calls this function again when a response is finished within
   // beginRequest(); the loop below then continues.
@@ -77,6 +125,9 @@
   while (!Active && !IsClosed && !Unparsed.empty() && readRequest()) {
   }
   IsReading = false;
+  if (Unparsed.empty() && Unparsed.capacity() > KeptBufferBytes)
+    Unparsed = std::string();
+  updateCharge();
 }
 
 bool CallerSession::readRequest() {
@@ -102,6 +153,8 @@
     refuse(413, "body-too-large");
     return false;
   }
+  if (!reserve(R))
+    return decline(R);
   if (Stage == ParseStage::Body) {
     if (!HasSentContinue &&
         isSameHeaderName(R.header("Expect"), "100-continue")) {
@@ -186,8 +239,14 @@
   if (!HasNoBody)
     Text += "Content-Length: " + std::to_string(Body.size()) + "\r\n";
   Text += "\r\n";
-  Text += Body;
-  Socket->write(Text);
+  // A large answer is not copied once more.
+  if (Body.size() > KeptBufferBytes) {
+    Socket->write(Text);
+    Socket->write(Body);
+  } else {
+    Text += Body;
+    Socket->write(Text);
+  }
   finishAnswer();
 }
 
@@ -211,10 +270,16 @@
   bool Closes = closesAfterAnswer();
   Active.reset();
   RequestId.clear();
+  Reserved = 0;
+  updateCharge();
   IdleSince = now();
   if (Closes) {
-    IsClosed = true;
-    Socket->closeAfterWrite();
+    IsClosing = Socket->unsent() > 0;
+    IsClosed = !IsClosing;
+    if (Parser && Parser->stage() == ParseStage::Body)
+      Socket->closeAfterReading(DiscardTime);
+    else
+      Socket->closeAfterWrite();
     return;
   }
   Socket->resumeReading();
@@ -243,14 +308,36 @@
     Active->onSinkDrained();
 }
 
+dispatch::CallerPace &CallerSession::pace() {
+  Pace.update(Socket->written(), Socket->unsent(), now());
+  return Pace;
+}
+
 void CallerSession::onTick(TimePoint Now) {
   if (IsClosed)
     return;
   auto Self = shared_from_this();
+  Pace.update(Socket->written(), Socket->unsent(), Now);
   if (Active) {
     Active->onTick(Now);
     return;
   }
+  if (Pace.hasStopped(Now)) {
+    logEvent(LogLevel::Warning, "slow-caller",
+             {{"unread", Socket->unsent()},
+              {"level", toString(Handler.context().Memory->level())}});
+    Handler.context().Metrics.counter("ragwort_slow_callers_total").add();
+    close();
+    return;
+  }
+  if (IsClosing) {
+    IsClosed = !Socket->isOpen();
+    return;
+  }
+  if (Socket->unsent() > 0) {
+    IdleSince = Now;
+    return;
+  }
   const CallerLimits Limits = Handler.limits();
   if (Parser) {
     if (Now - ReadSince > Limits.HeaderTimeout)
@@ -262,7 +349,7 @@
 }
 
 void CallerSession::closeIfIdle() {
-  if (!IsClosed && !Active && !Parser && Unparsed.empty())
+  if (!IsClosed && !isAnswering() && !Parser && Unparsed.empty())
     close();
 }
 
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -40,8 +40,8 @@
 // Maximum size of an answer that is not an event stream, and of what may come
 // before the answer to a request.
 constexpr size_t MaxWholeAnswerBytes = 8 * MiB;
-// Bytes buffered for a slow caller above which reading from the server pauses.
-constexpr size_t MaxUnsentBytes = 256 * KiB;
+// Part of an answer that is read even while memory is exhausted.
+constexpr size_t SmallAnswerBytes = 64 * KiB;
 
 constexpr size_t MaxLoggedPartsBytes = 160;
 
@@ -68,7 +68,7 @@
     : Context(Context), Accepted(std::move(Given)), Sink(&Sink),
       Service(chooseService(*Accepted.Target, Accepted.RequestId)),
       Flow(Accepted.Target->Repeat, Accepted.Target->MaxAttempts),
-      Timer(Context.Io) {
+      Timer(Context.Io), AnswerCharge(Context.Memory, dispatch::Held::Servers) {
   std::string_view After = Accepted.Message.header(Context.Names.LastEventId);
   if (std::optional<uint64_t> Id = parseNumber(After))
     Events.resumeAfter(*Id);
@@ -192,6 +192,7 @@
   CurrentPhase = Phase::Connecting;
   Context.Metrics.counter("ragwort_backend_connections_total").add();
   Socket = std::make_shared<StreamSocket>(Context.Io);
+  Socket->setCharge({Context.Memory, dispatch::Held::Servers});
   Socket->setHandler(this);
   std::optional<Address> At = parseAddress(Server.Address);
   Socket->connect(endpointOf<asio::ip::tcp>(At.value_or(Address{"0.0.0.0", 0})),
@@ -249,6 +250,8 @@
   HasBytes = true;
   Unparsed += Bytes;
   parse();
+  if (CurrentPhase == Phase::Sent)
+    AnswerCharge.set(Body.capacity() + Unparsed.capacity());
 }
 
 bool Forwarding::isOtherRequestsAnswer() const {
@@ -336,6 +339,9 @@
     Body += Bytes;
     if (Body.size() > MaxWholeAnswerBytes)
       onServerFault(dispatch::ServerFault::Malformed, "answer-too-large");
+    else if (Body.size() > SmallAnswerBytes &&
+             Context.Memory->level() == dispatch::MemoryLevel::Exhausted)
+      pauseServer();
     return;
   }
   if (!Events.push(Bytes)) {
@@ -356,13 +362,53 @@
   }
   Sink->continueStream(Complete);
   armTimer();
-  if (Sink->unsent() > MaxUnsentBytes)
-    Socket->pauseReading();
+  if (Sink->unsent() > Context.Memory->unreadLimit())
+    pauseServer();
+}
+
+void Forwarding::pauseServer() {
+  Sink->pace().onPaused(now());
+  Socket->pauseReading();
+}
+
+void Forwarding::resumeServer() {
+  // The server was not silent: it was not read.
+  LastProgress = now();
+  Socket->resumeReading();
+  armTimer();
 }
 
 void Forwarding::onSinkDrained() {
-  if (CurrentPhase == Phase::Sent && Socket)
-    Socket->resumeReading();
+  if (CurrentPhase == Phase::Sent && IsEventStream && Socket->isReadingPaused())
+    resumeServer();
+}
+
+void Forwarding::whilePaused(TimePoint At) {
+  bool IsExhausted =
+      Context.Memory->level() == dispatch::MemoryLevel::Exhausted;
+  dispatch::CallerPace &Pace = Sink->pace();
+  dispatch::PausedStep Step =
+      IsEventStream
+          ? Pace.whilePaused(Context.Memory->unreadLimit(), IsExhausted, At)
+          : Pace.whileAnswerPaused(IsExhausted, At);
+  if (Step == dispatch::PausedStep::Resume)
+    resumeServer();
+  else if (Step == dispatch::PausedStep::GiveUp)
+    giveUpSlowCaller();
+}
+
+void Forwarding::giveUpSlowCaller() {
+  logEvent(LogLevel::Warning, "slow-caller",
+           {{"request", Accepted.RequestId},
+            {"unread", Sink->unsent()},
+            {"level", toString(Context.Memory->level())},
+            {"instance", Server.Id}});
+  Context.Metrics.counter("ragwort_slow_callers_total").add();
+  AnswerSink *Last = std::exchange(Sink, nullptr);
+  Flow.onCallerGone();
+  leaveServer(false);
+  finish("slow-caller", 0);
+  Last->cut();
 }
 
 void Forwarding::finishAnswer() {
@@ -573,6 +619,8 @@
     bool IsClean = IsReusable && Parser.stage() == ParseStage::Done &&
                    Parser.isKeepAlive() && Unparsed.empty() &&
                    Socket->unsent() == 0 && Socket->isOpen();
+    if (IsClean)
+      Socket->resumeReading();
     if (IsClean)
       Context.Pool.keep(Server.Id, std::move(Socket),
                         keepAliveTime(Parser.head()), now());
@@ -582,6 +630,8 @@
       Socket->abort();
     Socket.reset();
   }
+  Unparsed = std::string();
+  AnswerCharge.set(Body.capacity());
   releaseServer();
 }
 
@@ -605,6 +655,8 @@
   auto Self = shared_from_this();
   if (CurrentPhase == Phase::Sent && !HasEvent && endIfQuarantined())
     return;
+  if (CurrentPhase == Phase::Sent && Socket->isReadingPaused())
+    whilePaused(At);
   moveFromStraggler(At);
 }
 
@@ -628,6 +680,8 @@
 
 TimePoint Forwarding::progressDeadline() const {
   const Route &R = *Accepted.Target;
+  if (Socket && Socket->isReadingPaused())
+    return Accepted.Deadline;
   if (R.IsStream)
     return LastProgress + callerTimeout() / 2;
   return SentAt + std::min((Accepted.Deadline - SentAt) / 2,
--- a/libs/gateway/src/Gateway.cpp
+++ b/libs/gateway/src/Gateway.cpp
@@ -18,6 +18,9 @@
 constexpr Duration AcceptPause = std::chrono::milliseconds(50);
 // Retry-After sent while the node has no configuration or directory yet.
 constexpr Duration StartingRetryAfter = std::chrono::milliseconds(500);
+// One part in this many of the instance's memory may be held for callers and
+// servers.
+constexpr size_t HeldPart = 2;
 constexpr std::string_view BearerScheme = "Bearer ";
 
 std::optional<Duration> parseMillis(std::string_view Text) {
@@ -48,6 +51,8 @@
                  ProtocolNames HeaderNames, MetricsRegistry &Metrics)
     : Io(Io), Options(std::move(Given)), Names(std::move(HeaderNames)),
       Metrics(Metrics), Acceptor(Io), Ticker(Io),
+      Memory(std::make_shared<dispatch::MemoryBudget>(Options.MemoryBytes /
+                                                      HeldPart)),
       Dispatch(Options.DataCentre, Options.RetryLimits, Options.Seed),
       Quarantine(Options.Seed, SteadyClock().now()),
       Crashes(Io,
@@ -62,6 +67,7 @@
               Quarantine,
               Crashes,
               Metrics,
+              Memory,
               [this](uint64_t Ticket, std::weak_ptr<Forwarding> Request) {
                 Waiting.emplace(Ticket, std::move(Request));
               },
@@ -261,6 +267,12 @@
                     const std::string &Labels = "") {
     Metrics.gauge(Name, Labels).set(static_cast<int64_t>(Value));
   };
+  Set("ragwort_memory_budget_bytes", Memory->budget());
+  Set("ragwort_held_bytes_peak", Memory->peak());
+  for (auto Kind : {dispatch::Held::CallerRequests,
+                    dispatch::Held::CallerAnswers, dispatch::Held::Servers})
+    Set("ragwort_held_bytes", Memory->held(Kind),
+        "for=\"" + std::string(toString(Kind)) + "\"");
   Set("ragwort_store_era", Directory.version().Era);
   Set("ragwort_caller_connections", Sessions.size());
   Set("ragwort_waiting_requests", Dispatch.waiting());
@@ -288,7 +300,9 @@
          " callers=" + std::to_string(Sessions.size()) +
          " active=" + std::to_string(activeRequests()) +
          " waiting=" + std::to_string(Dispatch.waiting()) +
-         " kept=" + std::to_string(Pool.size()) + "\n" +
+         " kept=" + std::to_string(Pool.size()) +
+         " memory=" + std::string(toString(Memory->level())) +
+         " held=" + std::to_string(Memory->held()) + "\n" +
          Dispatch.loadTracker().describe(SteadyClock().now()) +
          Quarantine.describe(SteadyClock().now());
 }
--- a/libs/gateway/src/StreamSocket.cpp
+++ b/libs/gateway/src/StreamSocket.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <utility>
 
 namespace ragwort::gateway {
 
@@ -16,14 +17,17 @@
 constexpr int KeepAliveIdleSeconds = 1;
 constexpr int KeepAliveIntervalSeconds = 1;
 constexpr int KeepAliveProbes = 2;
-constexpr int UserTimeoutMillis = 2000;
 
 constexpr size_t ReadBytes = 64 * KiB;
+// What a connection takes besides its buffers.
+constexpr size_t ConnectionBytes = 1 * KiB;
+// What the system may hold of a connection that is not read.
+constexpr size_t ReceiveBufferBytes = 64 * KiB;
 
 template <int Level, int Name>
 using IntOption = asio::detail::socket_option::integer<Level, Name>;
 
-void setOptions(asio::ip::tcp::socket &Socket) {
+void setOptions(asio::ip::tcp::socket &Socket, Duration UnsentTimeout) {
   error_code Error; // Ignored: the connection works without these options.
   Socket.non_blocking(true, Error);
   Socket.set_option(asio::ip::tcp::no_delay(true), Error);
@@ -34,7 +38,8 @@
       IntOption<IPPROTO_TCP, TCP_KEEPINTVL>(KeepAliveIntervalSeconds), Error);
   Socket.set_option(IntOption<IPPROTO_TCP, TCP_KEEPCNT>(KeepAliveProbes),
                     Error);
-  Socket.set_option(IntOption<IPPROTO_TCP, TCP_USER_TIMEOUT>(UserTimeoutMillis),
+  Socket.set_option(IntOption<IPPROTO_TCP, TCP_USER_TIMEOUT>(
+                        static_cast<int>(UnsentTimeout.count() / 1000)),
                     Error);
 }
 
@@ -76,7 +81,7 @@
 
 void StreamSocket::open() {
   State = Stage::Open;
-  setOptions(Socket);
+  setOptions(Socket, UnsentTimeout);
   waitReadable();
 }
 
@@ -109,13 +114,30 @@
     return;
   }
   auto Self = shared_from_this();
-  if (Handler)
+  if (Handler && !IsDiscarding)
     Handler->onBytes(std::string_view(Shared.data(), Count));
   waitReadable();
 }
 
+void StreamSocket::setCharge(dispatch::MemoryCharge NewCharge) {
+  Charge = std::move(NewCharge);
+  updateCharge();
+}
+
+void StreamSocket::updateCharge() {
+  Charge.set(State == Stage::Closed ? 0
+                                    : ConnectionBytes + Out.capacity() +
+                                          (IsPaused ? ReceiveBufferBytes : 0));
+}
+
+void StreamSocket::pauseReading() {
+  IsPaused = true;
+  updateCharge();
+}
+
 void StreamSocket::resumeReading() {
-  IsPaused = false;
+  if (std::exchange(IsPaused, false))
+    updateCharge();
   waitReadable();
 }
 
@@ -124,6 +146,7 @@
     return;
   if (unsent() > 0) {
     Out += Bytes;
+    updateCharge();
     return;
   }
   error_code Error;
@@ -134,10 +157,12 @@
     // arrived before it.
     Taken = Bytes.size();
   }
+  Written += Taken;
   if (Taken == Bytes.size())
     return;
   Out.assign(Bytes.substr(Taken));
   OutTaken = 0;
+  updateCharge();
   waitWritable();
 }
 
@@ -157,20 +182,30 @@
   if (State != Stage::Open)
     return;
   error_code Error;
-  OutTaken +=
+  size_t Taken =
       Socket.write_some(asio::buffer(Out.data() + OutTaken, unsent()), Error);
+  OutTaken += Taken;
+  Written += Taken;
   if (Error && Error != asio::error::would_block) {
     end(SocketEnd::Broken);
     return;
   }
   if (unsent() > 0) {
+    // A reader that is slow but never stops would otherwise keep all of its
+    // answer here.
+    if (OutTaken >= unsent()) {
+      Out = Out.substr(OutTaken);
+      OutTaken = 0;
+      updateCharge();
+    }
     waitWritable();
     return;
   }
-  Out.clear();
+  Out = std::string();
   OutTaken = 0;
+  updateCharge();
   if (ClosesAfterWrite) {
-    close();
+    finishWriting();
     return;
   }
   if (Handler)
@@ -185,6 +220,9 @@
   ConnectTimer.cancel();
   error_code Error; // Ignored: the socket is no longer used.
   Socket.close(Error);
+  Out = std::string();
+  OutTaken = 0;
+  updateCharge();
 }
 
 void StreamSocket::abort() {
@@ -196,10 +234,30 @@
 
 void StreamSocket::closeAfterWrite() {
   Handler = nullptr;
+  ClosesAfterWrite = true;
   if (unsent() == 0)
+    finishWriting();
+}
+
+void StreamSocket::closeAfterReading(Duration Timeout) {
+  IsDiscarding = true;
+  ConnectTimer.expires_after(Timeout);
+  ConnectTimer.async_wait([Self = shared_from_this()](error_code Stopped) {
+    if (!Stopped)
+      Self->close();
+  });
+  closeAfterWrite();
+  if (State == Stage::Open)
+    resumeReading();
+}
+
+void StreamSocket::finishWriting() {
+  if (!IsDiscarding) {
     close();
-  else
-    ClosesAfterWrite = true;
+    return;
+  }
+  error_code Error; // Ignored: the timer closes the connection in any case.
+  Socket.shutdown(asio::ip::tcp::socket::shutdown_send, Error);
 }
 
 void StreamSocket::end(SocketEnd How) {
