Tell lost paths to data centres from servers that fail, and shed on a full link

Cause: when two data centres could not reach each other, or packets passed one way only, a node found out server by server: 400 ms or a send without an answer for each of 24, each ejected by itself and for longer than the fault. Nothing looked at the node's own link.

Change: PathHealth tells this node's path to a data centre as good, doubtful or lost, from connects and sends that remain without a sign of life, and from what was reached since they were begun. Servers behind a lost path are left out where a service has others, are not ejected for it, and one connection is tried there each half second (PathProbes); requests silent for 300 ms that may be repeated move. On a path that is not good requests use new connections. LinkLoad refuses new requests (503 link-full, Retry-After) when most callers that are being answered wait and the link needs 350 ms for what is held for them.

--- a/libs/dispatch/include/ragwort/dispatch/LoadTracker.h
+++ b/libs/dispatch/include/ragwort/dispatch/LoadTracker.h
@@ -28,6 +28,7 @@
 #define RAGWORT_DISPATCH_LOADTRACKER_H
 
 #include "ragwort/dispatch/BackendDirectory.h"
+#include "ragwort/dispatch/PathHealth.h"
 #include "ragwort/dispatch/RateLimits.h"
 #include "ragwort/dispatch/SelfReports.h"
 #include "ragwort/dispatch/ServerHealth.h"
@@ -126,6 +127,19 @@
   /// A stream event arrived from the server \p Gap after the previous one.
   void onEvent(std::string_view Id, Duration Gap, TimePoint Now);
   void onFault(std::string_view Id, ServerFault Fault, TimePoint Now);
+  /// The server showed that an attempt begun at \p Begun has reached it.
+  void onReached(const BackendInstance &Instance, TimePoint Begun,
+                 TimePoint Now);
+  /// An attempt begun at \p Begun to reach the server remained without a sign
+  /// of life. Counts as a fault of the server unless the path to its data
+  /// centre is lost.
+  void onSilence(const BackendInstance &Instance, Silence Kind, TimePoint Begun,
+                 TimePoint Now);
+  /// This node's paths to the data centres.
+  const PathHealth &paths() const { return Paths; }
+  /// Servers to which a connection is to be tried now, one for each path that
+  /// is not good.
+  std::vector<BackendInstance> takeProbes(TimePoint Now);
   /// Another instance answered at the server's address: the server no longer
   /// exists, even if the directory still lists it.
   void onReplaced(std::string_view Id);
@@ -229,6 +243,12 @@
   void recountPeers(TimePoint Now);
   /// Whether \p S belongs to \p Among and may be sent requests at some time.
   static bool isCandidate(const Server &S, const Selection &Among);
+  bool isBehindLostPath(const Server &S) const {
+    return Paths.state(S.Entry.DataCentre) == PathState::Lost;
+  }
+  /// Whether servers behind lost paths are left out: only if \p Among has
+  /// others.
+  bool skipsLostPaths(const Selection &Among, TimePoint Now) const;
   UsualTimes usualTimesOf(std::string_view Service, TimePoint Now) const;
   const Server *bestOfSample(std::vector<const Server *> &Candidates,
                              const UsualTimes &Usual, TimePoint Now);
@@ -243,6 +263,7 @@
   std::map<std::string, PeerReport, std::less<>> Peers;
   SelfReports Reports;
   RateLimits Limits;
+  PathHealth Paths;
   // Service -> time of the next trial request while no server is available.
   std::map<std::string, TimePoint, std::less<>> NextTrials;
 };
--- a/libs/dispatch/include/ragwort/dispatch/ServerHealth.h
+++ b/libs/dispatch/include/ragwort/dispatch/ServerHealth.h
@@ -70,6 +70,8 @@
   /// The server answered successfully a request that was sent at \p SentAt.
   void onAnswered(TimePoint SentAt);
   void onFault(ServerFault Fault, TimePoint Now);
+  /// Its faults were those of the path to it.
+  void onFaultsExplained();
   /// A request was sent to it.
   void onSent(TimePoint Now);
   /// Its agent or a peer reported \p Condition. \returns whether that is news.
--- a/libs/dispatch/src/LoadTracker.cpp
+++ b/libs/dispatch/src/LoadTracker.cpp
@@ -17,6 +17,9 @@
 // when the others are full. Load alone makes a batching server about one and a
 // half times slower.
 constexpr double SlownessThreshold = 2.0;
+// Added to the score of servers whose path is doubtful, as a fraction of their
+// slots.
+constexpr double DoubtfulPenalty = 0.5;
 // Number of random candidates that are compared for each request. Between two
 // heartbeats the fleet places about as many requests as there are servers; in
 // that range two to three choices are known to work best.
@@ -232,6 +235,49 @@
     S->Health.onFault(Fault, Now);
 }
 
+void LoadTracker::onReached(const BackendInstance &Instance, TimePoint Begun,
+                            TimePoint Now) {
+  for (const std::string &Id : Paths.onReached(Instance.DataCentre, Begun, Now))
+    if (Server *S = find(Id))
+      S->Health.onFaultsExplained();
+}
+
+void LoadTracker::onSilence(const BackendInstance &Instance, Silence Kind,
+                            TimePoint Begun, TimePoint Now) {
+  Paths.onSilence(Instance.DataCentre, Instance.Id, Kind, Begun, Now);
+  if (Paths.state(Instance.DataCentre) != PathState::Lost)
+    onFault(Instance.Id,
+            Kind == Silence::Connect ? ServerFault::Unreachable
+                                     : ServerFault::TimedOut,
+            Now);
+}
+
+std::vector<BackendInstance> LoadTracker::takeProbes(TimePoint Now) {
+  std::vector<BackendInstance> Result;
+  if (Paths.areAllGood())
+    return Result;
+  for (const std::string &DataCentre : Paths.takeProbes(Now)) {
+    std::vector<const Server *> There;
+    for (const auto &[Id, S] : Servers)
+      if (S.Entry.DataCentre == DataCentre && S.isUsable())
+        There.push_back(&S);
+    if (There.empty())
+      continue;
+    std::uniform_int_distribution<size_t> Any(0, There.size() - 1);
+    Result.push_back(There[Any(Random)]->Entry);
+  }
+  return Result;
+}
+
+bool LoadTracker::skipsLostPaths(const Selection &Among, TimePoint Now) const {
+  return Paths.count(PathState::Lost) > 0 &&
+         std::any_of(Servers.begin(), Servers.end(), [&](const auto &Item) {
+           const Server &S = Item.second;
+           return isCandidate(S, Among) && !isBehindLostPath(S) &&
+                  !S.Health.isUnavailable() && Now >= S.pauseEnd();
+         });
+}
+
 void LoadTracker::applyCondition(Server &S, EngineCondition Condition,
                                  std::string_view Source, TimePoint Now) {
   if (!S.Health.onCondition(Condition, Now))
@@ -326,6 +372,8 @@
   double Load =
       (S.OwnInFlight + S.PeerInFlight + 1.0) / std::max(1u, S.Entry.Slots);
   double Remote = S.Entry.DataCentre == LocalDataCentre ? 0.0 : RemotePenalty;
+  if (!Paths.areAllGood() && Paths.state(S.Entry.DataCentre) != PathState::Good)
+    Remote += DoubtfulPenalty;
   std::uniform_real_distribution<double> TieBreak(0, 0.01);
   return Load * S.Speed.slowness(Usual, Now) + S.Health.failureRate() + Remote +
          TieBreak(Random);
@@ -370,12 +418,14 @@
     if (Trial != NextTrials.end() && Now < Trial->second)
       return std::nullopt;
   }
+  bool SkipsLost = skipsLostPaths(Among, Now);
   size_t Usable = 0;
   size_t Ejected = 0;
   size_t Stragglers = 0;
   for (const auto &[Id, S] : Servers) {
     if (S.Entry.Service != Among.Service || !S.isUsable() ||
-        S.Health.isUnavailable() || Now < S.pauseEnd())
+        S.Health.isUnavailable() || Now < S.pauseEnd() ||
+        (SkipsLost && isBehindLostPath(S)))
       continue;
     ++Usable;
     Ejected += S.Health.isEjected(Now);
@@ -391,7 +441,7 @@
     if (!isCandidate(S, Among) || (SkipsEjected && S.Health.isEjected(Now)) ||
         (SkipsStragglers && S.Health.isStraggler(Now)) ||
         S.Health.awaitsTrial(Now) || Now < S.pauseEnd() ||
-        !Limits.maySend(S.run(), Now))
+        (SkipsLost && isBehindLostPath(S)) || !Limits.maySend(S.run(), Now))
       continue;
     Candidates.push_back(&S);
   }
--- a/libs/dispatch/src/ServerHealth.cpp
+++ b/libs/dispatch/src/ServerHealth.cpp
@@ -57,6 +57,11 @@
   }
 }
 
+void ServerHealth::onFaultsExplained() {
+  EjectedUntil = TimePoint();
+  NextEjection = FirstEjection;
+}
+
 void ServerHealth::onSent(TimePoint Now) {
   if (isUnavailable())
     NextTrial = Now + TrialInterval;
--- a/libs/gateway/include/ragwort/gateway/BackendPool.h
+++ b/libs/gateway/include/ragwort/gateway/BackendPool.h
@@ -34,6 +34,8 @@
   void keep(std::string Id, std::shared_ptr<StreamSocket> Socket,
             Duration KeepAlive, TimePoint Now);
   void closeAll();
+  /// Closes the connections to \p Id.
+  void closeAll(std::string_view Id);
   /// Closes connections that the server is about to close.
   void expire(TimePoint Now);
   size_t size() const;
--- a/libs/gateway/include/ragwort/gateway/Forwarding.h
+++ b/libs/gateway/include/ragwort/gateway/Forwarding.h
@@ -147,7 +147,9 @@
   void relayAnswer();
   void onServerFault(dispatch::ServerFault Fault, std::string_view Text);
   void logFailedSend(std::string_view Fault) const;
-  void moveFromStraggler(TimePoint At);
+  /// Repeats the request elsewhere if its server straggles, or if it is silent
+  /// and the path to it is lost.
+  void moveFromServer(TimePoint At);
   void onDeclined();
   void onFailureAnswer();
   void carryOut(Step Next);
@@ -200,6 +202,7 @@
   dispatch::MemoryCharge AnswerCharge;
   // Head of a stream that has begun, as sent by the first server.
   http::ResponseHead Head;
+  TimePoint ConnectBegun{};
   TimePoint SentAt{};
   TimePoint LastProgress{};
   TimePoint NextProgressCheck{};
--- a/libs/gateway/include/ragwort/gateway/Gateway.h
+++ b/libs/gateway/include/ragwort/gateway/Gateway.h
@@ -7,7 +7,9 @@
 #ifndef RAGWORT_GATEWAY_GATEWAY_H
 #define RAGWORT_GATEWAY_GATEWAY_H
 
+#include "ragwort/dispatch/LinkLoad.h"
 #include "ragwort/gateway/CallerSession.h"
+#include "ragwort/gateway/PathProbes.h"
 #include <absl/status/status.h>
 #include <functional>
 #include <set>
@@ -27,6 +29,8 @@
   /// Memory of the instance in bytes; 0 if unknown. Half of it may be held for
   /// callers and servers.
   size_t MemoryBytes = 0;
+  /// Bandwidth of the instance's link in Mbit/s; 0 if unknown.
+  double LinkMbps = 0;
   uint64_t Seed = 1;
 };
 
@@ -103,8 +107,10 @@
   asio::ip::tcp::acceptor Acceptor;
   asio::steady_timer Ticker;
   std::shared_ptr<dispatch::MemoryBudget> Memory;
+  dispatch::LinkLoad Link;
   dispatch::Dispatcher Dispatch;
   BackendPool Pool;
+  PathProbes Probes;
   quarantine::RequestQuarantine Quarantine;
   CrashDetector Crashes;
   dispatch::BackendDirectory Directory;
--- a/libs/gateway/include/ragwort/gateway/StreamSocket.h
+++ b/libs/gateway/include/ragwort/gateway/StreamSocket.h
@@ -77,6 +77,8 @@
   /// \p Timeout. Closing with unread bytes would reset the connection, and the
   /// peer might lose what was written.
   void closeAfterReading(Duration Timeout);
+  /// Whether the connection ended because the peer gave no sign of life.
+  bool hasTimedOut() const { return HasTimedOut; }
   bool isOpen() const { return State == Stage::Open; }
 
 private:
@@ -105,6 +107,7 @@
   bool IsReadWaiting = false;
   bool IsWriteWaiting = false;
   bool ClosesAfterWrite = false;
+  bool HasTimedOut = false;
   // The peer's bytes are discarded until it closes the connection.
   bool IsDiscarding = false;
 };
--- a/libs/gateway/src/BackendPool.cpp
+++ b/libs/gateway/src/BackendPool.cpp
@@ -98,6 +98,12 @@
 
 void BackendPool::closeAll() { ByInstance.clear(); }
 
+void BackendPool::closeAll(std::string_view Id) {
+  auto Found = ByInstance.find(Id);
+  if (Found != ByInstance.end())
+    ByInstance.erase(Found);
+}
+
 void BackendPool::expire(TimePoint Now) {
   for (auto &[Id, List] : ByInstance)
     std::erase_if(List,
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -27,6 +27,9 @@
 // request could not be retried.
 constexpr Duration MaxIdleAtMostOnce = std::chrono::milliseconds(2000);
 constexpr Duration MaxIdleRepeatable = std::chrono::seconds(60);
+// Time without an event after which a request leaves a server behind a lost
+// path.
+constexpr Duration LostPathSilence = std::chrono::milliseconds(300);
 // A retry needs at least this much time before the deadline for its answer.
 constexpr Duration MinRetryTime = std::chrono::milliseconds(80);
 // Interval at which a request that makes no progress is checked again while no
@@ -182,7 +185,12 @@
   Context.Dispatch.onStarted(Server.Id, now());
   Duration MaxIdle =
       Flow.isRepeatable() ? MaxIdleRepeatable : MaxIdleAtMostOnce;
-  Socket = Context.Pool.take(Server.Id, now(), MaxIdle);
+  // On a path that is not good, what is written to a kept connection may never
+  // arrive; a new connection shows that before the request is sent.
+  const dispatch::PathHealth &Paths = Context.Dispatch.loadTracker().paths();
+  if (Paths.areAllGood() ||
+      Paths.state(Server.DataCentre) == dispatch::PathState::Good)
+    Socket = Context.Pool.take(Server.Id, now(), MaxIdle);
   IsFreshConnection = !Socket;
   if (Socket) {
     Socket->setHandler(this);
@@ -190,6 +198,7 @@
     return;
   }
   CurrentPhase = Phase::Connecting;
+  ConnectBegun = now();
   Context.Metrics.counter("ragwort_backend_connections_total").add();
   Socket = std::make_shared<StreamSocket>(Context.Io);
   Socket->setCharge({Context.Memory, dispatch::Held::Servers});
@@ -202,6 +211,7 @@
 
 void Forwarding::onConnected() {
   auto Self = shared_from_this();
+  Context.Dispatch.loadTracker().onReached(Server, ConnectBegun, now());
   if (!endIfQuarantined())
     writeRequest();
 }
@@ -247,7 +257,8 @@
   auto Self = shared_from_this();
   if (CurrentPhase != Phase::Sent)
     return;
-  HasBytes = true;
+  if (!std::exchange(HasBytes, true))
+    Context.Dispatch.loadTracker().onReached(Server, SentAt, now());
   Unparsed += Bytes;
   parse();
   if (CurrentPhase == Phase::Sent)
@@ -529,7 +540,13 @@
                                std::string_view Text) {
   logFailedSend(Text);
   LastFault = Text;
-  Context.Dispatch.loadTracker().onFault(Server.Id, Fault, now());
+  dispatch::LoadTracker &Tracker = Context.Dispatch.loadTracker();
+  bool IsSilent = Fault == dispatch::ServerFault::TimedOut ||
+                  (Socket && Socket->hasTimedOut());
+  if (IsSilent && !HasBytes)
+    Tracker.onSilence(Server, dispatch::Silence::Send, SentAt, now());
+  else
+    Tracker.onFault(Server.Id, Fault, now());
   Excluded.push_back(Server.Id);
   leaveServer(false);
   carryOut(Flow.onBroken(retryConditions()));
@@ -539,8 +556,15 @@
   auto Self = shared_from_this();
   if (CurrentPhase == Phase::Connecting) {
     LastFault = "connect-failed";
-    Context.Dispatch.loadTracker().onFault(
-        Server.Id, dispatch::ServerFault::Unreachable, now());
+    dispatch::LoadTracker &Tracker = Context.Dispatch.loadTracker();
+    if (Socket->hasTimedOut()) {
+      Tracker.onSilence(Server, dispatch::Silence::Connect, ConnectBegun,
+                        now());
+    } else {
+      // A refusal passed both ways.
+      Tracker.onReached(Server, ConnectBegun, now());
+      Tracker.onFault(Server.Id, dispatch::ServerFault::Unreachable, now());
+    }
     Excluded.push_back(Server.Id);
     leaveServer(false);
     carryOut(Flow.onConnectFailed(retryConditions()));
@@ -657,22 +681,29 @@
     return;
   if (CurrentPhase == Phase::Sent && Socket->isReadingPaused())
     whilePaused(At);
-  moveFromStraggler(At);
+  moveFromServer(At);
 }
 
-void Forwarding::moveFromStraggler(TimePoint At) {
+void Forwarding::moveFromServer(TimePoint At) {
+  if (CurrentPhase != Phase::Sent)
+    return;
+  const dispatch::LoadTracker &Tracker = Context.Dispatch.loadTracker();
+  bool IsPathLost =
+      !Tracker.paths().areAllGood() &&
+      Tracker.paths().state(Server.DataCentre) == dispatch::PathState::Lost &&
+      At - LastProgress >= LostPathSilence;
   // A slow rank delays not only its own streams but all streams of its group.
-  if (CurrentPhase != Phase::Sent ||
-      !Context.Dispatch.loadTracker().isStraggler(Server.Id, At) ||
+  if ((!IsPathLost && !Tracker.isStraggler(Server.Id, At)) ||
       !Flow.mayRetry(retryConditions()) || !hasOtherFreeServer(At))
     return;
+  std::string_view Cause = IsPathLost ? "path-lost" : "straggler";
   logEvent(LogLevel::Info, "request-moved",
            {{"request", Accepted.RequestId},
-            {"cause", "straggler"},
+            {"cause", Cause},
             {"instance", Server.Id},
             {"events", Events.events()},
             {"sends", Flow.sends()}});
-  LastFault = "straggler";
+  LastFault = Cause;
   Excluded.push_back(Server.Id);
   leaveServer(false);
   carryOut(Flow.onBroken(retryConditions()));
--- a/libs/gateway/src/Gateway.cpp
+++ b/libs/gateway/src/Gateway.cpp
@@ -21,6 +21,8 @@
 // One part in this many of the instance's memory may be held for callers and
 // servers.
 constexpr size_t HeldPart = 2;
+// Shortest Retry-After while the node's link is full.
+constexpr Duration MinRetryAfter = std::chrono::milliseconds(500);
 constexpr std::string_view BearerScheme = "Bearer ";
 
 std::optional<Duration> parseMillis(std::string_view Text) {
@@ -53,7 +55,9 @@
       Metrics(Metrics), Acceptor(Io), Ticker(Io),
       Memory(std::make_shared<dispatch::MemoryBudget>(Options.MemoryBytes /
                                                       HeldPart)),
+      Link(Options.LinkMbps),
       Dispatch(Options.DataCentre, Options.RetryLimits, Options.Seed),
+      Probes(Io, Dispatch.loadTracker(), Pool, Memory),
       Quarantine(Options.Seed, SteadyClock().now()),
       Crashes(Io,
               [this](const dispatch::ServerRun &Run,
@@ -119,14 +123,20 @@
     if (Error)
       return;
     TimePoint Now = SteadyClock().now();
+    dispatch::LinkBacklog Backlog;
     for (auto It = Sessions.begin(); It != Sessions.end();) {
       auto Session = *It;
       Session->onTick(Now);
+      Backlog.Answering += Session->isAnswering();
+      Backlog.Waiting += Session->unsent() > 0;
+      Backlog.Bytes += Session->unsent();
       It = Session->isClosed() ? Sessions.erase(It) : std::next(It);
     }
+    Link.update(Backlog);
     if (Directory.expire(Now) > 0)
       onDirectoryChanged();
     Pool.expire(Now);
+    Probes.update(Directory, Now);
     Quarantine.update(Now);
     dispatchWaiting();
     tick();
@@ -222,6 +232,9 @@
                                                           TimePoint Arrived) {
   if (!Config || !Directory.isKnown())
     return LocalReply{503, "starting", StartingRetryAfter};
+  if (Link.isFull())
+    return LocalReply{503, "link-full",
+                      Dispatch.spread(std::max(Link.queued(), MinRetryAfter))};
   std::string_view Host = Message.header("Host");
   std::string_view RequestId = Message.header(Names.RequestId);
   if (count(Message.Headers, "Host") != 1 ||
@@ -273,6 +286,8 @@
                     dispatch::Held::CallerAnswers, dispatch::Held::Servers})
     Set("ragwort_held_bytes", Memory->held(Kind),
         "for=\"" + std::string(toString(Kind)) + "\"");
+  Set("ragwort_link_queued_ms",
+      static_cast<size_t>(Link.queued().count() / 1000));
   Set("ragwort_store_era", Directory.version().Era);
   Set("ragwort_caller_connections", Sessions.size());
   Set("ragwort_waiting_requests", Dispatch.waiting());
@@ -282,6 +297,9 @@
       Quarantine.quarantined(SteadyClock().now()).size());
   dispatch::ServerCounts Counts =
       Dispatch.loadTracker().counts(SteadyClock().now());
+  for (auto State : {dispatch::PathState::Doubtful, dispatch::PathState::Lost})
+    Set("ragwort_paths", Dispatch.loadTracker().paths().count(State),
+        "state=\"" + std::string(toString(State)) + "\"");
   Set("ragwort_servers", Counts.Listed, "state=\"listed\"");
   Set("ragwort_servers", Counts.Draining, "state=\"draining\"");
   Set("ragwort_servers", Counts.Leaving, "state=\"leaving\"");
--- a/libs/gateway/src/StreamSocket.cpp
+++ b/libs/gateway/src/StreamSocket.cpp
@@ -43,6 +43,12 @@
                     Error);
 }
 
+bool isTimeout(const error_code &Error) {
+  return Error == asio::error::timed_out ||
+         Error == asio::error::host_unreachable ||
+         Error == asio::error::network_unreachable;
+}
+
 } // namespace
 
 void StreamSocket::connect(const asio::ip::tcp::endpoint &To,
@@ -57,14 +63,17 @@
   }
   ConnectTimer.expires_after(Timeout);
   ConnectTimer.async_wait([Self = shared_from_this()](error_code Failed) {
-    if (!Failed && Self->State == Stage::Connecting)
-      Self->end(SocketEnd::Broken);
+    if (Failed || Self->State != Stage::Connecting)
+      return;
+    Self->HasTimedOut = true;
+    Self->end(SocketEnd::Broken);
   });
   Socket.async_connect(To, [Self = shared_from_this()](error_code Failed) {
     if (Self->State != Stage::Connecting)
       return;
     Self->ConnectTimer.cancel();
     if (Failed) {
+      Self->HasTimedOut = isTimeout(Failed);
       Self->end(SocketEnd::Broken);
       return;
     }
@@ -110,6 +119,7 @@
     return;
   }
   if (Error) {
+    HasTimedOut = isTimeout(Error);
     end(Error == asio::error::eof ? SocketEnd::Closed : SocketEnd::Broken);
     return;
   }
