--- a/libs/dispatch/include/ragwort/dispatch/ServerHealth.h
+++ b/libs/dispatch/include/ragwort/dispatch/ServerHealth.h
@@ -73,6 +73,8 @@
   /// The server answered successfully a request that was sent at \p SentAt.
   void onAnswered(TimePoint SentAt);
   void onFault(ServerFault Fault, TimePoint Now);
+  /// Its faults were those of the path to it.
+  void onFaultsExplained();
   /// A request was sent to it.
   void onSent(TimePoint Now);
   /// A connection to it was made.
--- a/libs/dispatch/src/ServerHealth.cpp
+++ b/libs/dispatch/src/ServerHealth.cpp
@@ -70,6 +70,12 @@
   }
 }
 
+void ServerHealth::onFaultsExplained() {
+  EjectedUntil = TimePoint();
+  NextEjection = FirstEjection;
+  DownSince.reset();
+}
+
 void ServerHealth::onSent(TimePoint Now) {
   if (isUnavailable())
     NextTrial = Now + TrialInterval;
--- a/libs/gateway/include/ragwort/gateway/Gateway.h
+++ b/libs/gateway/include/ragwort/gateway/Gateway.h
@@ -7,7 +7,9 @@
 #ifndef RAGWORT_GATEWAY_GATEWAY_H
 #define RAGWORT_GATEWAY_GATEWAY_H
 
+#include "ragwort/dispatch/LinkLoad.h"
 #include "ragwort/gateway/CallerSession.h"
+#include "ragwort/gateway/PathProbes.h"
 #include <absl/status/status.h>
 #include <functional>
 #include <set>
@@ -28,6 +30,11 @@
   dispatch::RetryBudgetLimits RetryLimits;
   /// Maximum number of caller connections. Further ones are closed on accept.
   size_t MaxCallers = 1024;
+  /// Memory of the instance in bytes; 0 if unknown. Half of it may be held for
+  /// callers and servers.
+  size_t MemoryBytes = 0;
+  /// Bandwidth of the instance's link in Mbit/s; 0 if unknown.
+  double LinkMbps = 0;
   uint64_t Seed = 1;
 };
 
@@ -66,6 +73,7 @@
                     std::vector<dispatch::InFlightReport> Report);
   dispatch::Dispatcher &dispatcher() { return Dispatch; }
   quarantine::RequestQuarantine &requestQuarantine() { return Quarantine; }
+  const dispatch::MemoryBudget &memory() const { return *Memory; }
 
   /// Whether a load balancer may send callers to this node: it has a
   /// configuration and a directory, and is not draining.
@@ -110,8 +118,11 @@
   MetricsRegistry &Metrics;
   asio::ip::tcp::acceptor Acceptor;
   asio::steady_timer Ticker;
+  std::shared_ptr<dispatch::MemoryBudget> Memory;
+  dispatch::LinkLoad Link;
   dispatch::Dispatcher Dispatch;
   BackendPool Pool;
+  PathProbes Probes;
   quarantine::RequestQuarantine Quarantine;
   CrashDetector Crashes;
   dispatch::BackendDirectory Directory;
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -27,6 +27,9 @@
 // request could not be retried.
 constexpr Duration MaxIdleAtMostOnce = std::chrono::milliseconds(2000);
 constexpr Duration MaxIdleRepeatable = std::chrono::seconds(60);
+// Time without an event after which a request leaves a server behind a lost
+// path.
+constexpr Duration LostPathSilence = std::chrono::milliseconds(300);
 // A retry needs at least this much time before the deadline for its answer.
 constexpr Duration MinRetryTime = std::chrono::milliseconds(80);
 // Interval at which a request that makes no progress is checked again while no
@@ -40,8 +43,8 @@
 // Maximum size of an answer that is not an event stream, and of what may come
 // before the answer to a request.
 constexpr size_t MaxWholeAnswerBytes = 8 * MiB;
-// Bytes buffered for a slow caller above which reading from the server pauses.
-constexpr size_t MaxUnsentBytes = 256 * KiB;
+// Part of an answer that is read even while memory is exhausted.
+constexpr size_t SmallAnswerBytes = 64 * KiB;
 
 constexpr size_t MaxLoggedPartsBytes = 160;
 
@@ -68,7 +71,7 @@
     : Context(Context), Accepted(std::move(Given)), Sink(&Sink),
       Service(chooseService(*Accepted.Target, Accepted.RequestId)),
       Flow(Accepted.Target->Repeat, Accepted.Target->MaxAttempts),
-      Timer(Context.Io) {
+      Timer(Context.Io), AnswerCharge(Context.Memory, dispatch::Held::Servers) {
   std::string_view After = Accepted.Message.header(Context.Names.LastEventId);
   if (std::optional<uint64_t> Id = parseNumber(After))
     Events.resumeAfter(*Id);
@@ -197,7 +200,12 @@
   Context.Dispatch.onStarted(Server.Id, now());
   Duration MaxIdle =
       Flow.isRepeatable() ? MaxIdleRepeatable : MaxIdleAtMostOnce;
-  Socket = Context.Pool.take(Server.Id, now(), MaxIdle);
+  // On a path that is not good, what is written to a kept connection may never
+  // arrive; a new connection shows that before the request is sent.
+  const dispatch::PathHealth &Paths = Context.Dispatch.loadTracker().paths();
+  if (Paths.areAllGood() ||
+      Paths.state(Server.DataCentre) == dispatch::PathState::Good)
+    Socket = Context.Pool.take(Server.Id, now(), MaxIdle);
   IsFreshConnection = !Socket;
   if (Socket) {
     Socket->setHandler(this);
@@ -205,8 +213,10 @@
     return;
   }
   CurrentPhase = Phase::Connecting;
+  ConnectBegun = now();
   Context.Metrics.counter("ragwort_backend_connections_total").add();
   Socket = std::make_shared<StreamSocket>(Context.Io);
+  Socket->setCharge({Context.Memory, dispatch::Held::Servers});
   Socket->setHandler(this);
   std::optional<Address> At = parseAddress(Server.Address);
   Socket->connect(endpointOf<asio::ip::tcp>(At.value_or(Address{"0.0.0.0", 0})),
@@ -217,6 +227,7 @@
 void Forwarding::onConnected() {
   auto Self = shared_from_this();
   Context.Dispatch.loadTracker().onConnected(Server.Id);
+  Context.Dispatch.loadTracker().onReached(Server, ConnectBegun, now());
   if (!endIfQuarantined() && !moveIfEvacuated())
     writeRequest();
 }
@@ -262,9 +273,12 @@
   auto Self = shared_from_this();
   if (CurrentPhase != Phase::Sent)
     return;
-  HasBytes = true;
+  if (!std::exchange(HasBytes, true))
+    Context.Dispatch.loadTracker().onReached(Server, SentAt, now());
   Unparsed += Bytes;
   parse();
+  if (CurrentPhase == Phase::Sent)
+    AnswerCharge.set(Body.capacity() + Unparsed.capacity());
 }
 
 bool Forwarding::isOtherRequestsAnswer() const {
@@ -352,6 +366,9 @@
     Body += Bytes;
     if (Body.size() > MaxWholeAnswerBytes)
       onServerFault(dispatch::ServerFault::Malformed, "answer-too-large");
+    else if (Body.size() > SmallAnswerBytes &&
+             Context.Memory->level() == dispatch::MemoryLevel::Exhausted)
+      pauseServer();
     return;
   }
   if (!Events.push(Bytes)) {
@@ -372,13 +389,53 @@
   }
   Sink->continueStream(Complete);
   armTimer();
-  if (Sink->unsent() > MaxUnsentBytes)
-    Socket->pauseReading();
+  if (Sink->unsent() > Context.Memory->unreadLimit())
+    pauseServer();
+}
+
+void Forwarding::pauseServer() {
+  Sink->pace().onPaused(now());
+  Socket->pauseReading();
+}
+
+void Forwarding::resumeServer() {
+  // The server was not silent: it was not read.
+  LastProgress = now();
+  Socket->resumeReading();
+  armTimer();
 }
 
 void Forwarding::onSinkDrained() {
-  if (CurrentPhase == Phase::Sent && Socket)
-    Socket->resumeReading();
+  if (CurrentPhase == Phase::Sent && IsEventStream && Socket->isReadingPaused())
+    resumeServer();
+}
+
+void Forwarding::whilePaused(TimePoint At) {
+  bool IsExhausted =
+      Context.Memory->level() == dispatch::MemoryLevel::Exhausted;
+  dispatch::CallerPace &Pace = Sink->pace();
+  dispatch::PausedStep Step =
+      IsEventStream
+          ? Pace.whilePaused(Context.Memory->unreadLimit(), IsExhausted, At)
+          : Pace.whileAnswerPaused(IsExhausted, At);
+  if (Step == dispatch::PausedStep::Resume)
+    resumeServer();
+  else if (Step == dispatch::PausedStep::GiveUp)
+    giveUpSlowCaller();
+}
+
+void Forwarding::giveUpSlowCaller() {
+  logEvent(LogLevel::Warning, "slow-caller",
+           {{"request", Accepted.RequestId},
+            {"unread", Sink->unsent()},
+            {"level", toString(Context.Memory->level())},
+            {"instance", Server.Id}});
+  Context.Metrics.counter("ragwort_slow_callers_total").add();
+  AnswerSink *Last = std::exchange(Sink, nullptr);
+  Flow.onCallerGone();
+  leaveServer(false);
+  finish("slow-caller", 0);
+  Last->cut();
 }
 
 void Forwarding::finishAnswer() {
@@ -499,7 +556,13 @@
                                std::string_view Text) {
   logFailedSend(Text);
   LastFault = Text;
-  Context.Dispatch.loadTracker().onFault(Server.Id, Fault, now());
+  dispatch::LoadTracker &Tracker = Context.Dispatch.loadTracker();
+  bool IsSilent = Fault == dispatch::ServerFault::TimedOut ||
+                  (Socket && Socket->hasTimedOut());
+  if (IsSilent && !HasBytes)
+    Tracker.onSilence(Server, dispatch::Silence::Send, SentAt, now());
+  else
+    Tracker.onFault(Server.Id, Fault, now());
   Excluded.push_back(Server.Id);
   leaveServer(false);
   carryOut(Flow.onBroken(retryConditions()));
@@ -509,8 +572,15 @@
   auto Self = shared_from_this();
   if (CurrentPhase == Phase::Connecting) {
     LastFault = "connect-failed";
-    Context.Dispatch.loadTracker().onFault(
-        Server.Id, dispatch::ServerFault::NotConnected, now());
+    dispatch::LoadTracker &Tracker = Context.Dispatch.loadTracker();
+    if (Socket->hasTimedOut()) {
+      Tracker.onSilence(Server, dispatch::Silence::Connect, ConnectBegun,
+                        now());
+    } else {
+      // A refusal passed both ways.
+      Tracker.onReached(Server, ConnectBegun, now());
+      Tracker.onFault(Server.Id, dispatch::ServerFault::NotConnected, now());
+    }
     Excluded.push_back(Server.Id);
     leaveServer(false);
     carryOut(Flow.onConnectFailed(retryConditions()));
@@ -589,6 +659,8 @@
     bool IsClean = IsReusable && Parser.stage() == ParseStage::Done &&
                    Parser.isKeepAlive() && Unparsed.empty() &&
                    Socket->unsent() == 0 && Socket->isOpen();
+    if (IsClean)
+      Socket->resumeReading();
     if (IsClean)
       Context.Pool.keep(Server.Id, std::move(Socket),
                         keepAliveTime(Parser.head()), now());
@@ -598,6 +670,8 @@
       Socket->abort();
     Socket.reset();
   }
+  Unparsed = std::string();
+  AnswerCharge.set(Body.capacity());
   releaseServer();
 }
 
@@ -622,22 +696,31 @@
   auto Self = shared_from_this();
   if (CurrentPhase == Phase::Sent && !HasEvent && endIfQuarantined())
     return;
-  moveFromStraggler(At);
+  if (CurrentPhase == Phase::Sent && Socket->isReadingPaused())
+    whilePaused(At);
+  moveFromServer(At);
 }
 
-void Forwarding::moveFromStraggler(TimePoint At) {
+void Forwarding::moveFromServer(TimePoint At) {
+  if (CurrentPhase != Phase::Sent)
+    return;
+  const dispatch::LoadTracker &Tracker = Context.Dispatch.loadTracker();
+  bool IsPathLost =
+      !Tracker.paths().areAllGood() &&
+      Tracker.paths().state(Server.DataCentre) == dispatch::PathState::Lost &&
+      At - LastProgress >= LostPathSilence;
   // A slow rank delays not only its own streams but all streams of its group.
-  if (CurrentPhase != Phase::Sent ||
-      !Context.Dispatch.loadTracker().isStraggler(Server.Id, At) ||
+  if ((!IsPathLost && !Tracker.isStraggler(Server.Id, At)) ||
       !Flow.mayRetry(retryConditions()) || !hasOtherFreeServer(At))
     return;
+  std::string_view Cause = IsPathLost ? "path-lost" : "straggler";
   logEvent(LogLevel::Info, "request-moved",
            {{"request", Accepted.RequestId},
-            {"cause", "straggler"},
+            {"cause", Cause},
             {"instance", Server.Id},
             {"events", Events.events()},
             {"sends", Flow.sends()}});
-  LastFault = "straggler";
+  LastFault = Cause;
   Excluded.push_back(Server.Id);
   leaveServer(false);
   carryOut(Flow.onBroken(retryConditions()));
@@ -645,6 +728,8 @@
 
 TimePoint Forwarding::progressDeadline() const {
   const Route &R = *Accepted.Target;
+  if (Socket && Socket->isReadingPaused())
+    return Accepted.Deadline;
   if (R.IsStream)
     return LastProgress + callerTimeout() / 2;
   return SentAt + std::min((Accepted.Deadline - SentAt) / 2,
--- a/libs/gateway/src/Gateway.cpp
+++ b/libs/gateway/src/Gateway.cpp
@@ -18,6 +18,11 @@
 constexpr Duration AcceptPause = std::chrono::milliseconds(50);
 // Retry-After sent while the node has no configuration or directory yet.
 constexpr Duration StartingRetryAfter = std::chrono::milliseconds(500);
+// One part in this many of the instance's memory may be held for callers and
+// servers.
+constexpr size_t HeldPart = 2;
+// Shortest Retry-After while the node's link is full.
+constexpr Duration MinRetryAfter = std::chrono::milliseconds(500);
 constexpr std::string_view BearerScheme = "Bearer ";
 
 std::optional<Duration> parseMillis(std::string_view Text) {
@@ -65,7 +70,11 @@
                  ProtocolNames HeaderNames, MetricsRegistry &Metrics)
     : Io(Io), Options(std::move(Given)), Names(std::move(HeaderNames)),
       Metrics(Metrics), Acceptor(Io), Ticker(Io),
+      Memory(std::make_shared<dispatch::MemoryBudget>(Options.MemoryBytes /
+                                                      HeldPart)),
+      Link(Options.LinkMbps),
       Dispatch(Options.DataCentre, Options.RetryLimits, Options.Seed),
+      Probes(Io, Dispatch.loadTracker(), Pool, Memory),
       Quarantine(Options.Seed, SteadyClock().now()),
       Crashes(Io,
               [this](const dispatch::ServerRun &Run,
@@ -80,6 +89,7 @@
               Quarantine,
               Crashes,
               Metrics,
+              Memory,
               [this](uint64_t Ticket, std::weak_ptr<Forwarding> Request) {
                 Waiting.emplace(Ticket, std::move(Request));
               },
@@ -133,16 +143,22 @@
     if (Error)
       return;
     TimePoint Now = SteadyClock().now();
+    dispatch::LinkBacklog Backlog;
     for (auto It = Sessions.begin(); It != Sessions.end();) {
       auto Session = *It;
       Session->onTick(Now);
+      Backlog.Answering += Session->isAnswering();
+      Backlog.Waiting += Session->unsent() > 0;
+      Backlog.Bytes += Session->unsent();
       It = Session->isClosed() ? Sessions.erase(It) : std::next(It);
     }
+    Link.update(Backlog);
     if (Directory.expire(Now) > 0)
       onDirectoryChanged();
     if (Evacuated.expire(Now))
       onEvacuationsChanged();
     Pool.expire(Now);
+    Probes.update(Directory, Now);
     Quarantine.update(Now);
     dispatchWaiting();
     tick();
@@ -258,6 +274,9 @@
                                                           TimePoint Arrived) {
   if (!hasState())
     return LocalReply{503, "starting", StartingRetryAfter};
+  if (Link.isFull())
+    return LocalReply{503, "link-full",
+                      Dispatch.spread(std::max(Link.queued(), MinRetryAfter))};
   std::string_view Host = Message.header("Host");
   std::string_view RequestId = Message.header(Names.RequestId);
   if (count(Message.Headers, "Host") != 1 ||
@@ -304,6 +323,14 @@
                     const std::string &Labels = "") {
     Metrics.gauge(Name, Labels).set(static_cast<int64_t>(Value));
   };
+  Set("ragwort_memory_budget_bytes", Memory->budget());
+  Set("ragwort_held_bytes_peak", Memory->peak());
+  for (auto Kind : {dispatch::Held::CallerRequests,
+                    dispatch::Held::CallerAnswers, dispatch::Held::Servers})
+    Set("ragwort_held_bytes", Memory->held(Kind),
+        "for=\"" + std::string(toString(Kind)) + "\"");
+  Set("ragwort_link_queued_ms",
+      static_cast<size_t>(Link.queued().count() / 1000));
   Set("ragwort_store_era", Directory.version().Era);
   Set("ragwort_caller_connections", Sessions.size());
   Set("ragwort_waiting_requests", Dispatch.waiting());
@@ -313,6 +340,9 @@
       Quarantine.quarantined(SteadyClock().now()).size());
   dispatch::ServerCounts Counts =
       Dispatch.loadTracker().counts(SteadyClock().now());
+  for (auto State : {dispatch::PathState::Doubtful, dispatch::PathState::Lost})
+    Set("ragwort_paths", Dispatch.loadTracker().paths().count(State),
+        "state=\"" + std::string(toString(State)) + "\"");
   Set("ragwort_servers", Counts.Listed, "state=\"listed\"");
   Set("ragwort_servers", Counts.Draining, "state=\"draining\"");
   Set("ragwort_servers", Counts.Leaving, "state=\"leaving\"");
@@ -336,7 +366,9 @@
          " callers=" + std::to_string(Sessions.size()) +
          " active=" + std::to_string(activeRequests()) +
          " waiting=" + std::to_string(Dispatch.waiting()) +
-         " kept=" + std::to_string(Pool.size()) + "\n" +
+         " kept=" + std::to_string(Pool.size()) +
+         " memory=" + std::string(toString(Memory->level())) +
+         " held=" + std::to_string(Memory->held()) + "\n" +
          Dispatch.loadTracker().describe(SteadyClock().now()) +
          Quarantine.describe(SteadyClock().now());
 }
