Tell peers evacuations of data centres that this node does not know

Cause: a node left out names that its settings lack and told the rest as the whole table; a peer with newer settings would have taken such a data centre's evacuation for removed. Change: the listing is kept and told as it is in the store; only data centres that the settings know take effect. A name without effect makes room at the bound of 16.

--- a/libs/dispatch/include/ragwort/dispatch/Evacuations.h
+++ b/libs/dispatch/include/ragwort/dispatch/Evacuations.h
@@ -71,8 +71,8 @@
   bool isDataCentre(std::string_view Name) const;
 
   /// Adopts a complete table unless its version is lower. \p GraceUntil is set
-  /// when the store has just recovered or was restored. Unknown data centres
-  /// are left out. \returns whether inForce() has changed.
+  /// when the store has just recovered or was restored. \returns whether
+  /// inForce() has changed.
   bool replaceAll(EvacuationTable Table, std::optional<TimePoint> GraceUntil,
                   std::string_view Source, TimePoint Now);
   /// Applies the changes that lead to \p NewVersion, in order. \returns whether
@@ -96,12 +96,16 @@
     TimePoint CountsAt;
   };
   bool setInForce(DataCentreSet Names, std::string_view Source, TimePoint Now);
-  bool isWithinLimit(const DataCentreSet &Names, std::string_view Name) const;
+  /// Adds \p Name to \p Names, unless it is too long or they are too many.
+  void add(DataCentreSet &Names, const std::string &Name) const;
 
   const DataCentreSet Existing;
   // Zero until a table is known.
   StoreVersion Version;
-  // Invariant: at most MaxDataCentres names, all of existing data centres.
+  // As in the store, with names that are unknown here: peers that have newer
+  // settings must not take them for removed. Invariant: at most MaxDataCentres.
+  DataCentreSet Listed;
+  // Invariant: the existing data centres in Listed.
   DataCentreSet Evacuated;
   // The contents of the restored store while they do not count yet.
   std::optional<RestoredTable> Restored;
--- a/libs/dispatch/src/Evacuations.cpp
+++ b/libs/dispatch/src/Evacuations.cpp
@@ -1,6 +1,8 @@
 //===- Evacuations.cpp - Data centres that are sent no requests -----------===//
 #include "ragwort/dispatch/Evacuations.h"
 #include "ragwort/observe/Log.h"
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace ragwort::dispatch {
@@ -10,20 +12,34 @@
          (Existing.empty() || Existing.contains(Name));
 }
 
-bool Evacuations::isWithinLimit(const DataCentreSet &Names,
-                                std::string_view Name) const {
-  if (Names.contains(Name) || Names.size() < MaxDataCentres)
-    return true;
-  logEvent(LogLevel::Error, "evacuations-limit-reached",
-           {{"data_centre", Name}, {"evacuated", Names.size()}});
-  return false;
+void Evacuations::add(DataCentreSet &Names, const std::string &Name) const {
+  if (Name.empty() || Name.size() > MaxNameBytes || Names.contains(Name))
+    return;
+  if (Names.size() >= MaxDataCentres) {
+    // A name that has no effect here makes room for one that has.
+    auto Unknown =
+        std::find_if(Names.begin(), Names.end(), [this](const auto &Other) {
+          return !isDataCentre(Other);
+        });
+    if (!isDataCentre(Name) || Unknown == Names.end()) {
+      logEvent(LogLevel::Error, "evacuations-limit-reached",
+               {{"data_centre", Name}, {"evacuated", Names.size()}});
+      return;
+    }
+    Names.erase(Unknown);
+  }
+  Names.insert(Name);
 }
 
 bool Evacuations::setInForce(DataCentreSet Names, std::string_view Source,
                              TimePoint Now) {
-  if (Names == Evacuated)
+  Listed = std::move(Names);
+  DataCentreSet Known;
+  std::copy_if(Listed.begin(), Listed.end(), std::inserter(Known, Known.end()),
+               [this](const auto &Name) { return isDataCentre(Name); });
+  if (Known == Evacuated)
     return false;
-  DataCentreSet Before = std::exchange(Evacuated, std::move(Names));
+  DataCentreSet Before = std::exchange(Evacuated, std::move(Known));
   auto Log = [&](std::string_view Event, std::string_view Name) {
     logEvent(LogLevel::Warning, Event,
              {{"data_centre", Name},
@@ -49,8 +65,7 @@
   Version = Table.Version;
   DataCentreSet Names;
   for (const std::string &Name : Table.DataCentres)
-    if (isDataCentre(Name) && isWithinLimit(Names, Name))
-      Names.insert(Name);
+    add(Names, Name);
   // A second list within the grace period does not end it.
   if (IsRestored && GraceUntil)
     Restored = RestoredTable{Names, *GraceUntil};
@@ -67,13 +82,12 @@
   if (NewVersion < Version)
     return false;
   Version = NewVersion;
-  DataCentreSet Names = Evacuated;
+  DataCentreSet Names = Listed;
   for (const EvacuationChange &Change : Changes) {
     if (!Change.IsEvacuated)
       Names.erase(Change.DataCentre);
-    else if (isDataCentre(Change.DataCentre) &&
-             isWithinLimit(Names, Change.DataCentre))
-      Names.insert(Change.DataCentre);
+    else
+      add(Names, Change.DataCentre);
     if (!Restored)
       continue;
     // What is written after the restore counts at once and stays.
@@ -90,7 +104,7 @@
     return replaceAll(std::move(Table), Now + StoreRecoveryGrace, "peer", Now);
   bool IsOutdated =
       Table.Version < Version &&
-      (Table.Version == StoreVersion() || Table.DataCentres != Evacuated);
+      (Table.Version == StoreVersion() || Table.DataCentres != Listed);
   if (IsOutdated)
     TellUntil = Now + ForwardTime;
   return false;
@@ -112,7 +126,7 @@
   if (!IsRepeated && (!isKnown() || Now >= TellUntil))
     return std::nullopt;
   NextTell = Now + RepeatInterval;
-  return EvacuationTable{Version, Evacuated};
+  return EvacuationTable{Version, Listed};
 }
 
 } // namespace ragwort::dispatch
--- a/libs/dispatch/src/EvacuationsTest.cpp
+++ b/libs/dispatch/src/EvacuationsTest.cpp
@@ -133,6 +133,9 @@
     CPPUNIT_ASSERT(!change({1, 91}, "x", true, 0));
     CPPUNIT_ASSERT(!Table->onPeerTable({{1, 92}, {"x"}}, at(0)));
     CPPUNIT_ASSERT(Table->inForce().empty());
+    // Peers that know it must not take it for removed.
+    Table->onPeerTable({}, at(0));
+    CPPUNIT_ASSERT(Table->takeNews(at(0))->DataCentres == DataCentreSet{"x"});
     Evacuations Any({}, at(0));
     CPPUNIT_ASSERT(Any.isDataCentre("x"));
     CPPUNIT_ASSERT(
--- a/libs/fleet/include/ragwort/fleet/EvacuationSink.h
+++ b/libs/fleet/include/ragwort/fleet/EvacuationSink.h
@@ -13,7 +13,7 @@
     std::function<std::optional<std::string>(std::string_view Key)>;
 
 /// Keeps the gateway's evacuations up to date with the operators' table. Rows
-/// of unknown data centres are logged and ignored.
+/// of unknown data centres are logged and take no effect.
 class EvacuationSink {
 public:
   EvacuationSink(gateway::Gateway &Node, EvacuationKeyDecoder Decode)
@@ -23,7 +23,7 @@
   void onChanges(RowChanges Changes, std::optional<TimePoint> GraceUntil);
 
 private:
-  /// The existing data centre that \p Row is about.
+  /// The data centre that \p Row is about, if it is about one.
   std::optional<std::string> dataCentreOf(const StoredRow &Row) const;
 
   gateway::Gateway &Node;
--- a/libs/fleet/src/EvacuationSink.cpp
+++ b/libs/fleet/src/EvacuationSink.cpp
@@ -7,7 +7,7 @@
 std::optional<std::string>
 EvacuationSink::dataCentreOf(const StoredRow &Row) const {
   std::optional<std::string> Name = Decode(Row.Key);
-  if (!Name || Node.evacuations().isDataCentre(*Name))
+  if (!Name || Row.IsRemoved || Node.evacuations().isDataCentre(*Name))
     return Name;
   logEvent(LogLevel::Error, "evacuation-rejected",
            {{"row", Row.Key},
@@ -15,7 +15,7 @@
             {"value", *Name},
             {"reason", "unknown data centre"},
             {"version", Row.Version}});
-  return std::nullopt;
+  return Name;
 }
 
 void EvacuationSink::onList(RowList List, std::optional<TimePoint> GraceUntil) {
