--- a/libs/dispatch/src/LoadTrackerTest.cpp
+++ b/libs/dispatch/src/LoadTrackerTest.cpp
@@ -28,6 +28,11 @@
   CPPUNIT_TEST(choiceWhenAllAgentsReportClosedWaitsUntilTheyReportOpened);
   CPPUNIT_TEST(choiceWhenAgentsStopReportingAllowsOneTrialAtATime);
   CPPUNIT_TEST(choiceWhenAGroupOpensForgetsItsFaults);
+  CPPUNIT_TEST(choiceWhenARunBeginsInAClosedGroupWaitsForItsAgent);
+  CPPUNIT_TEST(choiceWhenARunBeginsInAGroupWithoutNoticesTriesIt);
+  CPPUNIT_TEST(choiceWhenTheLastServerRefusesConnectionsTriesItNowAndThen);
+  CPPUNIT_TEST(choiceWhenAServerIsColdTakesItOnlyAtItsTurns);
+  CPPUNIT_TEST(choiceWhenAPeerSaysAServerIsColdTakesItOnlyAtItsTurns);
   CPPUNIT_TEST(choiceWhenAServerStragglesExcludesItUntilNoticesEnd);
   CPPUNIT_TEST(choiceWhenMostServersStraggleStillReturnsOne);
   CPPUNIT_TEST(conditionsWhenReceivedFromPeersAreNotForwarded);
@@ -319,6 +324,95 @@
     CPPUNIT_ASSERT(IsChosen);
   }
 
+  void closeGroup(int64_t Millis) {
+    for (const char *Address : {"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"})
+      Tracker->onEngineNotice(Address, EngineCondition::Closed, at(Millis));
+  }
+
+  void restartC(uint64_t Born, std::optional<uint32_t> ColdMillis = {}) {
+    BackendInstance C = instance("c", "10.0.0.3:1", Born);
+    C.ColdMillis = ColdMillis;
+    list({instance("a", "10.0.0.1:1"), instance("b", "10.0.0.2:1"), C});
+  }
+
+  void choiceWhenARunBeginsInAClosedGroupWaitsForItsAgent() {
+    closeGroup(0);
+    restartC(2);
+    CPPUNIT_ASSERT(Tracker->isGroupClosed("s", at(1)));
+    CPPUNIT_ASSERT_EQUAL(std::string(), chosen(at(1)));
+    // The agents of the others hold for it too while its own is silent.
+    for (int64_t T = 500; T <= 3000; T += 500) {
+      Tracker->onEngineNotice("10.0.0.1:1", EngineCondition::Closed, at(T));
+      Tracker->onEngineNotice("10.0.0.2:1", EngineCondition::Closed, at(T));
+      CPPUNIT_ASSERT_EQUAL(std::string(), chosen(at(T + 400)));
+    }
+    Tracker->onEngineNotice("10.0.0.3:1", EngineCondition::Opened, at(3100));
+    CPPUNIT_ASSERT_EQUAL(std::string("c"), chosen(at(3100)));
+  }
+
+  void choiceWhenARunBeginsInAGroupWithoutNoticesTriesIt() {
+    closeGroup(0);
+    restartC(2);
+    int64_t Silent = ServerHealth::NoticeLifetime.count() / 1000;
+    CPPUNIT_ASSERT(!chosen(at(Silent)).empty());
+    Tracker->onStarted("c", at(Silent));
+    CPPUNIT_ASSERT_EQUAL(std::string(), chosen(at(Silent + 1)));
+    Tracker->onAnswered("c", std::chrono::milliseconds(50), at(Silent + 50));
+    CPPUNIT_ASSERT(!Tracker->isRecovering("s", at(Silent + 50)));
+    CPPUNIT_ASSERT_EQUAL(4u, Tracker->availableSlots("s", at(Silent + 50)));
+  }
+
+  void choiceWhenTheLastServerRefusesConnectionsTriesItNowAndThen() {
+    list({instance("c", "10.0.0.3:1")});
+    Tracker->onFault("c", ServerFault::NotConnected, at(0));
+    CPPUNIT_ASSERT_EQUAL(std::string(), chosen(at(1)));
+    CPPUNIT_ASSERT(Tracker->isRecovering("s", at(1)));
+    int Sends = 0;
+    for (int64_t T = 1; T < 3000; ++T)
+      if (chosen(at(T)) == "c") {
+        ++Sends;
+        Tracker->onStarted("c", at(T));
+        Tracker->onFault("c", ServerFault::NotConnected, at(T));
+        Tracker->onEnded("c");
+      }
+    auto Most =
+        static_cast<int>(3000 * 1000 / ServerHealth::TrialInterval.count());
+    CPPUNIT_ASSERT(Sends >= 1 && Sends <= Most);
+    Tracker->onConnected("c");
+    CPPUNIT_ASSERT_EQUAL(std::string("c"), chosen(at(12'000)));
+    CPPUNIT_ASSERT(!Tracker->isRecovering("s", at(12'000)));
+  }
+
+  void assertOneSendASecondAtC(int64_t FromMillis) {
+    Tracker->onFault("a", ServerFault::NotConnected, at(FromMillis));
+    Tracker->onFault("b", ServerFault::NotConnected, at(FromMillis));
+    CPPUNIT_ASSERT_EQUAL(std::string("c"), chosen(at(FromMillis)));
+    Tracker->onStarted("c", at(FromMillis));
+    CPPUNIT_ASSERT_EQUAL(std::string(), chosen(at(FromMillis + 1)));
+    CPPUNIT_ASSERT(Tracker->isRateLimited("s", at(FromMillis + 1)));
+    CPPUNIT_ASSERT(Tracker->pauseEnd({"s", {}}, at(FromMillis + 1)) ==
+                   at(FromMillis) + ColdServers::Window);
+  }
+
+  void choiceWhenAServerIsColdTakesItOnlyAtItsTurns() {
+    Tracker->setWarmUps({{"s", {std::chrono::seconds(3), 1}}}, at(0));
+    Tracker->setKnownNodes(1, {}, 1);
+    restartC(2, 3000);
+    CPPUNIT_ASSERT(Tracker->isCold({hash64("c"), 2}, at(0)));
+    CPPUNIT_ASSERT_EQUAL(size_t(1), Tracker->ownCold(at(0)).size());
+    assertOneSendASecondAtC(0);
+  }
+
+  void choiceWhenAPeerSaysAServerIsColdTakesItOnlyAtItsTurns() {
+    std::vector<ColdReport> Reports = {{{hash64("c"), 2}, 3000}};
+    Tracker->onPeerCold(Reports, at(0));
+    CPPUNIT_ASSERT(!Tracker->isRateLimited("s", at(0)));
+    Tracker->setWarmUps({{"s", {std::chrono::seconds(3), 1}}}, at(0));
+    Tracker->setKnownNodes(1, {}, 1);
+    Tracker->onPeerCold(Reports, at(10));
+    assertOneSendASecondAtC(10);
+  }
+
   void choiceWhenAServerStragglesExcludesItUntilNoticesEnd() {
     Tracker->onEngineNotice("10.0.0.1:1", EngineCondition::Straggles, at(0));
     CPPUNIT_ASSERT(Tracker->isStraggler("a", at(500)));
