--- a/libs/fleet/include/ragwort/fleet/PeerHeartbeat.h
+++ b/libs/fleet/include/ragwort/fleet/PeerHeartbeat.h
@@ -97,7 +97,7 @@
 };
 /// \returns as many datagrams as \p Cold requires; none if it is empty.
 std::vector<std::string> encodeCold(std::span<const dispatch::ColdReport> Cold);
-/// Fails for a remaining time of more than ten minutes, too.
+/// Remaining times of more than ten minutes are cut to that.
 absl::StatusOr<ColdDigest> decodeCold(std::string_view Datagram);
 
 /// The directory of backend servers at one version.
--- a/libs/fleet/src/PeerHeartbeat.cpp
+++ b/libs/fleet/src/PeerHeartbeat.cpp
@@ -48,9 +48,9 @@
 
 template <class Archive> void serialize(Archive &Ar, ColdReport &Report) {
   constexpr uint32_t MaxRemainingMillis = 600'000;
-  Ar(Report.Run, Report.RemainingMillis);
-  if (Report.RemainingMillis > MaxRemainingMillis)
-    throw cereal::Exception("cold time is out of range");
+  uint32_t Remaining = std::min(Report.RemainingMillis, MaxRemainingMillis);
+  Ar(Report.Run, Remaining);
+  Report.RemainingMillis = std::min(Remaining, MaxRemainingMillis);
 }
 
 } // namespace ragwort::dispatch
--- a/libs/fleet/src/PeerHeartbeatTest.cpp
+++ b/libs/fleet/src/PeerHeartbeatTest.cpp
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(digestWhenTruncatedOrCorruptNeverThrows);
   CPPUNIT_TEST(leavingServersWhenEncodedAreAllSent);
   CPPUNIT_TEST(rateLimitsWhenEncodedAreAllSent);
+  CPPUNIT_TEST(coldServersWhenEncodedAreAllSent);
   CPPUNIT_TEST(directoryWhenDecodedEqualsTheEncodedOne);
   CPPUNIT_TEST(engineListWhenDecodedEqualsTheEncodedOne);
   CPPUNIT_TEST_SUITE_END();
@@ -156,6 +157,28 @@
     CPPUNIT_ASSERT(!Back[8].MilliPerSecond);
   }
 
+  void coldServersWhenEncodedAreAllSent() {
+    std::vector<dispatch::ColdReport> Reports;
+    for (uint32_t I = 0; I < 300; ++I)
+      Reports.push_back({{I, I * 1000}, I});
+    std::vector<dispatch::ColdReport> Back;
+    for (const std::string &Bytes : encodeCold(Reports)) {
+      CPPUNIT_ASSERT(Bytes.size() <= MaxPeerDatagramBytes);
+      auto Digest = decodeCold(Bytes);
+      CPPUNIT_ASSERT(Digest.ok());
+      Back.insert(Back.end(), Digest->Cold.begin(), Digest->Cold.end());
+      for (size_t Size = 0; Size < Bytes.size(); ++Size)
+        CPPUNIT_ASSERT(!decodeCold(Bytes.substr(0, Size)).ok());
+    }
+    CPPUNIT_ASSERT_EQUAL(Reports.size(), Back.size());
+    CPPUNIT_ASSERT(Back[7].Run == Reports[7].Run);
+    CPPUNIT_ASSERT_EQUAL(7u, Back[7].RemainingMillis);
+    // A time of hours would keep a server from being used.
+    Reports = {{{1, 1}, 3'600'000}};
+    auto Long = decodeCold(encodeCold(Reports).front());
+    CPPUNIT_ASSERT_EQUAL(600'000u, Long->Cold.front().RemainingMillis);
+  }
+
   void directoryWhenDecodedEqualsTheEncodedOne() {
     DirectorySnapshot S{{1, 9}, {dispatch::BackendInstance()}};
     S.Instances[0].Id = "i";
