Tests of the opening ramp and of trials while agents report a closed group

Two mutations survived: sends without a ramp, and trials of silent ranks while agents report most of the group closed.

--- a/libs/dispatch/src/GroupOpeningTest.cpp
+++ b/libs/dispatch/src/GroupOpeningTest.cpp
@@ -283,6 +283,7 @@
 class GroupOpeningTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(GroupOpeningTest);
   CPPUNIT_TEST(groupWhenARankReturnsColdUnderLoadServesAgainInTime);
+  CPPUNIT_TEST(rampWhenManyNodesWaitFillsTheSlotsGradually);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -300,6 +301,29 @@
                      CrashMillis + AbsentMillis + RecoverMillis);
     });
   }
+
+  // Load: more requests wait at every node than there are slots.
+  void rampWhenManyNodesWaitFillsTheSlotsGradually() {
+    constexpr uint32_t AllSlots = Ranks * Slots;
+    std::vector<OpeningRamp> Ramps;
+    for (uint64_t I = 0; I < Nodes; ++I) {
+      Ramps.emplace_back(I);
+      Ramps.back().onClosed();
+    }
+    size_t Sent = 0;
+    for (int64_t T = 0; T < OpeningRamp::Length.count() / 1000; T += 10) {
+      for (OpeningRamp &Ramp : Ramps) {
+        Ramp.onAvailable(AllSlots, Nodes, at(T));
+        for (; Ramp.maySend() && Sent <= AllSlots; ++Sent)
+          Ramp.onSent();
+      }
+      // A tenth of the slots is room for how the nodes' first turns fall.
+      CPPUNIT_ASSERT(Sent <= AllSlots * (T + 100) / 1000);
+    }
+    CPPUNIT_ASSERT(Sent >= AllSlots * 8 / 10);
+    Ramps[0].onAvailable(AllSlots, Nodes, at(1000));
+    CPPUNIT_ASSERT(!Ramps[0].isActive() && Ramps[0].maySend());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GroupOpeningTest);
--- a/libs/dispatch/src/LoadTrackerTest.cpp
+++ b/libs/dispatch/src/LoadTrackerTest.cpp
@@ -29,6 +29,7 @@
   CPPUNIT_TEST(choiceWhenAgentsStopReportingAllowsOneTrialAtATime);
   CPPUNIT_TEST(choiceWhenAGroupOpensForgetsItsFaults);
   CPPUNIT_TEST(choiceWhenARunBeginsInAClosedGroupWaitsForItsAgent);
+  CPPUNIT_TEST(choiceWhenMostAgentsReportClosedTriesNoOther);
   CPPUNIT_TEST(choiceWhenARunBeginsInAGroupWithoutNoticesTriesIt);
   CPPUNIT_TEST(choiceWhenTheLastServerRefusesConnectionsTriesItNowAndThen);
   CPPUNIT_TEST(choiceWhenAServerIsColdTakesItOnlyAtItsTurns);
@@ -350,6 +351,15 @@
     CPPUNIT_ASSERT_EQUAL(std::string("c"), chosen(at(3100)));
   }
 
+  void choiceWhenMostAgentsReportClosedTriesNoOther() {
+    Tracker->onFault("c", ServerFault::Unavailable, at(0));
+    for (int64_t T = 0; T <= 3000; T += 500) {
+      Tracker->onEngineNotice("10.0.0.1:1", EngineCondition::Closed, at(T));
+      Tracker->onEngineNotice("10.0.0.2:1", EngineCondition::Closed, at(T));
+      CPPUNIT_ASSERT_EQUAL(std::string(), chosen(at(T + 400)));
+    }
+  }
+
   void choiceWhenARunBeginsInAGroupWithoutNoticesTriesIt() {
     closeGroup(0);
     restartC(2);
