Test that servers behind a lost path get nothing when the others are full

The mutation that chooses servers behind a lost path survived: the penalty of paths that are not good hid it. The test now also fills the other data centres.

--- a/libs/dispatch/src/PathHealthTest.cpp
+++ b/libs/dispatch/src/PathHealthTest.cpp
@@ -149,6 +149,11 @@
     silence(Tracker, "b1");
     silence(Tracker, "b2");
     CPPUNIT_ASSERT_EQUAL(size_t(0), sentTo(Tracker, 'b'));
+    // Not even when the servers of the other data centres are full.
+    for (const char *Id : {"a1", "a2", "a3", "c1", "c2", "c3"})
+      for (int I = 0; I < 10; ++I)
+        Tracker.onStarted(Id, Clock.now());
+    CPPUNIT_ASSERT_EQUAL(size_t(0), sentTo(Tracker, 'b'));
     // Only the first silence, before the path was known to be lost, ejected its
     // server.
     silence(Tracker, "b3");
