--- a/libs/rankgroup/include/ragwort/rankgroup/GroupAgent.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/GroupAgent.h
@@ -161,15 +161,19 @@
   }
 
   /// Processes the own engine's answer: an accepted prepare order makes it copy
-  /// experts.
+  /// experts, and an armed engine is about to use another map.
   void onOwnEngineAnswer(const RankOrder &Order,
                          const absl::StatusOr<OrderAnswer> &Answer) {
-    if (Order.Kind != OrderKind::Prepare || !Answer.ok() ||
-        *Answer != OrderAnswer::Accepted)
+    if (!Answer.ok() || *Answer != OrderAnswer::Accepted)
       return;
-    Maps.add(Order.Version, Order.Map);
-    Schedule.onPrepareAccepted(Order.Version, now());
-    HeartbeatTimer.cancel();
+    if (Order.Kind == OrderKind::Prepare) {
+      Maps.add(Order.Version, Order.Map);
+      Schedule.onPrepareAccepted(Order.Version, now());
+      HeartbeatTimer.cancel();
+    } else if (Order.Kind == OrderKind::Arm) {
+      Schedule.onArmAccepted();
+      HeartbeatTimer.cancel();
+    }
   }
 
   /// Reads the own engine and sends a heartbeat to the controller if one is due
--- a/libs/rankgroup/include/ragwort/rankgroup/HeartbeatSchedule.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/HeartbeatSchedule.h
@@ -46,6 +46,8 @@
   bool onReport(const EngineReport &Report, TimePoint Now);
   /// The engine has begun to prepare map \p Version.
   void onPrepareAccepted(uint64_t Version, TimePoint Now);
+  /// The engine has been armed for a map.
+  void onArmAccepted() { IsArmed = true; }
   /// Time until the engine should be read again.
   Duration interval(TimePoint Now) const;
 
--- a/libs/rankgroup/src/GroupControllerTest.cpp
+++ b/libs/rankgroup/src/GroupControllerTest.cpp
@@ -15,6 +15,8 @@
   CPPUNIT_TEST(planWhenAMapIsUnknownWaits);
   CPPUNIT_TEST(expertsWhenOutsideTheShapeAreIgnored);
   CPPUNIT_TEST(changeWhenArmingTakesPassesHoldsOneFurtherAhead);
+  CPPUNIT_TEST(changeWhenTheLastOneArmedWithinAPassHoldsTheNearestPass);
+  CPPUNIT_TEST(planWhenFewRanksShareALargeSkewIsMadeAsAWhole);
   CPPUNIT_TEST(versionsWhenTwoControllersPlanDiffer);
   CPPUNIT_TEST(ordersWhenTwoControllersSendThemHaveDifferentNumbers);
   CPPUNIT_TEST_SUITE_END();
@@ -172,6 +174,61 @@
     CPPUNIT_ASSERT_EQUAL(uint64_t(21 + 2 + 2), C.mapSwitch().heldStep());
   }
 
+  void changeWhenTheLastOneArmedWithinAPassHoldsTheNearestPass() {
+    // The answers of all ranks take 20 ms. With one resend, 60 ms later, they
+    // fit into the pass that lies between the order and the held pass.
+    GroupController C = controllerWithPasses(90, 20);
+    auto Report = [&](uint64_t Pass, int64_t Millis, uint64_t InUse,
+                      std::optional<uint64_t> Prepared) {
+      for (uint32_t Rank = 0; Rank < RankCount; ++Rank) {
+        EngineReport R;
+        R.Epoch = 1;
+        R.Rank = Rank;
+        R.IsOpen = true;
+        R.Step = Pass;
+        R.Running = 5;
+        R.MapVersion = InUse;
+        R.Prepared = Prepared;
+        C.onReport(Rank, R, 0, at(Millis));
+      }
+    };
+    uint64_t Version = C.plan(at(1800))->Version;
+    Report(21, 1890, 0, Version);
+    CPPUNIT_ASSERT_EQUAL(uint64_t(21 + 2 + 1), C.mapSwitch().heldStep());
+    for (int64_t Millis = 1890; Millis <= 1910; Millis += 10)
+      for (const OutgoingOrder &O : C.mapSwitch().takeOrders(at(Millis)))
+        C.mapSwitch().onAnswer(O.Rank, O.Number, OrderAnswer::Accepted,
+                               at(Millis + 10));
+    CPPUNIT_ASSERT_EQUAL(uint64_t(1), C.mapSwitch().completed());
+    std::vector<std::vector<uint64_t>> Selections(
+        1, std::vector<uint64_t>(Experts, 100));
+    Selections[0][5] = 10'000;
+    for (uint64_t Pass = 24; Pass <= 60; ++Pass) {
+      int64_t Millis = static_cast<int64_t>(Pass) * 90;
+      Report(Pass, Millis, Version, std::nullopt);
+      C.onCounts(Selections, at(Millis));
+    }
+    Version = C.plan(at(60 * 90))->Version;
+    Report(61, 61 * 90, 0, Version);
+    CPPUNIT_ASSERT_EQUAL(uint64_t(61 + 2), C.mapSwitch().heldStep());
+  }
+
+  void planWhenFewRanksShareALargeSkewIsMadeAsAWhole() {
+    // In a group of four ranks no copy of the many experts with a share in a
+    // large skew gains as much as the first copies of a large group.
+    GroupController C = controllerWithPasses(90, 1);
+    std::vector<std::vector<uint64_t>> Selections(
+        1, std::vector<uint64_t>(Experts, 10));
+    for (uint32_t E = 0; E < Experts; E += RankCount)
+      Selections[0][E] = 1000;
+    for (int Millis = 1800; Millis < 4000; Millis += 90)
+      C.onCounts(Selections, at(Millis));
+    std::optional<PlannedChange> Change = C.plan(at(4000));
+    CPPUNIT_ASSERT(Change.has_value());
+    CPPUNIT_ASSERT(Change->SkewBefore > GroupController::LargeSkew);
+    CPPUNIT_ASSERT(Change->SkewAfter < 1.2);
+  }
+
   void versionsWhenTwoControllersPlanDiffer() {
     auto First = controllerWithPasses(90, 20, 11).plan(after(90));
     auto Second = controllerWithPasses(90, 20, 12).plan(after(90));
--- a/libs/rankgroup/src/HeartbeatScheduleTest.cpp
+++ b/libs/rankgroup/src/HeartbeatScheduleTest.cpp
@@ -9,6 +9,7 @@
   CPPUNIT_TEST(heartbeatsWhenNothingChangesAreSentAtTheUsualInterval);
   CPPUNIT_TEST(heartbeatsWhenAGroupHasOpenedAreSentOften);
   CPPUNIT_TEST(heartbeatWhenAMapIsCopiedIsSentAtOnceAndOnlyOnce);
+  CPPUNIT_TEST(heartbeatWhenAnArmedEngineSwitchesIsSentAtOnceAndOnlyOnce);
   CPPUNIT_TEST(copyWhenItNeverEndsTimesOut);
   CPPUNIT_TEST_SUITE_END();
 
@@ -66,6 +67,24 @@
                    HeartbeatSchedule::UsualInterval);
   }
 
+  void heartbeatWhenAnArmedEngineSwitchesIsSentAtOnceAndOnlyOnce() {
+    HeartbeatSchedule Schedule;
+    EngineReport R = report(1);
+    countSent(Schedule, R, 0, 3000);
+    CPPUNIT_ASSERT(Schedule.onReport(R, at(3200)));
+    Schedule.onArmAccepted();
+    CPPUNIT_ASSERT(Schedule.interval(at(3200)) ==
+                   HeartbeatSchedule::CopyInterval);
+    R.Armed = ArmedMap{7, 100};
+    CPPUNIT_ASSERT(!Schedule.onReport(R, at(3240)));
+    R.Armed.reset();
+    R.MapVersion = 7;
+    CPPUNIT_ASSERT(Schedule.onReport(R, at(3280)));
+    CPPUNIT_ASSERT(!Schedule.onReport(R, at(3320)));
+    CPPUNIT_ASSERT(Schedule.interval(at(3320)) ==
+                   HeartbeatSchedule::UsualInterval);
+  }
+
   void copyWhenItNeverEndsTimesOut() {
     HeartbeatSchedule Schedule;
     countSent(Schedule, report(1), 0, 3000);
