--- a/libs/dispatch/include/ragwort/dispatch/Dispatcher.h
+++ b/libs/dispatch/include/ragwort/dispatch/Dispatcher.h
@@ -13,7 +13,6 @@
 #ifndef RAGWORT_DISPATCH_DISPATCHER_H
 #define RAGWORT_DISPATCH_DISPATCHER_H
 
-#include "ragwort/dispatch/GapWindow.h"
 #include "ragwort/dispatch/LoadTracker.h"
 #include "ragwort/dispatch/RetryBudget.h"
 #include "ragwort/dispatch/WaitQueue.h"
@@ -33,10 +32,6 @@
   TimePoint ExpiresAt;
   /// The service batches requests: one beyond the slots delays all others.
   bool IsBatched = false;
-  /// Published speed of the service's engines, if known.
-  EngineSpeed Speed;
-  /// The shortest target gap of the streams of the service; zero if none.
-  Duration TargetGap{0};
 };
 
 /// Why a request is refused.
@@ -125,10 +120,6 @@
   /// A request to \p Id has ended, whatever its outcome.
   void onEnded(std::string_view Service, std::string_view Id, TimePoint Now);
 
-  /// A stream event arrived from server \p Id, \p Gap after the previous one.
-  void onEvent(std::string_view Service, std::string_view Id, Duration Gap,
-               TimePoint Now);
-
   /// Counts a new request for \p Service, which increases its retry budget.
   void onRequest(std::string_view Service, TimePoint Now);
   bool hasRetryBudget(std::string_view Service, TimePoint Now);
@@ -144,16 +135,9 @@
     DrainRate Drain;
     // Whether the service batches requests, as stated by its last request.
     bool IsBatched = false;
-    // Requests that fit at a server, and when that is computed again.
-    uint32_t Fitting = NoRoomLimit;
-    TimePoint NextFittingAt{};
-    GapWindow Gaps;
   };
   ServiceState &stateOf(std::string_view Service);
-  static bool hasRoom(const Choice &C, const ServiceState &State);
-  /// Computes how many requests fit at a server of the service, now and then.
-  void updateFitting(ServiceState &State, const PlacementRequest &R,
-                     TimePoint Now);
+  bool hasRoom(const Choice &C, bool IsBatched) const;
   std::optional<BackendInstance>
   serverWithRoom(std::string_view Service, const ServiceState &State,
                  std::span<const std::string> Excluded, TimePoint Now);
--- a/libs/dispatch/include/ragwort/dispatch/LoadTracker.h
+++ b/libs/dispatch/include/ragwort/dispatch/LoadTracker.h
@@ -28,7 +28,6 @@
 #define RAGWORT_DISPATCH_LOADTRACKER_H
 
 #include "ragwort/dispatch/BackendDirectory.h"
-#include "ragwort/dispatch/BatchRoom.h"
 #include "ragwort/dispatch/RateLimits.h"
 #include "ragwort/dispatch/SelfReports.h"
 #include "ragwort/dispatch/ServerHealth.h"
@@ -64,8 +63,6 @@
   std::string_view Service;
   /// Instances that have already failed or declined the request.
   std::span<const std::string> Excluded;
-  /// Requests that fit at a server, see BatchRoom.h.
-  uint32_t Fitting = NoRoomLimit;
 };
 
 /// The server chosen for a request. Valid until the next change of the
@@ -74,7 +71,7 @@
   const BackendInstance *Server = nullptr;
   /// The fleet's known requests in flight at the server, without this one.
   uint32_t InFlight = 0;
-  /// Whether InFlight leaves a free slot that may be used.
+  /// Whether InFlight leaves a free slot.
   bool HasFreeSlot = false;
 };
 
@@ -177,8 +174,6 @@
     return Limits.toForward(Now);
   }
   bool isStraggler(std::string_view Id, TimePoint Now) const;
-  /// Mean load and usual pause of the usable servers of \p Service.
-  ObservedPauses observedPauses(std::string_view Service, TimePoint Now) const;
   /// Whether the server is expected to end: it drains, has said that it leaves,
   /// or is no longer listed.
   bool isStopping(std::string_view Id) const;
@@ -236,8 +231,7 @@
   static bool isCandidate(const Server &S, const Selection &Among);
   UsualTimes usualTimesOf(std::string_view Service, TimePoint Now) const;
   const Server *bestOfSample(std::vector<const Server *> &Candidates,
-                             uint32_t Fitting, const UsualTimes &Usual,
-                             TimePoint Now);
+                             const UsualTimes &Usual, TimePoint Now);
   const Server *lowestScore(std::span<const Server *const> Candidates,
                             const UsualTimes &Usual, TimePoint Now);
   double score(const Server &S, const UsualTimes &Usual, TimePoint Now);
--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -25,9 +25,6 @@
 // Requests that a batching server may have beyond its slots, so that a slot
 // that becomes free between two heartbeats is used at once.
 constexpr uint32_t ExtraBatchedRequests = 2;
-// Interval at which the room at the servers of a service is computed; peers'
-// loads and pauses are newer only about as often.
-constexpr Duration FittingInterval = std::chrono::milliseconds(100);
 // Fraction of the target latency that a request may spend in the queue and
 // still be answered on time.
 constexpr double OnTimeQueueFraction = 0.5;
@@ -63,21 +60,10 @@
   return Found->second;
 }
 
-bool Dispatcher::hasRoom(const Choice &C, const ServiceState &State) {
+bool Dispatcher::hasRoom(const Choice &C, bool IsBatched) const {
   uint32_t Slots = C.Server->Slots;
   // A server that does not batch may have twice as many requests as slots.
-  uint32_t Extra = State.IsBatched ? ExtraBatchedRequests : Slots;
-  return C.InFlight < roomOf(Slots, Extra, State.Fitting);
-}
-
-void Dispatcher::updateFitting(ServiceState &State, const PlacementRequest &R,
-                               TimePoint Now) {
-  if (Now < State.NextFittingAt)
-    return;
-  State.NextFittingAt = Now + FittingInterval;
-  ObservedPauses Observed = Tracker.observedPauses(R.Service, Now);
-  Observed.LongGapMillis = State.Gaps.longMillis(Now);
-  State.Fitting = BatchRoom(R.Speed, R.TargetGap).fitting(Observed);
+  return C.InFlight < Slots + (IsBatched ? ExtraBatchedRequests : Slots);
 }
 
 Duration Dispatcher::spread(Duration RetryAfter) {
@@ -145,10 +131,8 @@
 Placement Dispatcher::place(const PlacementRequest &R, TimePoint Now) {
   ServiceState &State = stateOf(R.Service);
   State.IsBatched = R.IsBatched;
-  updateFitting(State, R, Now);
-  std::optional<Choice> Best =
-      Tracker.choose({R.Service, R.Excluded, State.Fitting}, Now);
-  if (Best && hasRoom(*Best, State)) {
+  std::optional<Choice> Best = Tracker.choose({R.Service, R.Excluded}, Now);
+  if (Best && hasRoom(*Best, R.IsBatched)) {
     Placement P;
     P.Result = Placement::Decision::Send;
     P.Server = *Best->Server;
@@ -247,9 +231,8 @@
 Dispatcher::serverWithRoom(std::string_view Service, const ServiceState &State,
                            std::span<const std::string> Excluded,
                            TimePoint Now) {
-  std::optional<Choice> Best =
-      Tracker.choose({Service, Excluded, State.Fitting}, Now);
-  if (!Best || !hasRoom(*Best, State))
+  std::optional<Choice> Best = Tracker.choose({Service, Excluded}, Now);
+  if (!Best || !hasRoom(*Best, State.IsBatched))
     return std::nullopt;
   return *Best->Server;
 }
@@ -267,12 +250,6 @@
   stateOf(Service).Drain.record(Now);
 }
 
-void Dispatcher::onEvent(std::string_view Service, std::string_view Id,
-                         Duration Gap, TimePoint Now) {
-  Tracker.onEvent(Id, Gap, Now);
-  stateOf(Service).Gaps.add(Gap, Now);
-}
-
 void Dispatcher::onRequest(std::string_view Service, TimePoint Now) {
   stateOf(Service).Budget.recordRequest(Now);
 }
--- a/libs/dispatch/src/LoadTracker.cpp
+++ b/libs/dispatch/src/LoadTracker.cpp
@@ -321,23 +321,6 @@
   return usualTimes(Speeds, Now);
 }
 
-ObservedPauses LoadTracker::observedPauses(std::string_view Service,
-                                           TimePoint Now) const {
-  double Requests = 0;
-  size_t Usable = 0;
-  for (const auto &[Id, S] : Servers) {
-    if (S.Entry.Service != Service || !S.isUsable() || S.Health.isUnavailable())
-      continue;
-    ++Usable;
-    // A server runs at most its slots; the others wait there.
-    Requests += std::min(S.OwnInFlight + S.PeerInFlight, S.Entry.Slots);
-  }
-  if (Usable == 0)
-    return {};
-  return {Requests / static_cast<double>(Usable),
-          usualTimesOf(Service, Now).GapMillis};
-}
-
 double LoadTracker::score(const Server &S, const UsualTimes &Usual,
                           TimePoint Now) {
   double Load =
@@ -412,18 +395,16 @@
       continue;
     Candidates.push_back(&S);
   }
-  const Server *Best = bestOfSample(Candidates, Among.Fitting, Usual, Now);
+  const Server *Best = bestOfSample(Candidates, Usual, Now);
   if (!Best)
     return std::nullopt;
   uint32_t InFlight = Best->OwnInFlight + Best->PeerInFlight;
-  return Choice{&Best->Entry, InFlight,
-                InFlight < roomOf(Best->Entry.Slots, 0, Among.Fitting)};
+  return Choice{&Best->Entry, InFlight, InFlight < Best->Entry.Slots};
 }
 
 const LoadTracker::Server *
 LoadTracker::bestOfSample(std::vector<const Server *> &Candidates,
-                          uint32_t Fitting, const UsualTimes &Usual,
-                          TimePoint Now) {
+                          const UsualTimes &Usual, TimePoint Now) {
   auto FirstSlow = std::partition(
       Candidates.begin(), Candidates.end(), [&](const Server *S) {
         return S->Speed.slowness(Usual, Now) < SlownessThreshold;
@@ -439,9 +420,8 @@
   }
   const Server *Best =
       lowestScore(std::span(Candidates).first(SampleSize), Usual, Now);
-  auto HasFreeSlot = [Fitting](const Server *S) {
-    return S->OwnInFlight + S->PeerInFlight <
-           roomOf(S->Entry.Slots, 0, Fitting);
+  auto HasFreeSlot = [](const Server *S) {
+    return S->OwnInFlight + S->PeerInFlight < S->Entry.Slots;
   };
   if (!Best || HasFreeSlot(Best))
     return Best;
--- a/libs/gateway/include/ragwort/gateway/TrafficConfig.h
+++ b/libs/gateway/include/ragwort/gateway/TrafficConfig.h
@@ -8,7 +8,6 @@
 #define RAGWORT_GATEWAY_TRAFFICCONFIG_H
 
 #include "ragwort/base/Time.h"
-#include "ragwort/dispatch/BatchRoom.h"
 #include "ragwort/rankgroup/GroupShape.h"
 #include <cstdint>
 #include <optional>
@@ -61,7 +60,6 @@
 struct EngineSpec {
   /// How the experts of a group of ranks are arranged.
   rankgroup::GroupShape Experts;
-  dispatch::EngineSpeed Speed;
 };
 
 /// A service, provided by backend servers of the same kind.
@@ -124,8 +122,6 @@
   std::vector<Route> Routes;
   std::vector<Organisation> Organisations;
   ByName<Service> Services;
-  // Service -> shortest target gap of its routes, if any has one.
-  ByName<Duration> TargetGaps;
   // Host -> path prefix -> index into Routes. Hosts are lower case, prefixes
   // end with a slash.
   ByName<ByName<size_t>> RouteIndex;
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -139,10 +139,6 @@
   if (Flow.hasAnswerBegun())
     R.ExpiresAt = std::min(Accepted.Deadline, LastProgress + callerTimeout());
   R.IsBatched = ServiceConfig && ServiceConfig->Engine;
-  if (R.IsBatched) {
-    R.Speed = ServiceConfig->Engine->Speed;
-    R.TargetGap = Accepted.Config->targetGapOf(Service);
-  }
   dispatch::Placement P = Context.Dispatch.place(R, now());
   switch (P.Result) {
   case dispatch::Placement::Decision::Send:
@@ -327,7 +323,7 @@
   }
   Duration Gap = LastProgress - Before;
   LongestGap = std::max(LongestGap, Gap);
-  Context.Dispatch.onEvent(Service, Server.Id, Gap, LastProgress);
+  Context.Dispatch.loadTracker().onEvent(Server.Id, Gap, LastProgress);
   if (LastProgress - FirstEventAt >= SurvivalTime)
     noteSurvival();
 }
--- a/libs/gateway/src/TrafficConfig.cpp
+++ b/libs/gateway/src/TrafficConfig.cpp
@@ -24,12 +24,6 @@
 
 void TrafficConfig::addRoute(Route R) {
   R.Host = lowerCase(R.Host);
-  if (R.TargetGap.count() > 0)
-    for (const WeightedService &Part : R.Split) {
-      Duration &Shortest =
-          TargetGaps.try_emplace(Part.Service, R.TargetGap).first->second;
-      Shortest = std::min(Shortest, R.TargetGap);
-    }
   RouteIndex[R.Host][R.PathPrefix] = Routes.size();
   Routes.push_back(std::move(R));
 }
@@ -70,8 +64,13 @@
 }
 
 Duration TrafficConfig::targetGapOf(std::string_view Service) const {
-  auto Found = TargetGaps.find(Service);
-  return Found == TargetGaps.end() ? Duration(0) : Found->second;
+  Duration Shortest{0};
+  for (const Route &R : Routes)
+    for (const WeightedService &Part : R.Split)
+      if (Part.Service == Service && R.TargetGap.count() > 0 &&
+          (Shortest.count() == 0 || R.TargetGap < Shortest))
+        Shortest = R.TargetGap;
+  return Shortest;
 }
 
 const Organisation *TrafficConfig::findByKey(std::string_view ApiKey) const {
