Decide by rank, time left and work who waits, gives way or is refused

A full queue refused urgent arrivals while less urgent requests waited in it, the predicted wait counted all of the queue and not the work in it, requests that could not be on time were held for most of their time, and Retry-After was drawn from a constant or from the length of the queue.

Admission forecasts when a request would start: from the work that starts before it, the rate at which work completes and the more urgent work that arrives. What would not start in time is refused at arrival, what is overtaken before its end, and the last of a full queue gives way. Refused callers are told to come back one after the other; those that did are told by their time left.

--- a/libs/dispatch/include/ragwort/dispatch/Dispatcher.h
+++ b/libs/dispatch/include/ragwort/dispatch/Dispatcher.h
@@ -1,10 +1,9 @@
 //===- Dispatcher.h - Send, wait or refuse --------------------------------===//
 //
 // Decides for each request whether it is sent now and to which server, waits
-// for a free slot, or is refused with a Retry-After time. The decision compares
-// the fleet's requests in flight with the slots of the usable servers. While
-// all slots are taken, it compares the length of this node's queue with the
-// rate at which this node's requests have been completing. While all servers
+// for room, or is refused with a Retry-After time. The decision compares the
+// fleet's requests in flight with the slots of the usable servers. While all
+// are full, Admission.h decides. While all servers
 // have asked this node to pause, it compares the end of the first pause with
 // the time for which the caller can wait; likewise this node's next turn while
 // all servers have stated rate limits.
@@ -13,9 +12,10 @@
 #ifndef RAGWORT_DISPATCH_DISPATCHER_H
 #define RAGWORT_DISPATCH_DISPATCHER_H
 
+#include "ragwort/dispatch/Admission.h"
+#include "ragwort/dispatch/EngineSpeed.h"
 #include "ragwort/dispatch/LoadTracker.h"
 #include "ragwort/dispatch/RetryBudget.h"
-#include "ragwort/dispatch/WaitQueue.h"
 #include <random>
 
 namespace ragwort::dispatch {
@@ -32,6 +32,15 @@
   TimePoint ExpiresAt;
   /// The service batches requests: one beyond the slots delays all others.
   bool IsBatched = false;
+  /// Published speed of the service's engines, if known.
+  EngineSpeed Speed;
+  /// Tokens to read and to write; 0 if unknown.
+  double PromptTokens = 0;
+  double AnswerTokens = 0;
+  /// The caller was refused before and has come back.
+  bool HasComeBack = false;
+  /// A server has been sent this request.
+  bool HasBeenSent = false;
 };
 
 /// Why a request is refused.
@@ -43,6 +52,10 @@
   /// All servers have stated rate limits that leave this node no turn in time.
   RateLimited,
   Overloaded,
+  /// It waited, and a request that goes before it has taken its place.
+  Displaced,
+  /// It waited until its answer would come too late.
+  Expired,
 };
 
 std::string_view toString(PlacementRefusal Value);
@@ -58,15 +71,22 @@
   /// For Refuse.
   PlacementRefusal Refusal = PlacementRefusal::NoServer;
   Duration RetryAfter{0};
+  /// The work that the request needs, as a multiple of the usual request's.
+  double Work = 1;
+  /// Why it does not start now, if all servers are full.
+  Forecast Expected;
+  /// Requests that wait at this node.
+  size_t Waiting = 0;
 };
 
-/// A request taken from the queue, either to be sent to a server now or because
-/// its time to wait has ended.
+/// A request taken from the queue, either to be sent to a server now or to be
+/// refused.
 struct DequeuedRequest {
   uint64_t Ticket = 0;
-  /// Empty if the request has expired.
+  /// Empty if the request is refused.
   std::optional<BackendInstance> Server;
-  /// For an expired request.
+  /// For a refused request.
+  PlacementRefusal Refusal = PlacementRefusal::Expired;
   Duration RetryAfter{0};
 };
 
@@ -92,7 +112,7 @@
   /// cause is another one, such as missing ranks, and may last.
   static constexpr Duration MaxRecovery = std::chrono::seconds(9);
   /// Maximum number of waiting requests per service at one node.
-  static constexpr size_t MaxWaiting = 64;
+  static constexpr size_t MaxWaiting = Admission::MaxWaiting;
 
   Dispatcher(std::string LocalDataCentre, RetryBudgetLimits Budget,
              uint64_t Seed);
@@ -106,7 +126,7 @@
                      std::span<const std::string> Excluded, TimePoint Now);
   void cancelWait(std::string_view Service, uint64_t Ticket);
   /// Removes the waiting requests that can be sent now, at most one for each
-  /// service, and those that have expired. onStarted() must be called for the
+  /// service, and those that are refused. onStarted() must be called for the
   /// former before the next call.
   std::vector<DequeuedRequest> takeReady(TimePoint Now);
   size_t waiting() const;
@@ -117,8 +137,10 @@
   void onStarted(std::string_view Id, TimePoint Now) {
     Tracker.onStarted(Id, Now);
   }
-  /// A request to \p Id has ended, whatever its outcome.
-  void onEnded(std::string_view Service, std::string_view Id, TimePoint Now);
+  /// A request to \p Id has ended, whatever its outcome. \p Work is that of
+  /// its Placement, or 0 if the server has not run it.
+  void onEnded(std::string_view Service, std::string_view Id, TimePoint Now,
+               double Work = 1);
 
   /// Counts a new request for \p Service, which increases its retry budget.
   void onRequest(std::string_view Service, TimePoint Now);
@@ -131,25 +153,33 @@
   struct ServiceState {
     explicit ServiceState(RetryBudgetLimits Limits) : Budget(Limits) {}
     RetryBudget Budget;
-    WaitQueue Queue;
-    DrainRate Drain;
+    Admission Waiting;
+    // Requests that have left the queue for others and are not told yet.
+    std::vector<Waiter> Displaced;
     // Whether the service batches requests, as stated by its last request.
     bool IsBatched = false;
   };
   ServiceState &stateOf(std::string_view Service);
-  bool hasRoom(const Choice &C, bool IsBatched) const;
-  std::optional<BackendInstance>
-  serverWithRoom(std::string_view Service, const ServiceState &State,
-                 std::span<const std::string> Excluded, TimePoint Now);
+  static bool hasRoom(const Choice &C, bool IsBatched);
+  /// The server of \p Best if it has room.
+  static std::optional<BackendInstance>
+  withRoom(const std::optional<Choice> &Best, const ServiceState &State);
   /// Retry-After time for a request that no server has room for.
   Duration retryAfter(std::string_view Service, ServiceState &State,
-                      std::span<const std::string> Excluded, TimePoint Now);
+                      const Waiter &W, TimePoint Now);
   static TimePoint giveUpAt(const PlacementRequest &R, bool IsRecovering);
-  Placement wait(ServiceState &State, const PlacementRequest &R,
-                 TimePoint GiveUpAt, TimePoint Now);
+  Waiter waiterOf(const ServiceState &State, const PlacementRequest &R,
+                  TimePoint GiveUpAt, TimePoint Now);
   Placement refuse(PlacementRefusal Refusal, Duration RetryAfter) const;
-  /// Waits, or refuses for \p Refusal if \p IsRefused, if the queue is full or
-  /// if \p GiveUpAt has passed.
+  DequeuedRequest refuseWaiting(std::string_view Service, ServiceState &State,
+                                const Waiter &W, PlacementRefusal Refusal,
+                                TimePoint Now);
+  /// Waits, or refuses for \p Refusal, as \p A says.
+  Placement carryOut(const Admission::Answer &A, PlacementRefusal Refusal,
+                     ServiceState &State, const PlacementRequest &R,
+                     const Waiter &W, TimePoint Now);
+  /// Waits for something else than room, or refuses for \p Refusal if
+  /// \p IsRefused, if the queue is full or if \p GiveUpAt has passed.
   Placement waitUnless(bool IsRefused, PlacementRefusal Refusal,
                        ServiceState &State, const PlacementRequest &R,
                        TimePoint GiveUpAt, TimePoint Now);
--- a/libs/dispatch/include/ragwort/dispatch/WaitQueue.h
+++ b/libs/dispatch/include/ragwort/dispatch/WaitQueue.h
@@ -1,10 +1,10 @@
-//===- WaitQueue.h - Requests that wait for a slot at one service ---------===//
+//===- WaitQueue.h - Requests that wait for room at one service -----------===//
 //
-// Orders the waiting requests of one service while all its servers are full, to
-// bridge short overloads. Requests that can still meet their target latency go
-// first, the others follow, and those whose answer would come after the
-// caller's timeout are removed. During longer overloads the Dispatcher refuses
-// requests on arrival if their predicted wait is too long.
+// Orders the waiting requests of one service. Requests that can no longer meet
+// their target latency give way to all others, unless they came back after a
+// refusal or a server has been sent them. Within these two, the more urgent go
+// first, then the one that must start first. The last in this order gives way
+// to an arrival that would start before it.
 //
 //===----------------------------------------------------------------------===//
 #ifndef RAGWORT_DISPATCH_WAITQUEUE_H
@@ -13,10 +13,8 @@
 #include "ragwort/base/Time.h"
 #include <concepts>
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
-#include <tuple>
 #include <vector>
 
 namespace ragwort::dispatch {
@@ -33,17 +31,28 @@
   TimePoint GiveUpAt;
   /// Instances that have already failed or declined the request.
   std::vector<std::string> Excluded;
+  /// Work that it needs, as a multiple of the service's usual request.
+  double Work = 1;
+  /// It was refused before and has come back: it may wait longer than others,
+  /// and gives way to none that arrive later.
+  bool HasComeBack = false;
+  /// A server has been sent it. It goes first among requests of its priority
+  /// and is never displaced.
+  bool HasBeenSent = false;
+
+  /// When it must start; among requests of one priority, the earliest is next.
+  TimePoint startBy() const { return HasBeenSent ? Since : OnTimeUntil; }
 };
 
 /// \code
-///   Queue.push({Ticket, Priority, Now, OnTimeUntil, GiveUpAt, Excluded});
+///   Queue.push(W);
 ///   while (auto Ticket = Queue.popFirst(
 ///              Now, [&](const Waiter &W) { return hasFreeSlotFor(W); }))
 ///     start(*Ticket);
 /// \endcode
 class WaitQueue {
 public:
-  void push(const Waiter &W);
+  void push(const Waiter &W) { Waiters.push_back(W); }
   void remove(uint64_t Ticket);
   /// Removes the first request in starting order that satisfies \p CanStart.
   /// \returns its ticket, or nothing if there is none.
@@ -57,32 +66,19 @@
       }
     return std::nullopt;
   }
-  /// Removes the requests whose GiveUpAt has passed. \returns their tickets.
-  std::vector<uint64_t> takeExpired(TimePoint Now);
-  size_t size() const { return Waiters.size(); }
-
-private:
+  /// Removes the requests whose GiveUpAt has passed.
+  std::vector<Waiter> takeExpired(TimePoint Now);
+  /// Removes the last request in starting order that may be displaced, if \p W
+  /// would start before it.
+  std::optional<Waiter> displaceFor(const Waiter &W, TimePoint Now);
+  /// The waiting requests in the order in which they start.
   std::vector<const Waiter *> startingOrder(TimePoint Now) const;
-
-  // Priority, time of joining the queue, ticket.
-  using SortKey = std::tuple<uint32_t, TimePoint, uint64_t>;
-  std::map<SortKey, Waiter> Waiters;
-  // Ticket -> key in Waiters.
-  std::map<uint64_t, SortKey> KeyByTicket;
-};
-
-/// Rate at which a service's requests have been completing at this node, from
-/// which the wait of a new request is predicted.
-class DrainRate {
-public:
-  void record(TimePoint Now);
-  /// Predicted time for \p Ahead requests to complete; nothing if there was no
-  /// completion within the window.
-  std::optional<Duration> timeToComplete(size_t Ahead, TimePoint Now);
+  /// The work of all requests that start before \p W.
+  double workBefore(const Waiter &W, TimePoint Now) const;
+  size_t size() const { return Waiters.size(); }
 
 private:
-  static constexpr Duration Window = std::chrono::seconds(2);
-  std::vector<TimePoint> Completions;
+  std::vector<Waiter> Waiters;
 };
 
 } // namespace ragwort::dispatch
--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -1,6 +1,7 @@
 //===- Dispatcher.cpp - Send, wait or refuse ------------------------------===//
 #include "ragwort/dispatch/Dispatcher.h"
 #include <algorithm>
+#include <utility>
 
 namespace ragwort::dispatch {
 
@@ -16,6 +17,10 @@
     return "servers-rate-limited";
   case PlacementRefusal::Overloaded:
     return "overloaded";
+  case PlacementRefusal::Displaced:
+    return "displaced";
+  case PlacementRefusal::Expired:
+    return "queue-timeout";
   }
   return "invalid";
 }
@@ -34,12 +39,26 @@
 // The same while all servers are unavailable. No other requests run before this
 // one then, and callers retry only once, so each attempt waits longer.
 constexpr double RecoveringGiveUpFraction = 0.8;
-// Bounds of the Retry-After time.
-constexpr Duration MinRetryAfter = std::chrono::milliseconds(200);
-constexpr Duration MaxRetryAfter = std::chrono::milliseconds(2500);
+// Bounds of the work of a request, as a multiple of the usual one's.
+constexpr double MinWork = 0.1;
+constexpr double MaxWork = 10;
+constexpr Duration MinRetryAfter = Admission::MinRetryAfter;
+constexpr Duration MaxRetryAfter = Admission::MaxRetryAfter;
 // Random part of the Retry-After time, as a fraction of the rest.
 constexpr double RetryAfterSpread = 0.5;
 
+double workOf(const PlacementRequest &R) {
+  if (R.PromptTokens <= 0 && R.AnswerTokens <= 0)
+    return 1;
+  double Usual =
+      R.Speed.requestMillis(R.Speed.UsualPrompt, R.Speed.UsualAnswer);
+  if (Usual <= 0)
+    return 1;
+  return std::clamp(R.Speed.requestMillis(R.PromptTokens, R.AnswerTokens) /
+                        Usual,
+                    MinWork, MaxWork);
+}
+
 Duration scaled(Duration Length, double Factor) {
   return Duration(
       static_cast<int64_t>(static_cast<double>(Length.count()) * Factor));
@@ -60,7 +79,7 @@
   return Found->second;
 }
 
-bool Dispatcher::hasRoom(const Choice &C, bool IsBatched) const {
+bool Dispatcher::hasRoom(const Choice &C, bool IsBatched) {
   uint32_t Slots = C.Server->Slots;
   // A server that does not batch may have twice as many requests as slots.
   return C.InFlight < Slots + (IsBatched ? ExtraBatchedRequests : Slots);
@@ -72,19 +91,16 @@
 }
 
 Duration Dispatcher::retryAfter(std::string_view Service, ServiceState &State,
-                                std::span<const std::string> Excluded,
-                                TimePoint Now) {
-  Duration Wait = RecoveringRetryAfter;
-  if (!Tracker.isRecovering(Service, Now)) {
-    // A pause is stated by the servers, so its length is not limited here.
-    if (!Tracker.choose({Service, Excluded}, Now))
-      if (auto Turn = nextTurn(Service, State, Excluded, Now))
-        return spread(std::max(*Turn - Now, MinRetryAfter));
-    Wait = State.Drain.timeToComplete(State.Queue.size() + 1, Now)
-               .value_or(MaxRetryAfter);
-  }
-  return std::min(spread(std::clamp(Wait, MinRetryAfter, MaxRetryAfter)),
-                  MaxRetryAfter);
+                                const Waiter &W, TimePoint Now) {
+  if (Tracker.isRecovering(Service, Now))
+    return std::min(spread(RecoveringRetryAfter), MaxRetryAfter);
+  // A pause is stated by the servers, so its length is not limited here.
+  if (!Tracker.choose({Service, W.Excluded}, Now))
+    if (auto Turn = nextTurn(Service, State, W.Excluded, Now))
+      return spread(std::max(*Turn - Now, MinRetryAfter));
+  if (std::optional<Duration> Turn = State.Waiting.retryAfter(W, Now))
+    return *Turn;
+  return scaled(spread(MaxRetryAfter), 1 / (1 + RetryAfterSpread));
 }
 
 std::optional<TimePoint>
@@ -95,7 +111,7 @@
   double Rate = Tracker.ownRate(Service);
   if (Turn && Rate > 0)
     *Turn += std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
-        static_cast<double>(State.Queue.size()) / Rate));
+        static_cast<double>(State.Waiting.queue().size()) / Rate));
   return Turn;
 }
 
@@ -114,29 +130,37 @@
                 IsRecovering ? RecoveringGiveUpFraction : GiveUpFraction);
 }
 
-Placement Dispatcher::wait(ServiceState &State, const PlacementRequest &R,
-                           TimePoint GiveUpAt, TimePoint Now) {
-  Placement P;
-  P.Result = Placement::Decision::Wait;
-  P.Ticket = NextTicket++;
-  State.Queue.push({P.Ticket,
-                    R.Priority,
-                    Now,
-                    R.Arrived + scaled(R.TargetLatency, OnTimeQueueFraction),
-                    GiveUpAt,
-                    {R.Excluded.begin(), R.Excluded.end()}});
-  return P;
+Waiter Dispatcher::waiterOf(const ServiceState &State,
+                            const PlacementRequest &R, TimePoint GiveUpAt,
+                            TimePoint Now) {
+  Waiter W;
+  W.Ticket = NextTicket++;
+  W.Priority = R.Priority;
+  W.Since = Now;
+  // Reading a long prompt takes a part of the time.
+  auto Read = static_cast<int64_t>(1000 * R.Speed.readMillis(R.PromptTokens));
+  W.OnTimeUntil =
+      R.Arrived + scaled(R.TargetLatency, OnTimeQueueFraction) - Duration(Read);
+  W.GiveUpAt = GiveUpAt;
+  W.Excluded = {R.Excluded.begin(), R.Excluded.end()};
+  W.Work = workOf(R);
+  W.HasComeBack = R.HasComeBack;
+  W.HasBeenSent = R.HasBeenSent;
+  return W;
 }
 
 Placement Dispatcher::place(const PlacementRequest &R, TimePoint Now) {
   ServiceState &State = stateOf(R.Service);
   State.IsBatched = R.IsBatched;
+  if (!R.HasBeenSent && R.Excluded.empty())
+    State.Waiting.onArrival(R.Priority, workOf(R), Now);
   std::optional<Choice> Best = Tracker.choose({R.Service, R.Excluded}, Now);
   if (Best && hasRoom(*Best, R.IsBatched)) {
     Placement P;
     P.Result = Placement::Decision::Send;
     P.Server = *Best->Server;
     P.InFlight = Best->InFlight;
+    P.Work = workOf(R);
     return P;
   }
   if (Best)
@@ -146,21 +170,40 @@
   return waitForTurn(State, R, Now);
 }
 
+Placement Dispatcher::carryOut(const Admission::Answer &A,
+                               PlacementRefusal Refusal, ServiceState &State,
+                               const PlacementRequest &R, const Waiter &W,
+                               TimePoint Now) {
+  Placement P;
+  if (A.Waits) {
+    P.Result = Placement::Decision::Wait;
+    P.Ticket = W.Ticket;
+    if (A.Displaced)
+      State.Displaced.push_back(*A.Displaced);
+  } else {
+    P = refuse(Refusal, retryAfter(R.Service, State, W, Now));
+  }
+  P.Expected = A.Expected;
+  P.Work = W.Work;
+  P.Waiting = State.Waiting.queue().size();
+  return P;
+}
+
 Placement Dispatcher::waitUnless(bool IsRefused, PlacementRefusal Refusal,
                                  ServiceState &State, const PlacementRequest &R,
                                  TimePoint GiveUpAt, TimePoint Now) {
-  if (IsRefused || State.Queue.size() >= MaxWaiting || Now >= GiveUpAt)
-    return refuse(Refusal, retryAfter(R.Service, State, R.Excluded, Now));
-  return wait(State, R, GiveUpAt, Now);
+  Waiter W = waiterOf(State, R, GiveUpAt, Now);
+  Admission::Answer A;
+  if (!IsRefused)
+    A = State.Waiting.enqueue(W, Now);
+  return carryOut(A, Refusal, State, R, W, Now);
 }
 
 Placement Dispatcher::waitForSlot(ServiceState &State,
                                   const PlacementRequest &R, TimePoint Now) {
-  TimePoint GiveUpAt = giveUpAt(R, /*IsRecovering=*/false);
-  std::optional<Duration> Wait =
-      State.Drain.timeToComplete(State.Queue.size() + 1, Now);
-  return waitUnless(Wait && Now + *Wait >= GiveUpAt,
-                    PlacementRefusal::Overloaded, State, R, GiveUpAt, Now);
+  Waiter W = waiterOf(State, R, giveUpAt(R, /*IsRecovering=*/false), Now);
+  return carryOut(State.Waiting.admit(W, Now), PlacementRefusal::Overloaded,
+                  State, R, W, Now);
 }
 
 Placement Dispatcher::waitForRecovery(ServiceState &State,
@@ -193,7 +236,14 @@
 }
 
 void Dispatcher::cancelWait(std::string_view Service, uint64_t Ticket) {
-  stateOf(Service).Queue.remove(Ticket);
+  stateOf(Service).Waiting.queue().remove(Ticket);
+}
+
+DequeuedRequest Dispatcher::refuseWaiting(std::string_view Service,
+                                          ServiceState &State, const Waiter &W,
+                                          PlacementRefusal Refusal,
+                                          TimePoint Now) {
+  return {W.Ticket, std::nullopt, Refusal, retryAfter(Service, State, W, Now)};
 }
 
 std::vector<DequeuedRequest> Dispatcher::takeReady(TimePoint Now) {
@@ -201,37 +251,43 @@
   for (auto &Item : ServiceStates) {
     const std::string &Service = Item.first;
     ServiceState &State = Item.second;
-    for (uint64_t Ticket : State.Queue.takeExpired(Now))
-      Result.push_back(
-          {Ticket, std::nullopt, retryAfter(Service, State, {}, Now)});
-    if (State.Queue.size() == 0)
+    WaitQueue &Queue = State.Waiting.queue();
+    auto Refuse = [&](const std::vector<Waiter> &Waiters,
+                      PlacementRefusal Refusal) {
+      for (const Waiter &W : Waiters)
+        Result.push_back(refuseWaiting(Service, State, W, Refusal, Now));
+    };
+    Refuse(std::exchange(State.Displaced, {}), PlacementRefusal::Displaced);
+    Refuse(Queue.takeExpired(Now), PlacementRefusal::Expired);
+    if (Queue.size() == 0)
       continue;
     // Choosing a server is slow: most waiting requests can use the same one.
-    std::optional<BackendInstance> Usual =
-        serverWithRoom(Service, State, {}, Now);
-    if (!Usual)
+    std::optional<Choice> Best = Tracker.choose({Service, {}}, Now);
+    std::optional<BackendInstance> Usual = withRoom(Best, State);
+    if (!Usual) {
+      if (Best)
+        Refuse(State.Waiting.takeOvertaken(Now), PlacementRefusal::Displaced);
       continue;
+    }
     // A request must not be dequeued for a server that has already failed it:
     // it would only join the queue again.
     std::optional<BackendInstance> Server;
-    std::optional<uint64_t> Ticket =
-        State.Queue.popFirst(Now, [&](const Waiter &W) {
-          Server = W.Excluded.empty()
-                       ? Usual
-                       : serverWithRoom(Service, State, W.Excluded, Now);
-          return Server.has_value();
-        });
+    std::optional<uint64_t> Ticket = Queue.popFirst(Now, [&](const Waiter &W) {
+      Server =
+          W.Excluded.empty()
+              ? Usual
+              : withRoom(Tracker.choose({Service, W.Excluded}, Now), State);
+      return Server.has_value();
+    });
     if (Ticket)
-      Result.push_back({*Ticket, std::move(Server), Duration(0)});
+      Result.push_back({*Ticket, std::move(Server), {}, Duration(0)});
   }
   return Result;
 }
 
 std::optional<BackendInstance>
-Dispatcher::serverWithRoom(std::string_view Service, const ServiceState &State,
-                           std::span<const std::string> Excluded,
-                           TimePoint Now) {
-  std::optional<Choice> Best = Tracker.choose({Service, Excluded}, Now);
+Dispatcher::withRoom(const std::optional<Choice> &Best,
+                     const ServiceState &State) {
   if (!Best || !hasRoom(*Best, State.IsBatched))
     return std::nullopt;
   return *Best->Server;
@@ -240,14 +296,19 @@
 size_t Dispatcher::waiting() const {
   size_t Total = 0;
   for (const auto &[Service, State] : ServiceStates)
-    Total += State.Queue.size();
+    Total += State.Waiting.queue().size();
   return Total;
 }
 
 void Dispatcher::onEnded(std::string_view Service, std::string_view Id,
-                         TimePoint Now) {
+                         TimePoint Now, double Work) {
   Tracker.onEnded(Id);
-  stateOf(Service).Drain.record(Now);
+  Admission &Waiting = stateOf(Service).Waiting;
+  // What ends during an outage says nothing about the rate after it.
+  if (Tracker.isRecovering(Service, Now))
+    Waiting.forgetRate();
+  else if (Work > 0)
+    Waiting.onCompleted(Work, Now);
 }
 
 void Dispatcher::onRequest(std::string_view Service, TimePoint Now) {
--- a/libs/dispatch/src/WaitQueue.cpp
+++ b/libs/dispatch/src/WaitQueue.cpp
@@ -1,54 +1,62 @@
-//===- WaitQueue.cpp - Requests that wait for a slot at one service -------===//
+//===- WaitQueue.cpp - Requests that wait for room at one service ---------===//
 #include "ragwort/dispatch/WaitQueue.h"
 #include <algorithm>
+#include <tuple>
 
 namespace ragwort::dispatch {
 
-void WaitQueue::push(const Waiter &W) {
-  SortKey Key(W.Priority, W.Since, W.Ticket);
-  Waiters.emplace(Key, W);
-  KeyByTicket.emplace(W.Ticket, Key);
+namespace {
+
+auto startingKey(const Waiter &W, TimePoint Now) {
+  bool GivesWay = !W.HasComeBack && !W.HasBeenSent && Now > W.OnTimeUntil;
+  return std::tuple(GivesWay, W.Priority, W.startBy(), W.Ticket);
 }
 
+} // namespace
+
 void WaitQueue::remove(uint64_t Ticket) {
-  auto Found = KeyByTicket.find(Ticket);
-  if (Found == KeyByTicket.end())
-    return;
-  Waiters.erase(Found->second);
-  KeyByTicket.erase(Found);
+  std::erase_if(Waiters,
+                [Ticket](const Waiter &W) { return W.Ticket == Ticket; });
 }
 
 std::vector<const Waiter *> WaitQueue::startingOrder(TimePoint Now) const {
   std::vector<const Waiter *> Order;
   Order.reserve(Waiters.size());
-  for (const auto &[Key, W] : Waiters)
+  for (const Waiter &W : Waiters)
     Order.push_back(&W);
-  std::stable_partition(Order.begin(), Order.end(), [Now](const Waiter *W) {
-    return Now <= W->OnTimeUntil;
-  });
+  std::sort(Order.begin(), Order.end(),
+            [Now](const Waiter *A, const Waiter *B) {
+              return startingKey(*A, Now) < startingKey(*B, Now);
+            });
   return Order;
 }
 
-std::vector<uint64_t> WaitQueue::takeExpired(TimePoint Now) {
-  std::vector<uint64_t> Expired;
-  for (const auto &[Key, W] : Waiters)
-    if (Now >= W.GiveUpAt)
-      Expired.push_back(W.Ticket);
-  for (uint64_t Ticket : Expired)
-    remove(Ticket);
+std::vector<Waiter> WaitQueue::takeExpired(TimePoint Now) {
+  auto FirstExpired = std::stable_partition(
+      Waiters.begin(), Waiters.end(),
+      [Now](const Waiter &W) { return Now < W.GiveUpAt; });
+  std::vector<Waiter> Expired(FirstExpired, Waiters.end());
+  Waiters.erase(FirstExpired, Waiters.end());
   return Expired;
 }
 
-void DrainRate::record(TimePoint Now) { Completions.push_back(Now); }
-
-std::optional<Duration> DrainRate::timeToComplete(size_t Ahead, TimePoint Now) {
-  std::erase_if(Completions, [Now](TimePoint Completion) {
-    return Now - Completion > Window;
-  });
-  if (Completions.empty())
+std::optional<Waiter> WaitQueue::displaceFor(const Waiter &W, TimePoint Now) {
+  std::vector<const Waiter *> Order = startingOrder(Now);
+  auto Last = std::find_if(Order.rbegin(), Order.rend(),
+                           [](const Waiter *Any) { return !Any->HasBeenSent; });
+  if (Last == Order.rend() || startingKey(**Last, Now) < startingKey(W, Now))
     return std::nullopt;
-  return Window * static_cast<int64_t>(Ahead) /
-         static_cast<int64_t>(Completions.size());
+  Waiter Displaced = **Last;
+  remove(Displaced.Ticket);
+  return Displaced;
+}
+
+double WaitQueue::workBefore(const Waiter &W, TimePoint Now) const {
+  double Sum = 0;
+  for (const Waiter &Other : Waiters)
+    if (startingKey(Other, Now) < startingKey(W, Now))
+      Sum += Other.Work;
+  return Sum;
 }
 
 } // namespace ragwort::dispatch
--- a/libs/gateway/include/ragwort/gateway/Forwarding.h
+++ b/libs/gateway/include/ragwort/gateway/Forwarding.h
@@ -83,6 +83,8 @@
   TimePoint Arrived;
   /// The earlier of the caller's and the route's deadline.
   TimePoint Deadline;
+  /// As far as can be told, the caller was refused before and has come back.
+  bool HasComeBack = false;
   std::shared_ptr<const TrafficConfig> Config;
   /// Points into Config.
   const Route *Target = nullptr;
@@ -121,6 +123,11 @@
   void noteSurvival();
   void noteConnectionEnd();
   void place();
+  dispatch::PlacementRequest placementRequest() const;
+  /// Logs why the request waits or is refused.
+  void logPlacement(const dispatch::Placement &P) const;
+  /// Logs why the request has left the queue without a server.
+  void logTurnedAway(const dispatch::DequeuedRequest &C) const;
   void sendTo(const dispatch::BackendInstance &Chosen);
   void writeRequest();
   std::string requestHead() const;
@@ -168,6 +175,9 @@
   // request as in flight there exactly while IsCounted.
   dispatch::BackendInstance Server;
   bool IsCounted = false;
+  // The work that the dispatcher expects of the request; 0 once the server has
+  // said that it has not run it.
+  double Work = 1;
   bool IsFreshConnection = false;
   std::shared_ptr<StreamSocket> Socket;
   ResponseParser Parser;
--- a/libs/gateway/include/ragwort/gateway/ProtocolNames.h
+++ b/libs/gateway/include/ragwort/gateway/ProtocolNames.h
@@ -41,6 +41,11 @@
   std::string RateLimit = "Ragwort-Rate-Limit";
   /// Id of the last event that the caller of a resumed stream has received.
   std::string LastEventId = "Last-Event-Id";
+  /// Number of prompt tokens and greatest number of answer tokens, separated by
+  /// a comma.
+  std::string TokenCounts = "Ragwort-Token-Counts";
+  /// The caller's estimate of the number of answer tokens.
+  std::string LengthHint = "Ragwort-Length-Hint";
   /// The parts of the request's prompt in order, as a comma-separated list.
   std::string PromptParts = "Ragwort-Prompt-Parts";
   /// Version of the model's weights that the request requires. Never accepted
--- a/libs/gateway/include/ragwort/gateway/RequestHead.h
+++ b/libs/gateway/include/ragwort/gateway/RequestHead.h
@@ -29,6 +29,16 @@
   std::optional<uint64_t> LastEventId;
 };
 
+/// The size of a request to a model; 0 where it is unknown.
+struct RequestTokens {
+  uint32_t Prompt = 0;
+  /// The expected number of answer tokens, at most the greatest allowed.
+  uint32_t Answer = 0;
+};
+
+RequestTokens readTokens(const http::Request &Message,
+                         const ProtocolNames &Names);
+
 /// The request line and the header fields, with the empty line after them.
 ///
 /// \code
--- a/libs/gateway/include/ragwort/gateway/TrafficConfig.h
+++ b/libs/gateway/include/ragwort/gateway/TrafficConfig.h
@@ -8,6 +8,7 @@
 #define RAGWORT_GATEWAY_TRAFFICCONFIG_H
 
 #include "ragwort/base/Time.h"
+#include "ragwort/dispatch/EngineSpeed.h"
 #include "ragwort/rankgroup/GroupShape.h"
 #include <cstdint>
 #include <optional>
@@ -60,6 +61,7 @@
 struct EngineSpec {
   /// How the experts of a group of ranks are arranged.
   rankgroup::GroupShape Experts;
+  dispatch::EngineSpeed Speed;
 };
 
 /// A service, provided by backend servers of the same kind.
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -124,11 +124,7 @@
   Context.Crashes.onBroken(Server, Accepted.Traits, now());
 }
 
-void Forwarding::place() {
-  CurrentPhase = Phase::Placing;
-  if (endIfQuarantined())
-    return;
-  const gateway::Service *ServiceConfig = Accepted.Config->findService(Service);
+dispatch::PlacementRequest Forwarding::placementRequest() const {
   dispatch::PlacementRequest R;
   R.Service = Service;
   R.Excluded = Excluded;
@@ -138,8 +134,65 @@
   R.ExpiresAt = std::min(Accepted.Deadline, Accepted.Arrived + callerTimeout());
   if (Flow.hasAnswerBegun())
     R.ExpiresAt = std::min(Accepted.Deadline, LastProgress + callerTimeout());
+  R.HasComeBack = Accepted.HasComeBack;
+  R.HasBeenSent = Flow.arrivals() > 0;
+  const gateway::Service *ServiceConfig = Accepted.Config->findService(Service);
   R.IsBatched = ServiceConfig && ServiceConfig->Engine;
-  dispatch::Placement P = Context.Dispatch.place(R, now());
+  if (R.IsBatched) {
+    R.Speed = ServiceConfig->Engine->Speed;
+    RequestTokens Tokens = readTokens(Accepted.Message, Context.Names);
+    R.PromptTokens = Tokens.Prompt;
+    R.AnswerTokens = Tokens.Answer;
+  }
+  return R;
+}
+
+void Forwarding::logPlacement(const dispatch::Placement &P) const {
+  if (P.Result == dispatch::Placement::Decision::Send)
+    return;
+  bool Waits = P.Result == dispatch::Placement::Decision::Wait;
+  std::string_view Reason = Waits ? "waits" : toString(P.Refusal);
+  Context.Metrics
+      .counter("ragwort_unplaced_requests_total",
+               "decision=\"" + std::string(Reason) + "\"")
+      .add();
+  logEvent(LogLevel::Info, Waits ? "request-waits" : "request-turned-away",
+           {{"request", Accepted.RequestId},
+            {"service", Service},
+            {"reason", Reason},
+            {"priority", Accepted.Priority},
+            {"work", std::to_string(P.Work)},
+            {"work_ahead", std::to_string(P.Expected.WorkAhead)},
+            {"predicted_ms",
+             P.Expected.Wait ? std::to_string(millis(*P.Expected.Wait)) : ""},
+            {"waiting", P.Waiting},
+            {"came_back", static_cast<int>(Accepted.HasComeBack)},
+            {"retry_ms", millis(P.RetryAfter)}});
+}
+
+void Forwarding::logTurnedAway(const dispatch::DequeuedRequest &C) const {
+  Context.Metrics
+      .counter("ragwort_unplaced_requests_total",
+               "decision=\"" + std::string(toString(C.Refusal)) + "\"")
+      .add();
+  logEvent(LogLevel::Info, "request-turned-away",
+           {{"request", Accepted.RequestId},
+            {"service", Service},
+            {"reason", toString(C.Refusal)},
+            {"priority", Accepted.Priority},
+            {"work", std::to_string(Work)},
+            {"waited_ms", millis(now() - Accepted.Arrived)},
+            {"came_back", static_cast<int>(Accepted.HasComeBack)},
+            {"retry_ms", millis(C.RetryAfter)}});
+}
+
+void Forwarding::place() {
+  CurrentPhase = Phase::Placing;
+  if (endIfQuarantined())
+    return;
+  dispatch::Placement P = Context.Dispatch.place(placementRequest(), now());
+  Work = P.Work;
+  logPlacement(P);
   switch (P.Result) {
   case dispatch::Placement::Decision::Send:
     sendTo(P.Server);
@@ -171,7 +224,8 @@
     return;
   }
   if (LastFault.empty())
-    LastFault = "queue-timeout";
+    LastFault = toString(C.Refusal);
+  logTurnedAway(C);
   RetryAfter = C.RetryAfter;
   carryOut(Flow.onNoBackend());
 }
@@ -435,6 +489,7 @@
                                   : dispatch::ServerFault::Full,
                     now());
   Excluded.push_back(Server.Id);
+  Work = 0;
   leaveServer(!Stated.IsReplaced);
   if (Stated.Pause)
     RetryAfter = Context.Dispatch.spread(*Stated.Pause);
@@ -496,6 +551,7 @@
     Context.Dispatch.loadTracker().onFault(
         Server.Id, dispatch::ServerFault::Unreachable, now());
     Excluded.push_back(Server.Id);
+    Work = 0;
     leaveServer(false);
     carryOut(Flow.onConnectFailed(retryConditions()));
     return;
@@ -564,7 +620,7 @@
   if (!IsCounted)
     return;
   IsCounted = false;
-  Context.Dispatch.onEnded(Service, Server.Id, now());
+  Context.Dispatch.onEnded(Service, Server.Id, now(), Work);
   Context.OnSlotFree();
 }
 
--- a/libs/gateway/src/Gateway.cpp
+++ b/libs/gateway/src/Gateway.cpp
@@ -64,6 +64,8 @@
               Metrics,
               [this](uint64_t Ticket, std::weak_ptr<Forwarding> Request) {
                 Waiting.emplace(Ticket, std::move(Request));
+                // Another request may have left the queue for this one.
+                scheduleDispatch();
               },
               [this] { scheduleDispatch(); },
               [this] { return toString(Directory.version()); }} {}
@@ -135,6 +137,7 @@
             {"before", configVersion()},
             {"routes", Newer->routeCount()}});
   Config = std::move(Newer);
+  MostTimeLeft.clear();
   return true;
 }
 
@@ -245,8 +248,14 @@
                       Active->Until - Arrived,
                       quarantine::toString(Active->Subject.Key)};
   Duration Time = Target->Timeout;
-  if (auto TimeLeft = parseMillis(Message.header(Names.TimeLeftMillis)))
+  if (auto TimeLeft = parseMillis(Message.header(Names.TimeLeftMillis))) {
+    // A caller that comes back after a Retry-After time has less time left than
+    // the others of its route.
+    Duration &Most = MostTimeLeft[Target->Name];
     Time = std::min(Time, *TimeLeft);
+    Most = std::max(Most, Time);
+    Result.HasComeBack = Most - Time >= dispatch::Admission::MinRetryAfter;
+  }
   Result.RequestId = RequestId;
   Result.Arrived = Arrived;
   Result.Deadline = Arrived + Time;
--- a/libs/gateway/src/RequestHead.cpp
+++ b/libs/gateway/src/RequestHead.cpp
@@ -2,6 +2,7 @@
 #include "ragwort/gateway/RequestHead.h"
 #include <algorithm>
 #include <array>
+#include <charconv>
 
 namespace ragwort::gateway {
 
@@ -18,6 +19,15 @@
   Text += "\r\n";
 }
 
+std::optional<uint32_t> countOf(std::string_view Text) {
+  uint32_t Count = 0;
+  auto Parsed = std::from_chars(Text.data(), Text.data() + Text.size(), Count);
+  if (Text.empty() || Parsed.ec != std::errc() ||
+      Parsed.ptr != Text.data() + Text.size())
+    return std::nullopt;
+  return Count;
+}
+
 bool isListed(std::string_view List, std::string_view Name) {
   while (!List.empty()) {
     size_t Comma = List.find(',');
@@ -63,6 +73,19 @@
 
 } // namespace
 
+RequestTokens readTokens(const http::Request &Message,
+                         const ProtocolNames &Names) {
+  std::string_view Counts = Message.header(Names.TokenCounts);
+  size_t Comma = std::min(Counts.find(','), Counts.size());
+  RequestTokens Result;
+  Result.Prompt = countOf(Counts.substr(0, Comma)).value_or(0);
+  if (Comma < Counts.size())
+    Result.Answer = countOf(Counts.substr(Comma + 1)).value_or(0);
+  if (auto Hint = countOf(Message.header(Names.LengthHint)))
+    Result.Answer = Result.Answer > 0 ? std::min(Result.Answer, *Hint) : *Hint;
+  return Result;
+}
+
 std::string makeRequestHead(const http::Request &Message,
                             const ProtocolNames &Names,
                             const SystemFields &Fields) {
--- a/libs/gateway/src/RequestHeadTest.cpp
+++ b/libs/gateway/src/RequestHeadTest.cpp
@@ -11,6 +11,8 @@
   CPPUNIT_TEST(headWhenFieldsConcernTheConnectionOmitsThem);
   CPPUNIT_TEST(headWhenNoTimeIsLeftNamesOneMillisecond);
   CPPUNIT_TEST(headWhenAStreamGoesOnNamesItsLastEvent);
+  CPPUNIT_TEST(tokensWhenStatedAreRead);
+  CPPUNIT_TEST(tokensWhenMalformedAreUnknown);
   CPPUNIT_TEST_SUITE_END();
 
   static http::Request request(HeaderFields Headers) {
@@ -91,6 +93,26 @@
     CPPUNIT_ASSERT(has(Head, "Last-Event-Id: 7"));
     CPPUNIT_ASSERT(!has(Head, "Last-Event-Id: 4"));
   }
+
+  static RequestTokens tokens(const char *Counts, const char *Hint) {
+    return readTokens(request({{"Ragwort-Token-Counts", Counts},
+                               {"Ragwort-Length-Hint", Hint}}),
+                      ProtocolNames());
+  }
+
+  void tokensWhenStatedAreRead() {
+    CPPUNIT_ASSERT_EQUAL(1460u, tokens("1460,80", "").Prompt);
+    CPPUNIT_ASSERT_EQUAL(80u, tokens("1460,80", "").Answer);
+    CPPUNIT_ASSERT_EQUAL(50u, tokens("1460,80", "50").Answer);
+    CPPUNIT_ASSERT_EQUAL(80u, tokens("1460,80", "500").Answer);
+  }
+
+  void tokensWhenMalformedAreUnknown() {
+    for (const char *Text : {"", ",", "x,y", "-3,-4", "1 ,2 ", "9e9,1e9"}) {
+      CPPUNIT_ASSERT_EQUAL(0u, tokens(Text, Text).Prompt);
+      CPPUNIT_ASSERT_EQUAL(0u, tokens(Text, Text).Answer);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RequestHeadTest);
