--- a/libs/dispatch/src/ScarceRoomTest.cpp
+++ b/libs/dispatch/src/ScarceRoomTest.cpp
@@ -241,6 +241,7 @@
   CPPUNIT_TEST(largestTenthUnderLoadIsServedHalfAsOftenAsItsRoute);
   CPPUNIT_TEST(callersThatComeBackWhenToldAreNotRefusedAgainBeforeOthers);
   CPPUNIT_TEST(refusalUnderLoadComesAtArrival);
+  CPPUNIT_TEST(displacedRequestIsRefusedAtOnceWithATimeToComeBack);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr uint64_t Seeds = 10;
@@ -305,6 +306,41 @@
                                Got[0].LongestWaitBeforeRefusal < TimeoutMillis);
       }
   }
+
+  void displacedRequestIsRefusedAtOnceWithATimeToComeBack() {
+    Dispatcher D("here", RetryBudgetLimits(), 1);
+    BackendInstance Server;
+    Server.Id = "a";
+    Server.Service = "s";
+    Server.Address = "10.0.0.1:1";
+    Server.Slots = 1;
+    BackendDirectory Directory;
+    Directory.replaceAll({Server}, {0, 1}, std::nullopt);
+    D.loadTracker().sync(Directory);
+    TimePoint Now(std::chrono::seconds(10));
+    D.onStarted("a", Now);
+    D.onStarted("a", Now);
+    PlacementRequest R;
+    R.Service = "s";
+    R.Priority = 2;
+    R.Arrived = Now;
+    R.TargetLatency = std::chrono::milliseconds(TargetMillis);
+    R.ExpiresAt = Now + std::chrono::milliseconds(TimeoutMillis);
+    Placement Last;
+    for (size_t I = 0; I < Dispatcher::MaxWaiting; ++I) {
+      Last = D.place(R, Now);
+      CPPUNIT_ASSERT(Last.Result == Placement::Decision::Wait);
+    }
+    CPPUNIT_ASSERT(D.place(R, Now).Result == Placement::Decision::Refuse);
+    R.Priority = 1;
+    CPPUNIT_ASSERT(D.place(R, Now).Result == Placement::Decision::Wait);
+    std::vector<DequeuedRequest> Ready = D.takeReady(Now);
+    CPPUNIT_ASSERT_EQUAL(size_t(1), Ready.size());
+    CPPUNIT_ASSERT_EQUAL(Last.Ticket, Ready[0].Ticket);
+    CPPUNIT_ASSERT(!Ready[0].Server);
+    CPPUNIT_ASSERT(Ready[0].Refusal == PlacementRefusal::Displaced);
+    CPPUNIT_ASSERT(Ready[0].RetryAfter >= Admission::MinRetryAfter);
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(ScarceRoomTest);
 
