--- a/libs/dispatch/include/ragwort/dispatch/Dispatcher.h
+++ b/libs/dispatch/include/ragwort/dispatch/Dispatcher.h
@@ -15,6 +15,7 @@
 #include "ragwort/dispatch/Admission.h"
 #include "ragwort/dispatch/EngineSpeed.h"
 #include "ragwort/dispatch/LoadTracker.h"
+#include "ragwort/dispatch/RefusedRequests.h"
 #include "ragwort/dispatch/RetryBudget.h"
 #include <random>
 
@@ -119,6 +120,7 @@
 
   LoadTracker &loadTracker() { return Tracker; }
   const LoadTracker &loadTracker() const { return Tracker; }
+  RefusedRequests &refused() { return Refused; }
 
   Placement place(const PlacementRequest &R, TimePoint Now);
   /// Whether a server that is not in \p Excluded has a free slot now.
@@ -201,6 +203,7 @@
                                     TimePoint Now) const;
 
   LoadTracker Tracker;
+  RefusedRequests Refused;
   const RetryBudgetLimits Budget;
   std::map<std::string, ServiceState, std::less<>> ServiceStates;
   std::mt19937_64 Random;
--- a/libs/dispatch/src/AdmissionTest.cpp
+++ b/libs/dispatch/src/AdmissionTest.cpp
@@ -1,5 +1,6 @@
 //===- AdmissionTest.cpp - Tests of Admission.h and WaitQueue.h -----------===//
 #include "ragwort/dispatch/Admission.h"
+#include "ragwort/dispatch/RefusedRequests.h"
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace ragwort::dispatch {
@@ -15,6 +16,7 @@
   CPPUNIT_TEST(waitingWhenOthersOvertakeItIsRefusedBeforeItsEnd);
   CPPUNIT_TEST(refusedRequestsAreToldToComeBackInTurn);
   CPPUNIT_TEST(requestThatCameBackStartsBeforeItsTimeRunsOut);
+  CPPUNIT_TEST(callerThatComesBackIsRecognisedForATime);
   CPPUNIT_TEST_SUITE_END();
 
   static TimePoint at(int64_t Millis) {
@@ -162,6 +164,21 @@
     Admission::Answer Answer = A.enqueue(waiter(100, 0, 901), at(901));
     CPPUNIT_ASSERT(Answer.Displaced && Answer.Displaced->Ticket != 3);
   }
+
+  void callerThatComesBackIsRecognisedForATime() {
+    RefusedRequests Refused;
+    CPPUNIT_ASSERT(!Refused.hasComeBack(1, at(0)));
+    Refused.add(1, at(0));
+    CPPUNIT_ASSERT(!Refused.hasComeBack(1, at(20)));
+    CPPUNIT_ASSERT(Refused.hasComeBack(1, at(400)));
+    CPPUNIT_ASSERT(!Refused.hasComeBack(2, at(400)));
+    CPPUNIT_ASSERT(!Refused.hasComeBack(1, at(11'000)));
+    for (uint64_t I = 0; I < 2 * RefusedRequests::MaxEntries; ++I)
+      Refused.add(100 + I, at(12'000));
+    CPPUNIT_ASSERT(!Refused.hasComeBack(100, at(13'000)));
+    CPPUNIT_ASSERT(
+        Refused.hasComeBack(99 + 2 * RefusedRequests::MaxEntries, at(13'000)));
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(AdmissionTest);
 
--- a/libs/gateway/include/ragwort/gateway/Gateway.h
+++ b/libs/gateway/include/ragwort/gateway/Gateway.h
@@ -107,8 +107,6 @@
   ForwardingContext Context;
   std::set<std::shared_ptr<CallerSession>> Sessions;
   std::unordered_map<uint64_t, std::weak_ptr<Forwarding>> Waiting;
-  // Route -> most time that one of its callers had left, in this configuration.
-  std::unordered_map<std::string, Duration> MostTimeLeft;
   bool IsDraining = false;
   bool IsDispatchScheduled = false;
 };
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -590,6 +590,7 @@
     place();
     return;
   case Step::RefuseNotRun:
+    Context.Dispatch.refused().add(Accepted.Traits.fingerprint(), now());
     sendLocalReply(503, "not-run", RetryAfter.value_or(DefaultRetryAfter));
     return;
   case Step::FailUnknown:
--- a/libs/gateway/src/Gateway.cpp
+++ b/libs/gateway/src/Gateway.cpp
@@ -137,7 +137,6 @@
             {"before", configVersion()},
             {"routes", Newer->routeCount()}});
   Config = std::move(Newer);
-  MostTimeLeft.clear();
   return true;
 }
 
@@ -248,14 +247,10 @@
                       Active->Until - Arrived,
                       quarantine::toString(Active->Subject.Key)};
   Duration Time = Target->Timeout;
-  if (auto TimeLeft = parseMillis(Message.header(Names.TimeLeftMillis))) {
-    // A caller that comes back after a Retry-After time has less time left than
-    // the others of its route.
-    Duration &Most = MostTimeLeft[Target->Name];
+  if (auto TimeLeft = parseMillis(Message.header(Names.TimeLeftMillis)))
     Time = std::min(Time, *TimeLeft);
-    Most = std::max(Most, Time);
-    Result.HasComeBack = Most - Time >= dispatch::Admission::MinRetryAfter;
-  }
+  Result.HasComeBack =
+      Dispatch.refused().hasComeBack(Result.Traits.fingerprint(), Arrived);
   Result.RequestId = RequestId;
   Result.Arrived = Arrived;
   Result.Deadline = Arrived + Time;
