--- a/libs/dispatch/include/ragwort/dispatch/LoadTracker.h
+++ b/libs/dispatch/include/ragwort/dispatch/LoadTracker.h
@@ -37,7 +37,7 @@
 #include "ragwort/dispatch/Evacuations.h"
 #include "ragwort/dispatch/PathHealth.h"
 #include "ragwort/dispatch/RateLimits.h"
-#include "ragwort/dispatch/RegionSet.h"
+#include "ragwort/dispatch/Selection.h"
 #include "ragwort/dispatch/SelfReports.h"
 #include "ragwort/dispatch/ServerHealth.h"
 #include "ragwort/dispatch/ServerSpeed.h"
@@ -67,16 +67,6 @@
   uint32_t GapMillis = 0;
 };
 
-/// The servers to which a request may be sent.
-struct Selection {
-  std::string_view Service;
-  /// Instances that have already failed or declined the request.
-  std::span<const std::string> Excluded;
-  /// The regions that the request is confined to; null if it is not. Outlives
-  /// the Selection.
-  const RegionSet *Regions = nullptr;
-};
-
 /// Why a request may be sent to none of a service's servers, although there are
 /// some.
 enum class SelectionBar : uint8_t {
--- a/libs/dispatch/src/LoadTrackerTest.cpp
+++ b/libs/dispatch/src/LoadTrackerTest.cpp
@@ -399,7 +399,7 @@
     CPPUNIT_ASSERT_EQUAL(std::string("c"), chosen(at(FromMillis)));
     Tracker->onStarted("c", at(FromMillis));
     CPPUNIT_ASSERT_EQUAL(std::string(), chosen(at(FromMillis + 1)));
-    CPPUNIT_ASSERT(Tracker->isRateLimited("s", at(FromMillis + 1)));
+    CPPUNIT_ASSERT(Tracker->isRateLimited({"s", {}}, at(FromMillis + 1)));
     CPPUNIT_ASSERT(Tracker->pauseEnd({"s", {}}, at(FromMillis + 1)) ==
                    at(FromMillis) + ColdServers::Window);
   }
@@ -416,7 +416,7 @@
   void choiceWhenAPeerSaysAServerIsColdTakesItOnlyAtItsTurns() {
     std::vector<ColdReport> Reports = {{{hash64("c"), 2}, 3000}};
     Tracker->onPeerCold(Reports, at(0));
-    CPPUNIT_ASSERT(!Tracker->isRateLimited("s", at(0)));
+    CPPUNIT_ASSERT(!Tracker->isRateLimited({"s", {}}, at(0)));
     Tracker->setWarmUps({{"s", {std::chrono::seconds(3), 1}}}, at(0));
     Tracker->setKnownNodes(1, {}, 1);
     Tracker->onPeerCold(Reports, at(10));
--- a/libs/gateway/include/ragwort/gateway/TrafficConfig.h
+++ b/libs/gateway/include/ragwort/gateway/TrafficConfig.h
@@ -9,6 +9,7 @@
 
 #include "ragwort/base/Time.h"
 #include "ragwort/dispatch/ColdServers.h"
+#include "ragwort/dispatch/EngineSpeed.h"
 #include "ragwort/dispatch/RegionSet.h"
 #include "ragwort/rankgroup/GroupShape.h"
 #include <cstdint>
@@ -65,6 +66,7 @@
 struct EngineSpec {
   /// How the experts of a group of ranks are arranged.
   rankgroup::GroupShape Experts;
+  dispatch::EngineSpeed Speed;
 };
 
 /// A service, provided by backend servers of the same kind.
--- a/libs/gateway/src/Gateway.cpp
+++ b/libs/gateway/src/Gateway.cpp
@@ -92,6 +92,8 @@
               Memory,
               [this](uint64_t Ticket, std::weak_ptr<Forwarding> Request) {
                 Waiting.emplace(Ticket, std::move(Request));
+                // Another request may have left the queue for this one.
+                scheduleDispatch();
               },
               [this] { scheduleDispatch(); },
               [this] { return toString(Directory.version()); }} {
@@ -308,6 +310,8 @@
   Duration Time = Target->Timeout;
   if (auto TimeLeft = parseMillis(Message.header(Names.TimeLeftMillis)))
     Time = std::min(Time, *TimeLeft);
+  Result.HasComeBack =
+      Dispatch.refused().hasComeBack(Result.Traits.fingerprint(), Arrived);
   Result.RequestId = RequestId;
   Result.Arrived = Arrived;
   Result.Deadline = Arrived + Time;
