--- a/libs/dispatch/src/ColdServersTest.cpp
+++ b/libs/dispatch/src/ColdServersTest.cpp
@@ -128,6 +128,7 @@
     const ColdServers &Node = Fleet.Nodes[0];
     size_t Before = 0;
     for (int64_t T = 3000; T < 5000; T += 250) {
+      CPPUNIT_ASSERT(Node.ownSends(Run, at(T)).has_value());
       size_t Sends = *Node.ownSends(Run, at(T));
       CPPUNIT_ASSERT(Sends >= Before && Sends <= Before + 2);
       Before = Sends;
