Expert maps: demand counts as settled a while after a shift, whatever is counted

Cause: while demand shifts nothing is planned until counts have settled. Change: 600 ms after a shift was seen the demand counts as settled.

--- a/libs/rankgroup/include/ragwort/rankgroup/Popularity.h
+++ b/libs/rankgroup/include/ragwort/rankgroup/Popularity.h
@@ -20,7 +20,7 @@
 ///
 /// \code
 ///   Demand.add(Selections, Now);
-///   if (Demand.isSettled())
+///   if (Demand.isSettled(Now))
 ///     planSet(InUse, {Demand.weightsOf(0), Slowdown}, Limits);
 /// \endcode
 class Popularity {
@@ -38,6 +38,10 @@
   /// Demand that shifts in this many batches in a row is unsteady rather than
   /// in transition, and counts as settled.
   static constexpr uint32_t MaxShiftingBatches = 6;
+  /// Demand counts as settled this long after a shift was seen, whatever has
+  /// been counted since: slow passes make few counts, and a map that is partly
+  /// right is better for them than the old one.
+  static constexpr Duration MaxSettling = std::chrono::milliseconds(600);
 
   Popularity(uint32_t Sets, uint32_t Experts);
 
@@ -50,7 +54,9 @@
   double totalWeight() const;
   /// False while demand shifts: the weights may then be a mixture of the
   /// demand before and after the shift.
-  bool isSettled() const { return ShiftingBatches == 0; }
+  bool isSettled(TimePoint Now) const {
+    return ShiftingBatches == 0 || Now - ShiftSeenAt >= MaxSettling;
+  }
   /// Mean age of the counts at \p Now, by weight; zero if there are none.
   Duration meanAge(TimePoint Now) const;
 
@@ -71,6 +77,8 @@
   double UsualDistance = 0;
   // Number of batches in a row, up to the latest one, at which demand shifted.
   uint32_t ShiftingBatches = 0;
+  // When the first of them ended.
+  TimePoint ShiftSeenAt{};
   // Weight of all counts of the first set, and the sum of their ages at
   // LastUpdate, in seconds and by weight.
   double AgeWeight = 0;
--- a/libs/rankgroup/src/GroupController.cpp
+++ b/libs/rankgroup/src/GroupController.cpp
@@ -118,10 +118,10 @@
 
 void GroupController::onCounts(
     const std::vector<std::vector<uint64_t>> &Selections, TimePoint Now) {
-  bool WasSettled = Demand.isSettled();
+  bool WasSettled = Demand.isSettled(Now);
   Demand.add(Selections, Now);
   // The map no longer fits, so the next plan is made without delay.
-  if (!WasSettled && Demand.isSettled())
+  if (!WasSettled && Demand.isSettled(Now))
     LastPlan = TimePoint();
 }
 
@@ -158,7 +158,7 @@
 
 void GroupController::observe(double Skew, uint64_t VersionInUse,
                               TimePoint Now) {
-  if (!Demand.isSettled()) {
+  if (!Demand.isSettled(Now)) {
     if (!ShiftingSince)
       ShiftingSince = Now;
     return;
@@ -230,7 +230,7 @@
   double Skew = skewInUse(*InUse, Slowdown);
   observe(Skew, HeldExperts[0].MapVersion, Now);
   // No plan can be better than an even load, which has a skew of 1.
-  if (!Demand.isSettled() || Skew * (1 - MinGain) < 1 ||
+  if (!Demand.isSettled(Now) || Skew * (1 - MinGain) < 1 ||
       (!IsRestDue && arePassesFastEnough(Skew, Running)))
     return std::nullopt;
   ExpertMap Target;
--- a/libs/rankgroup/src/Popularity.cpp
+++ b/libs/rankgroup/src/Popularity.cpp
@@ -61,6 +61,8 @@
   bool HasShifted =
       UsualDistance > 0 &&
       Distance > std::max(MinShiftDistance, ShiftFactor * UsualDistance);
+  if (HasShifted && ShiftingBatches == 0)
+    ShiftSeenAt = LastUpdate;
   ShiftingBatches = HasShifted ? ShiftingBatches + 1 : 0;
   if (ShiftingBatches > MaxShiftingBatches)
     ShiftingBatches = 0;
--- a/libs/rankgroup/src/PopularityTest.cpp
+++ b/libs/rankgroup/src/PopularityTest.cpp
@@ -10,6 +10,7 @@
   CPPUNIT_TEST(weightsWhenDemandShiftsHoldOnlyTheNewDemand);
   CPPUNIT_TEST(weightsWhenDemandIsSteadyStaySettled);
   CPPUNIT_TEST(weightsWhenDemandNeverSettlesCountAsSettled);
+  CPPUNIT_TEST(weightsWhenFewCountsFollowAShiftCountAsSettledInTime);
   CPPUNIT_TEST(ageWhenCountsDecayIsOfTheRecentOnes);
   CPPUNIT_TEST_SUITE_END();
 
@@ -46,13 +47,13 @@
     Popularity P(Sets, Experts);
     for (int I = 0; I < 60; ++I)
       addReport(P, 3);
-    CPPUNIT_ASSERT(P.isSettled());
+    CPPUNIT_ASSERT(P.isSettled(at(Millis)));
     for (uint32_t I = 0; I < Popularity::BatchReports; ++I)
       addReport(P, 4);
-    CPPUNIT_ASSERT(!P.isSettled());
+    CPPUNIT_ASSERT(!P.isSettled(at(Millis)));
     for (uint32_t I = 0; I < Popularity::BatchReports; ++I)
       addReport(P, 4);
-    CPPUNIT_ASSERT(P.isSettled());
+    CPPUNIT_ASSERT(P.isSettled(at(Millis)));
     // The noise of a share's estimate from 12 reports is below 10%. With any
     // counts from before the shift, expert 3 would have several times its
     // share.
@@ -64,7 +65,7 @@
     Popularity P(Sets, Experts);
     for (int I = 0; I < 2000; ++I) {
       addReport(P, 3);
-      CPPUNIT_ASSERT(P.isSettled());
+      CPPUNIT_ASSERT(P.isSettled(at(Millis)));
     }
   }
 
@@ -77,11 +78,28 @@
     for (uint32_t Batch = 0; Batch <= Popularity::MaxShiftingBatches; ++Batch) {
       for (uint32_t I = 0; I < Popularity::BatchReports; ++I)
         addReport(P, 4 + Batch);
-      HasSettled = P.isSettled();
+      HasSettled = P.isSettled(at(Millis));
     }
     CPPUNIT_ASSERT(HasSettled);
   }
 
+  // Slow passes: the reports after the shift have no counts.
+  void weightsWhenFewCountsFollowAShiftCountAsSettledInTime() {
+    Popularity P(Sets, Experts);
+    for (int I = 0; I < 60; ++I)
+      addReport(P, 3);
+    for (uint32_t I = 0; I < Popularity::BatchReports; ++I)
+      addReport(P, 4);
+    CPPUNIT_ASSERT(!P.isSettled(at(Millis)));
+    TimePoint Seen = at(Millis);
+    std::vector<std::vector<uint64_t>> None(Sets,
+                                            std::vector<uint64_t>(Experts, 0));
+    while (at(Millis) - Seen < Popularity::MaxSettling)
+      P.add(None, at(Millis += 10));
+    CPPUNIT_ASSERT(P.isSettled(at(Millis)));
+    CPPUNIT_ASSERT(P.totalWeight() > 0);
+  }
+
   void ageWhenCountsDecayIsOfTheRecentOnes() {
     Popularity P(Sets, Experts);
     addReport(P, 3);
