--- a/libs/dispatch/src/ColdServersTest.cpp
+++ b/libs/dispatch/src/ColdServersTest.cpp
@@ -124,7 +124,7 @@
     Fleet.press(0, 3000, 1);
     Fleet.Sends.clear();
     Fleet.press(3000, 3000 + 500, 1);
-    CPPUNIT_ASSERT(Fleet.Sends.size() <= 2 * 28);
+    CPPUNIT_ASSERT(Fleet.Sends.size() <= size_t(2) * 28);
     const ColdServers &Node = Fleet.Nodes[0];
     size_t Before = 0;
     for (int64_t T = 3000; T < 5000; T += 250) {
--- a/libs/dispatch/src/GroupOpeningTest.cpp
+++ b/libs/dispatch/src/GroupOpeningTest.cpp
@@ -79,11 +79,13 @@
   /// \p PerSecond requests a second until \p EndMillis.
   void addTraffic(double PerSecond, int64_t FromMillis, int64_t EndMillis) {
     std::exponential_distribution<double> Gap(PerSecond / 1000);
-    for (auto T = static_cast<double>(FromMillis);
-         T < static_cast<double>(EndMillis); T += Gap(Random))
-      Events.at(static_cast<int64_t>(T), [this] {
+    auto Next = static_cast<double>(FromMillis);
+    while (Next < static_cast<double>(EndMillis)) {
+      Events.at(static_cast<int64_t>(Next), [this] {
         attempt(*All[Random() % Nodes], {Events.now(), 0, {}});
       });
+      Next += Gap(Random);
+    }
   }
 
   void crash(size_t Index) {
