--- a/libs/dispatch/src/LoadTrackerTest.cpp
+++ b/libs/dispatch/src/LoadTrackerTest.cpp
@@ -385,8 +385,8 @@
         Tracker->onFault("c", ServerFault::NotConnected, at(T));
         Tracker->onEnded("c");
       }
-    auto Most =
-        static_cast<int>(3000 * 1000 / ServerHealth::TrialInterval.count());
+    auto Most = static_cast<int>(Duration(std::chrono::seconds(3)) /
+                                 ServerHealth::TrialInterval);
     CPPUNIT_ASSERT(Sends >= 1 && Sends <= Most);
     Tracker->onConnected("c");
     CPPUNIT_ASSERT_EQUAL(std::string("c"), chosen(at(12'000)));
