--- a/libs/fleet/src/PeerHeartbeatTest.cpp
+++ b/libs/fleet/src/PeerHeartbeatTest.cpp
@@ -159,8 +159,8 @@
 
   void coldServersWhenEncodedAreAllSent() {
     std::vector<dispatch::ColdReport> Reports;
-    for (uint32_t I = 0; I < 300; ++I)
-      Reports.push_back({{I, I * 1000}, I});
+    for (uint64_t I = 0; I < 300; ++I)
+      Reports.push_back({{I, I * 1000}, static_cast<uint32_t>(I)});
     std::vector<dispatch::ColdReport> Back;
     for (const std::string &Bytes : encodeCold(Reports)) {
       CPPUNIT_ASSERT(Bytes.size() <= MaxPeerDatagramBytes);
