Expert maps: a rank that stood still does not delay the changes after it

Cause: the pass before which a change is held lay as far ahead as the last arming took. Change: arming is expected to take at most twice the time that is assumed without a measurement.

--- a/libs/rankgroup/src/GroupController.cpp
+++ b/libs/rankgroup/src/GroupController.cpp
@@ -19,6 +19,10 @@
 // that a rank can have.
 constexpr double MaxSlowdown = 20;
 
+// Most time that arming is expected to take, as a multiple of the time without
+// any measurement.
+constexpr double MaxArmingFactor = 2;
+
 // Weight of the newest sample in the moving average of the pass time.
 constexpr double PassTimeSmoothing = 0.4;
 
@@ -101,7 +105,11 @@
   double Millis =
       std::chrono::duration<double, std::milli>(Times.Armed - Times.Prepared)
           .count();
-  ArmingMillis = std::max(Millis, ArmingMillis / 2);
+  // A change that waited for a rank that stood still says nothing about the
+  // next: held far ahead, that would wait for many passes.
+  double MostMillis =
+      MaxArmingFactor * ArmMillisPerRank * static_cast<double>(Reports.size());
+  ArmingMillis = std::min(std::max(Millis, ArmingMillis / 2), MostMillis);
 }
 
 bool GroupController::onExperts(uint32_t Rank, RankExperts Experts) {
--- a/libs/rankgroup/src/GroupControllerTest.cpp
+++ b/libs/rankgroup/src/GroupControllerTest.cpp
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(expertsWhenOutsideTheShapeAreIgnored);
   CPPUNIT_TEST(changeWhenArmingTakesPassesHoldsOneFurtherAhead);
   CPPUNIT_TEST(changeWhenTheLastOneArmedWithinAPassHoldsTheNearestPass);
+  CPPUNIT_TEST(changeWhenTheLastOneWaitedForARankHoldsTheNearestPass);
   CPPUNIT_TEST(planWhenFewRanksShareALargeSkewIsMadeAsAWhole);
   CPPUNIT_TEST(versionsWhenTwoControllersPlanDiffer);
   CPPUNIT_TEST(ordersWhenTwoControllersSendThemHaveDifferentNumbers);
@@ -174,9 +175,9 @@
     CPPUNIT_ASSERT_EQUAL(uint64_t(21 + 2 + 2), C.mapSwitch().heldStep());
   }
 
-  void changeWhenTheLastOneArmedWithinAPassHoldsTheNearestPass() {
-    // The answers of all ranks take 20 ms. With one resend, 60 ms later, they
-    // fit into the pass that lies between the order and the held pass.
+  /// Passes from the one in which a change is prepared to the one it is held
+  /// before, if the last change took 20 ms and \p DelayMillis to arm.
+  static uint64_t passesAheadAfter(int64_t DelayMillis) {
     GroupController C = controllerWithPasses(90, 20);
     auto Report = [&](uint64_t Pass, int64_t Millis, uint64_t InUse,
                       std::optional<uint64_t> Prepared) {
@@ -195,7 +196,8 @@
     uint64_t Version = C.plan(at(1800))->Version;
     Report(21, 1890, 0, Version);
     CPPUNIT_ASSERT_EQUAL(uint64_t(21 + 2 + 1), C.mapSwitch().heldStep());
-    for (int64_t Millis = 1890; Millis <= 1910; Millis += 10)
+    for (int64_t Millis :
+         {int64_t(1890), 1900 + DelayMillis, 1910 + DelayMillis})
       for (const OutgoingOrder &O : C.mapSwitch().takeOrders(at(Millis)))
         C.mapSwitch().onAnswer(O.Rank, O.Number, OrderAnswer::Accepted,
                                at(Millis + 10));
@@ -204,13 +206,24 @@
         1, std::vector<uint64_t>(Experts, 100));
     Selections[0][5] = 10'000;
     for (uint64_t Pass = 24; Pass <= 60; ++Pass) {
-      int64_t Millis = static_cast<int64_t>(Pass) * 90;
+      int64_t Millis = DelayMillis + static_cast<int64_t>(Pass) * 90;
       Report(Pass, Millis, Version, std::nullopt);
       C.onCounts(Selections, at(Millis));
     }
-    Version = C.plan(at(5400))->Version;
-    Report(61, 5490, 0, Version);
-    CPPUNIT_ASSERT_EQUAL(uint64_t(61 + 2), C.mapSwitch().heldStep());
+    Version = C.plan(at(DelayMillis + 5400))->Version;
+    Report(61, DelayMillis + 5490, 0, Version);
+    return C.mapSwitch().heldStep() - 61;
+  }
+
+  void changeWhenTheLastOneArmedWithinAPassHoldsTheNearestPass() {
+    // The answers of all ranks take 20 ms. With one resend, 60 ms later, they
+    // fit into the pass that lies between the order and the held pass.
+    CPPUNIT_ASSERT_EQUAL(uint64_t(2), passesAheadAfter(0));
+  }
+
+  // A rank that stood still for four seconds does not delay later changes.
+  void changeWhenTheLastOneWaitedForARankHoldsTheNearestPass() {
+    CPPUNIT_ASSERT_EQUAL(uint64_t(2), passesAheadAfter(4000));
   }
 
   void planWhenFewRanksShareALargeSkewIsMadeAsAWhole() {
