--- /dev/null
+++ b/review/1/case.py
@@ -0,0 +1,113 @@
+"""A replica spoils one digit of an event id in a short stream.
+
+The stream is resumable and the answer's framing is intact. The requester must
+get a whole answer, a failure, or an answer that visibly ends early.
+"""
+
+import asyncio
+import os
+import sys
+
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "../lib"))
+from rig import TROUBLE, Channel, Rig, main  # noqa: E402
+
+EVENTS = 4
+# Doses of `garble` in the site file: this share of the replicas spoils this
+# share of its answers.
+SPOILING_SHARE = 0.6
+SPOILED_ANSWERS = 0.03
+CLIENTS = 12
+PLAY_S = 25
+
+
+class Case(Rig):
+    def config(self):
+        return {"routes": [self.route("lohu930", "streaming", "drafts", resumable=True)],
+                "services": [{"name": "drafts"}]}
+
+    async def prepare(self):
+        await self.add_replicas("drafts", 5)
+        self.spoiling = set(r.id for r in self.replicas[:int(5 * SPOILING_SHARE)])
+        self.spoiled = {}
+
+    async def serve(self, replica, target, headers, body, reader, writer):
+        request_id = headers["request-id"]
+        after = int(headers.get("last-event-id", 0))
+        events = [f"id: {n}\ndata: {request_id}-{n}\n\n"
+                  for n in range(after + 1, EVENTS + 1)]
+        if TROUBLE and after == 0 and replica.id in self.spoiling and \
+                self.random.random() < SPOILED_ANSWERS:
+            # One byte of the third event is wrong.
+            events[2] = events[2].replace("id: 3\n", "id: 8\n")
+            self.spoiled[request_id] = replica.id
+            self.record.write("spoiled", request=request_id, replica=replica.id)
+        # A short draft is written by one step of the batch.
+        await asyncio.sleep(0.02)
+        text = "".join(events).encode()
+        chunk = b"%x\r\n%s\r\n" % (len(text), text) if text else b""
+        writer.write(replica.head(request_id, extra="Content-Type: text/event-stream\r\n"
+                                  "Transfer-Encoding: chunked\r\n\r\n") + chunk + b"0\r\n\r\n")
+        return True
+
+    async def client(self, number, until):
+        channel = Channel(self, self.entries[number % len(self.entries)])
+        while self.record.now() < until:
+            await asyncio.sleep(self.random.uniform(0.02, 0.1))
+            try:
+                if not channel.is_open():
+                    await channel.open()
+                request_id = await channel.send("POST", "/lohu930/2f", body=b"x" * 200,
+                                                extra="Model: m\r\nToken-Counts: 40,20\r\n")
+                self.record.write("sent", request=request_id, entry=channel.entry.name)
+                self.check(request_id, *await asyncio.wait_for(self.read(channel.reader), 9))
+            except asyncio.TimeoutError:
+                self.record.write("no-answer", request=request_id)
+                channel.close()
+            except (OSError, asyncio.IncompleteReadError) as reason:
+                self.record.write("channel-ended", request=request_id, reason=repr(reason))
+                channel.close()
+        channel.close()
+
+    @staticmethod
+    async def read(reader):
+        """Returns the status line, the headers and the body of one answer."""
+        first = (await reader.readuntil(b"\r\n")).decode("latin-1").strip()
+        headers = {}
+        while line := (await reader.readuntil(b"\r\n")).decode("latin-1").strip():
+            name, _, value = line.partition(":")
+            headers[name.lower()] = value.strip()
+        if headers.get("transfer-encoding") != "chunked":
+            return first, headers, await reader.readexactly(
+                int(headers.get("content-length", 0)))
+        body = b""
+        while size := int(await reader.readuntil(b"\r\n"), 16):
+            body += (await reader.readexactly(size + 2))[:-2]
+        await reader.readuntil(b"\r\n")
+        return first, headers, body
+
+    def check(self, request_id, first, headers, body):
+        words = first.split(" ")
+        status = int(words[1]) if len(words) > 1 and words[1].isdigit() else -1
+        self.record.write("answered", request=request_id, line=repr(first),
+                          bytes=len(body), spoiled=int(request_id in self.spoiled))
+        self.statuses[status] = self.statuses.get(status, 0) + 1
+        expected = "".join(f"id: {n}\ndata: {request_id}-{n}\n\n"
+                           for n in range(1, EVENTS + 1)).encode()
+        if words[0] != "HTTP/1.1" or not 100 <= status <= 599:
+            self.violations.append(
+                f"MIXED: request {request_id} got {first!r}, which is no answer in the protocol")
+        elif 200 <= status < 300 and body != expected:
+            self.violations.append(f"MIXED: request {request_id} got a success with {body!r}")
+
+    async def play(self):
+        self.violations = []
+        self.statuses = {}
+        begin = self.record.now()
+        await asyncio.gather(*(self.client(n, begin + PLAY_S) for n in range(CLIENTS)))
+        self.record.write("summary", statuses=self.statuses, spoiled=len(self.spoiled))
+        if not self.statuses.get(200):
+            self.violations.append("no request was served")
+        return self.violations
+
+
+main(Case, __file__)
