--- a/review/1/case.py
+++ b/review/1/case.py
@@ -12,18 +12,18 @@
 from rig import TROUBLE, Channel, Rig, main  # noqa: E402
 
 EVENTS, EVENT_INTERVAL_S = 5, 0.02
-SHORT, USUAL = "/lohu930/short", "/lohu930/2f"
-# Doses of `garble` in the site file: this share of the replicas spoils this
-# share of its answers.
-SPOILING_SHARE = 0.6
-SPOILED_ANSWERS = 0.03
-CLIENTS = 12
-PLAY_S = 25
+SHORT, USUAL = "/draft/short", "/draft/2f"
+# Within the doses of `garble`: this share of the replicas spoils this share of
+# its answers.
+SPOILING_SHARE = 0.4
+SPOILED_ANSWERS = 0.02
+CLIENTS = 20
+PLAY_S = 40
 
 
 class Case(Rig):
     def config(self):
-        return {"routes": [self.route("lohu930", "streaming", "drafts", resumable=True)],
+        return {"routes": [self.route("draft", "streaming", "drafts", resumable=True)],
                 "services": [{"name": "drafts"}]}
 
     async def prepare(self):
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -22,7 +22,7 @@
 
 class Case(Rig):
     def config(self):
-        return {"routes": [self.route("lohu930", "streaming", "drafts", maxAttempts=1)],
+        return {"routes": [self.route("draft", "streaming", "drafts", maxAttempts=1)],
                 "services": [{"name": "drafts"}]}
 
     async def prepare(self):
@@ -65,14 +65,14 @@
         if not channel.is_open():
             self.record.write("channel-closed-before-use", entry=channel.entry.name)
             return None
-        return await self.request(channel, "/lohu930/long")
+        return await self.request(channel, "/draft/long")
 
     async def play(self):
         entry = self.entries[0]
         channels = [Channel(self, entry) for _ in range(CHANNELS)]
         for channel in channels:
             await channel.open()
-            if (await self.request(channel, "/lohu930/short"))[2] != "200":
+            if (await self.request(channel, "/draft/short"))[2] != "200":
                 return ["a request before the SIGTERM was not served"]
         await asyncio.sleep(3.5)
         begin = self.record.now()
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -25,7 +25,7 @@
 
 class Case(Rig):
     def config(self):
-        return {"routes": [self.route("puxa403", "unsafe", "portal", timeoutMs=2500,
+        return {"routes": [self.route("topup", "unsafe", "portal", timeoutMs=2500,
                                       targetLatencyMs=150, maxAttempts=1)],
                 "services": [{"name": "portal"}]}
 
@@ -47,7 +47,7 @@
             try:
                 if not channel.is_open():
                     await channel.open()
-                request_id = await channel.send("POST", "/puxa403/2f", 2500, b"x" * 300)
+                request_id = await channel.send("POST", "/topup/2f", 2500, b"x" * 300)
                 self.sent[request_id] = self.record.now()
                 self.record.write("sent", request=request_id, entry=channel.entry.name)
                 first, _, _ = await asyncio.wait_for(channel.read_answer(), 4)
--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -29,9 +29,9 @@
 DRAIN_S = 2.0
 STABLE_WINDOW_S = 3.0
 HEARTBEAT_S = 1.2
-HOST = "ficu95.example"
-KEY = "n2ctnfzs989anu6wsjnb"
-TENANT = "hule930"
+HOST = "api.example"
+KEY = "key-one"
+TENANT = "org-one"
 
 
 class CannotRun(Exception):
@@ -288,8 +288,8 @@
         lines = {
             "node": self.name, "role": "entry", "machineClass": "edge",
             "serves": "edge,control", "ip": self.ip, "zone": self.zone,
-            "region": "lk-west",
-            **{f"zones.{z}": "lk-west" for z in rig.zones},
+            "region": "region-one",
+            **{f"zones.{z}": "region-one" for z in rig.zones},
             "listen.front": f"{self.ip}:{rig.ports[0]}",
             "listen.ready": f"{self.ip}:{rig.ports[1]}",
             "listen.control": f"{self.ip}:{rig.ports[2]}",
@@ -406,7 +406,7 @@
 class Rig:
     """The deployment of one run. A case derives from it."""
 
-    zones = ["colombo-a", "gampaha-b", "kalutara-c"]
+    zones = ["zone-a", "zone-b", "zone-c"]
 
     def __init__(self, folder, entries=3):
         self.folder = folder
@@ -530,6 +530,9 @@
     logging.getLogger("asyncio").setLevel(logging.ERROR)
 
     async def run():
+        # A run that is ended early still ends its processes.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel)
         rig = make_rig(os.path.dirname(os.path.abspath(file)))
         try:
             await rig.start()
@@ -556,7 +559,9 @@
 
     try:
         code = asyncio.run(run())
-    except CannotRun as reason:
-        print(f"cannot run: {reason}")
+    except (CannotRun, asyncio.CancelledError) as reason:
+        print(f"cannot run: {reason!r}")
         code = 2
-    sys.exit(code)
+    # Without the teardown of the channels that are still open.
+    sys.stdout.flush()
+    os._exit(code)
