--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -540,7 +540,7 @@
             failed = [e.name for e in rig.entries if e.popen.returncode not in (None, 0)]
             if failed:
                 violations = violations + [f"exited unexpectedly: {failed}"]
-        except (CannotRun, asyncio.TimeoutError, OSError) as reason:
+        except Exception as reason:  # A fault of the case shows nothing of the rule.
             rig.record.write("cannot-run", reason=repr(reason))
             print(f"cannot run: {reason!r}")
             return 2
