--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -559,7 +559,7 @@
 
     try:
         code = asyncio.run(run())
-    except (CannotRun, asyncio.CancelledError) as reason:
+    except (Exception, asyncio.CancelledError) as reason:
         print(f"cannot run: {reason!r}")
         code = 2
     # Without the teardown of the channels that are still open.
