Log answers to other requests, unexpected bytes, and the size of each answer

Neither logs nor metrics could tell the hypotheses of the incident apart: a skipped answer left no line, bytes on an idle connection neither, and the end of a request did not say how much its caller got or whether the server's answer had an end of its own. No behaviour changes.

--- a/libs/gateway/include/ragwort/gateway/Forwarding.h
+++ b/libs/gateway/include/ragwort/gateway/Forwarding.h
@@ -150,6 +150,8 @@
   /// Tells the tracker what the response says of its server.
   void noteStatement();
   bool isOtherRequestsAnswer() const;
+  /// Records that the server has answered another request on this connection.
+  void noteForeignAnswer() const;
   /// Complete events have arrived.
   void noteEvents();
   void forwardBody();
@@ -226,6 +228,8 @@
   TimePoint LastProgress{};
   TimePoint NextProgressCheck{};
   Duration TimeToFirstByte{0};
+  // Bytes of the answer that the caller was sent.
+  size_t AnswerBytes = 0;
   // Longest pause between two events received on the same send.
   Duration LongestGap{0};
   // No retry is possible: only the deadline still applies.
--- a/libs/gateway/src/BackendPool.cpp
+++ b/libs/gateway/src/BackendPool.cpp
@@ -1,5 +1,6 @@
 //===- BackendPool.cpp - Idle connections to backend servers --------------===//
 #include "ragwort/gateway/BackendPool.h"
+#include "ragwort/observe/Log.h"
 #include <algorithm>
 
 namespace ragwort::gateway {
@@ -39,7 +40,11 @@
     return std::move(Socket);
   }
   // Data received while no request is pending belongs to no request.
-  void onBytes(std::string_view) override { Owner.drop(this); }
+  void onBytes(std::string_view Bytes) override {
+    logEvent(LogLevel::Info, "unexpected-bytes",
+             {{"instance", Id}, {"bytes", Bytes.size()}});
+    Owner.drop(this);
+  }
   void onEnd(SocketEnd) override { Owner.drop(this); }
 
   const std::string Id;
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -354,6 +354,8 @@
       // A late answer to an earlier request may precede the answer to this one.
       Parser.takeBody();
       SkippedBytes += Taken;
+      if (Stage == ParseStage::Done && !Parser.isInterim())
+        noteForeignAnswer();
       if (Stage != ParseStage::Done)
         return;
       Parser = ResponseParser();
@@ -372,6 +374,16 @@
   }
 }
 
+void Forwarding::noteForeignAnswer() const {
+  Context.Metrics.counter("ragwort_foreign_answers_total").add();
+  const http::ResponseHead &H = Parser.head();
+  logEvent(LogLevel::Info, "foreign-answer",
+           {{"request", Accepted.RequestId},
+            {"instance", Server.Id},
+            {"answered", H.header(Context.Names.RequestId)},
+            {"status", H.Status}});
+}
+
 void Forwarding::noteStatement() {
   dispatch::LoadTracker &Tracker = Context.Dispatch.loadTracker();
   Stated = readStatement(Parser.head(), Context.Names, Server.Id);
@@ -441,6 +453,7 @@
     Flow.onAnswerBegun();
     Sink->beginStream(Head);
   }
+  AnswerBytes += Complete.size();
   Sink->continueStream(Complete);
   armTimer();
   if (Sink->unsent() > Context.Memory->unreadLimit())
@@ -537,6 +550,7 @@
   http::ResponseHead Answer = Parser.head();
   if (TimeToFirstByte.count() == 0)
     TimeToFirstByte = now() - Accepted.Arrived;
+  AnswerBytes += Body.size();
   leaveServer(true);
   AnswerSink *Last = Sink;
   Sink = nullptr;
@@ -860,6 +874,8 @@
        {"sends", Flow.sends()},
        {"fault", LastFault},
        {"events", Events.events()},
+       {"bytes", AnswerBytes},
+       {"framed", static_cast<int>(Parser.isFramed())},
        {"first_ms", millis(TimeToFirstByte)},
        {"longest_gap_ms", millis(LongestGap)},
        {"total_ms", millis(Total)},
