--- /dev/null
+++ b/libs/gateway/src/SpoiledAnswerTest.cpp
@@ -0,0 +1,261 @@
+//===- SpoiledAnswerTest.cpp - Answers of servers that misbehave ----------===//
+//
+// Servers that spoil an event, repeat an answer or continue a stream with
+// something else. The caller must receive one whole answer, a failure, or an
+// answer that visibly ends early.
+//
+//===----------------------------------------------------------------------===//
+#include "GatewayFixture.h"
+#include "ragwort/base/Bytes.h"
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace ragwort::gateway {
+
+class SpoiledAnswerTest : public GatewayFixture {
+  CPPUNIT_TEST_SUITE(SpoiledAnswerTest);
+  CPPUNIT_TEST(streamWhenItsLastEventIsSpoiledIsContinuedElsewhere);
+  CPPUNIT_TEST(streamWhenSpoiledAfterItHasBegunIsContinuedElsewhere);
+  CPPUNIT_TEST(streamWhenItsLastEventIsRepeatedKeepsEveryEvent);
+  CPPUNIT_TEST(streamWhenAnEventHasNoIdAfterOthersIsContinuedElsewhere);
+  CPPUNIT_TEST(answerWhenTooLargeIsReplacedByAnotherServers);
+  CPPUNIT_TEST(streamWhenContinuedWithoutEventsIsCut);
+  CPPUNIT_TEST(streamWhenWithoutLengthAndRepeatedIsForwardedOnce);
+  CPPUNIT_TEST(answerWhenWithoutLengthAndRepeatedIsNotForwarded);
+  CPPUNIT_TEST(answerWhenRepeatedLateIsNotTakenForTheNext);
+  CPPUNIT_TEST(answerWhenRepeatedWithinTheNextIsNotForwarded);
+  CPPUNIT_TEST_SUITE_END();
+
+  /// Opens a connection to each server that the gateway keeps.
+  void warmUp() {
+    for (auto &S : Servers)
+      S->Always = served("warm");
+    for (int I = 0; !Servers[0]->Connections || !Servers[1]->Connections; ++I) {
+      CPPUNIT_ASSERT(I < 100);
+      exchange(request("/safe/", "warm" + std::to_string(I)));
+    }
+    for (auto &S : Servers) {
+      S->Always = nullptr;
+      S->Requests.clear();
+    }
+  }
+
+  static std::string events(int From, int To) {
+    std::string Text;
+    for (int Id = From; Id <= To; ++Id)
+      Text += event(Id);
+    return Text;
+  }
+
+  /// Number of events that the caller has according to its request.
+  static int lastEventIdOf(const std::string &Request) {
+    size_t At = Request.find("Last-Event-Id: ");
+    return At == std::string::npos ? 0 : std::stoi(Request.substr(At + 15));
+  }
+
+  /// A server that sends the events up to \p To that the caller lacks.
+  static ScriptedServer::Responder continued(int To) {
+    return [To](const std::string &R) {
+      std::string Rest = events(lastEventIdOf(R) + 1, To);
+      return streamHead(idOf(R)) + (Rest.empty() ? "" : chunk(Rest)) +
+             "0\r\n\r\n";
+    };
+  }
+
+  static void checkStream(const std::string &Got, int Events) {
+    CPPUNIT_ASSERT_EQUAL(size_t(1), count(Got, "HTTP/1.1 "));
+    CPPUNIT_ASSERT_EQUAL(size_t(1), count(Got, Stamp));
+    ResponseParser P;
+    P.feed(Got);
+    CPPUNIT_ASSERT(P.stage() == ParseStage::Done);
+    CPPUNIT_ASSERT_EQUAL(events(1, Events), P.takeBody());
+  }
+
+  size_t firstUsed() const { return Servers[0]->Requests.empty() ? 1 : 0; }
+
+public:
+  void streamWhenItsLastEventIsSpoiledIsContinuedElsewhere() {
+    warmUp();
+    scriptFirst(
+        [](const std::string &R) {
+          return streamHead(idOf(R)) + chunk(events(1, 2) + event(7)) +
+                 "0\r\n\r\n";
+        },
+        continued(3));
+    checkStream(exchange(request("/stream/", "r1")), 3);
+    CPPUNIT_ASSERT_EQUAL(size_t(2), requestsSeen().size());
+  }
+
+  void streamWhenSpoiledAfterItHasBegunIsContinuedElsewhere() {
+    warmUp();
+    scriptFirst(
+        [](const std::string &R) {
+          return streamHead(idOf(R)) + chunk(events(1, 2));
+        },
+        continued(3));
+    auto C = call(request("/slow/", "r1"));
+    runUntil([&C] { return count(C->Received, "id: 2") == 1; });
+    Servers[firstUsed()]->sendLate(chunk(event(7)) + "0\r\n\r\n");
+    runUntil([&C] { return C->Received.ends_with("0\r\n\r\n"); });
+    checkStream(C->Received, 3);
+  }
+
+  void streamWhenItsLastEventIsRepeatedKeepsEveryEvent() {
+    warmUp();
+    scriptFirst(
+        [](const std::string &R) {
+          return streamHead(idOf(R)) + chunk(events(1, 3) + event(3)) +
+                 "0\r\n\r\n";
+        },
+        continued(3));
+    checkStream(exchange(request("/stream/", "r1")), 3);
+  }
+
+  void streamWhenAnEventHasNoIdAfterOthersIsContinuedElsewhere() {
+    warmUp();
+    scriptFirst(
+        [](const std::string &R) {
+          return streamHead(idOf(R)) + chunk(events(1, 2) + "data: y\n\n") +
+                 "0\r\n\r\n";
+        },
+        continued(3));
+    checkStream(exchange(request("/stream/", "r1")), 3);
+  }
+
+  void answerWhenTooLargeIsReplacedByAnotherServers() {
+    warmUp();
+    scriptFirst(
+        [](const std::string &R) {
+          return answer("200 OK", idOf(R), Stamp,
+                        std::string(8 * MiB + 1, 'x'));
+        },
+        served("second"));
+    std::string Got = exchange(request("/safe/", "r1"));
+    CPPUNIT_ASSERT_EQUAL(size_t(1), count(Got, "HTTP/1.1 "));
+    CPPUNIT_ASSERT(Got.ends_with("second"));
+  }
+
+  void streamWhenContinuedWithoutEventsIsCut() {
+    const std::pair<const char *, const char *> Answers[] = {
+        {"200 OK", "Content-Type: application/json\r\n"},
+        {"204 No Content", ""},
+        {"302 Found", "Location: /\r\n"},
+        {"400 Bad Request", ""},
+        {"404 Not Found", "Content-Type: text/plain\r\n"},
+        {"404 Not Found", "Content-Type: text/event-stream\r\n"},
+        {"429 Too Many Requests", ""},
+        {"500 Internal Server Error", ""},
+        {"503 Service Unavailable", "Ragwort-Not-Run: 1\r\n"}};
+    for (const auto &[Status, Field] : Answers) {
+      tearDown();
+      setUp();
+      warmUp();
+      std::string Other = std::string(Status) + "\n" + Field;
+      scriptFirst(
+          [](const std::string &R) {
+            return streamHead(idOf(R)) + chunk(events(1, 2)) +
+                   ScriptedServer::Reset;
+          },
+          [Status = std::string(Status),
+           Field = std::string(Field)](const std::string &R) {
+            bool HasBody = !Status.starts_with("204");
+            return answer(Status, idOf(R), Stamp + Field,
+                          HasBody ? "another answer" : "");
+          });
+      auto C = call(request("/stream/", "r1"));
+      runUntil([&C] {
+        return C->IsEnded || C->Received.ends_with("0\r\n\r\n") ||
+               count(C->Received, "HTTP/1.1 ") > 1;
+      });
+      CPPUNIT_ASSERT_MESSAGE(Other, C->IsEnded);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Other, size_t(1),
+                                   count(C->Received, "HTTP/1.1 "));
+      CPPUNIT_ASSERT_MESSAGE(Other, C->Received.ends_with(chunk(events(1, 2))));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Other, size_t(2), requestsSeen().size());
+    }
+  }
+
+  void streamWhenWithoutLengthAndRepeatedIsForwardedOnce() {
+    warmUp();
+    scriptFirst(
+        [](const std::string &R) {
+          return unframedStreamHead(idOf(R)) + events(1, 3);
+        },
+        continued(3));
+    auto C = call(request("/slow/", "r1"));
+    runUntil([&C] { return count(C->Received, "id: 3") == 1; });
+    Servers[firstUsed()]->sendLate(unframedStreamHead("r1"));
+    runFor(std::chrono::milliseconds(20));
+    Servers[firstUsed()]->sendLate(events(1, 3) + ScriptedServer::Close);
+    runUntil([&C] { return C->Received.ends_with("0\r\n\r\n"); });
+    checkStream(C->Received, 3);
+  }
+
+  void answerWhenWithoutLengthAndRepeatedIsNotForwarded() {
+    auto Twice = [](const std::string &R) {
+      std::string Once = "HTTP/1.1 200 OK\r\nRagwort-Request-Id: " + idOf(R) +
+                         "\r\n" + Stamp + "\r\nfirst";
+      return Once + Once + ScriptedServer::Close;
+    };
+    scriptBoth(Twice);
+    CPPUNIT_ASSERT(
+        exchange(request("/once/", "r1")).starts_with("HTTP/1.1 502 "));
+    tearDown();
+    setUp();
+    scriptFirst(Twice, served("second"));
+    CPPUNIT_ASSERT(exchange(request("/safe/", "r2")).ends_with("second"));
+  }
+
+  void answerWhenRepeatedLateIsNotTakenForTheNext() {
+    Servers.resize(1);
+    configure();
+    ScriptedServer &Server = *Servers[0];
+    auto First = [](const std::string &R) {
+      return answer("200 OK", idOf(R), Stamp, "first");
+    };
+    // The second copy arrives on the idle connection, after the next request,
+    // and in the same segment as the answer to it.
+    for (int Late = 0; Late < 3; ++Late) {
+      std::string Before = "a" + std::to_string(Late);
+      std::string Next = "b" + std::to_string(Late);
+      std::string Copy = answer("200 OK", Before, Stamp, "first");
+      Server.Script = {First, literal(ScriptedServer::Silence)};
+      CPPUNIT_ASSERT(exchange(request("/once/", Before)).ends_with("first"));
+      size_t Seen = Server.Requests.size();
+      if (Late == 0) {
+        Server.sendLate(Copy);
+        runFor(std::chrono::milliseconds(20));
+      }
+      auto C = call(request("/once/", Next));
+      runUntil([&] { return Server.Requests.size() == Seen + 1; });
+      if (Late == 1) {
+        Server.sendLate(Copy.substr(0, Copy.size() - 2));
+        runFor(std::chrono::milliseconds(20));
+        Server.sendLate(Copy.substr(Copy.size() - 2));
+      }
+      CPPUNIT_ASSERT(C->Received.empty());
+      Server.sendLate((Late == 2 ? Copy : "") +
+                      answer("200 OK", Next, Stamp, "second"));
+      runUntil([&C] { return !C->Received.empty(); });
+      CPPUNIT_ASSERT(C->Received.ends_with("second"));
+      CPPUNIT_ASSERT_EQUAL(size_t(1), count(C->Received, "HTTP/1.1 "));
+    }
+  }
+
+  void answerWhenRepeatedWithinTheNextIsNotForwarded() {
+    warmUp();
+    scriptFirst(
+        [](const std::string &R) {
+          return streamHead(idOf(R)) + chunk(events(1, 2));
+        },
+        continued(3));
+    auto C = call(request("/slow/", "r1"));
+    runUntil([&C] { return count(C->Received, "id: 2") == 1; });
+    Servers[firstUsed()]->sendLate(answer("200 OK", "warm0", Stamp, "warm") +
+                                   chunk(event(3)) + "0\r\n\r\n");
+    runUntil([&C] { return C->Received.ends_with("0\r\n\r\n"); });
+    checkStream(C->Received, 3);
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(SpoiledAnswerTest);
+
+} // namespace ragwort::gateway
