Give each send of a request an attempt of its own

What callers saw: an empty 200 without the server's stamp, a second HTTP head within their stream, or a stream that ended as complete without its last events.

Cause: one object held the state of the request and of each of its sends, and reset the members of a send by hand. Forwarding::parse() went on after a fault had sent the request to another server at once, as an idle connection was there, and finished the new send with the old one's stage. In the same way events that were parsed but not forwarded counted as the caller's, so that the next server was asked for what follows them.

Class: state of an operation that outlives it in the object that runs the next.

Change: Attempt holds connection, parser, events and statement of one send. After its end it has no observer, so what it still does reaches no one. Forwarding holds what belongs to the request, and knows the caller's position only from the events that it has forwarded.

--- a/libs/gateway/include/ragwort/gateway/EventStream.h
+++ b/libs/gateway/include/ragwort/gateway/EventStream.h
@@ -1,8 +1,8 @@
 //===- EventStream.h - Complete events of a server-sent stream ------------===//
 //
-// Splits a byte stream into complete events and records the last event id, so
-// that an interrupted stream can be resumed after it and a partial event is
-// never forwarded.
+// Splits one server's response into complete events and records the last event
+// id, so that an interrupted stream can be resumed after it and a partial event
+// is never forwarded.
 //
 //===----------------------------------------------------------------------===//
 #ifndef RAGWORT_GATEWAY_EVENTSTREAM_H
@@ -16,32 +16,31 @@
 
 namespace ragwort::gateway {
 
-/// Joins the events of one or more server responses into one stream.
+/// The events of one response.
 ///
 /// \code
 ///   EventStream Events;
-///   if (Events.push(Bytes))
-///     forward(Events.takeCompleteEvents());
+///   Events.resumeAfter(LastEventId);
+///   bool IsSound = Events.push(Bytes);
+///   forward(Events.takeCompleteEvents());
 /// \endcode
 class EventStream {
 public:
   /// Larger events are rejected.
   static constexpr size_t MaxEventBytes = 1 * MiB;
 
-  /// Adds bytes of the current response. \returns false if an event is too
-  /// large or its id is not one above the last id, so that the response cannot
-  /// be joined to the events already forwarded.
+  /// Adds bytes of the response. \returns false if an event is too large or its
+  /// id is not one above the last id. The rest of the response is then unusable;
+  /// the complete events before are part of the stream.
   bool push(std::string_view Bytes);
   /// \returns the complete events received since the last call, in order.
   std::string takeCompleteEvents();
-  /// Discards the partial event of an interrupted response. The next bytes come
-  /// from another response, which resumes after lastId().
-  void beginContinuation();
   /// Whether bytes of an incomplete event are buffered.
   bool hasPartialEvent() const { return !Partial.empty(); }
   /// Id of the last complete event that had one.
   std::optional<uint64_t> lastId() const { return LastId; }
-  /// Sets the last event id that the caller has received on an earlier stream.
+  /// Sets the id of the last event that the caller has received of an earlier
+  /// response.
   void resumeAfter(uint64_t Id) { LastId = Id; }
   /// Number of complete events so far.
   uint64_t events() const { return Events; }
--- a/libs/gateway/src/EventStream.cpp
+++ b/libs/gateway/src/EventStream.cpp
@@ -1,5 +1,6 @@
 //===- EventStream.cpp - Complete events of a server-sent stream ----------===//
 #include "ragwort/gateway/EventStream.h"
+#include <algorithm>
 #include <charconv>
 
 namespace ragwort::gateway {
@@ -24,9 +25,7 @@
   constexpr std::string_view Field = "id:";
   size_t At = 0;
   while (At < Event.size()) {
-    size_t End = Event.find('\n', At);
-    if (End == std::string_view::npos)
-      End = Event.size();
+    size_t End = std::min(Event.find('\n', At), Event.size());
     std::string_view Line = Event.substr(At, End - At);
     At = End + 1;
     if (!Line.starts_with(Field))
@@ -45,11 +44,11 @@
 } // namespace
 
 bool EventStream::acceptEvent(std::string_view Event) {
-  if (std::optional<uint64_t> Id = parseEventId(Event)) {
-    if (LastId && *Id != *LastId + 1)
-      return false;
+  std::optional<uint64_t> Id = parseEventId(Event);
+  if (LastId && Id && *Id != *LastId + 1)
+    return false;
+  if (Id)
     LastId = Id;
-  }
   ++Events;
   Complete += Event;
   return true;
@@ -76,6 +75,4 @@
   return Result;
 }
 
-void EventStream::beginContinuation() { Partial.clear(); }
-
 } // namespace ragwort::gateway
--- a/libs/gateway/src/EventStreamTest.cpp
+++ b/libs/gateway/src/EventStreamTest.cpp
@@ -39,9 +39,10 @@
     CPPUNIT_ASSERT(Events.push(event(1) + "id: 2\nda"));
     CPPUNIT_ASSERT(Events.hasPartialEvent());
     CPPUNIT_ASSERT_EQUAL(event(1), Events.takeCompleteEvents());
-    Events.beginContinuation();
-    CPPUNIT_ASSERT(Events.push(event(2)));
-    CPPUNIT_ASSERT_EQUAL(event(2), Events.takeCompleteEvents());
+    EventStream Continued;
+    Continued.resumeAfter(*Events.lastId());
+    CPPUNIT_ASSERT(Continued.push(event(2)));
+    CPPUNIT_ASSERT_EQUAL(event(2), Continued.takeCompleteEvents());
   }
 
   void eventWhenOneIsMissingIsRejected() {
@@ -55,6 +56,8 @@
     EventStream Events;
     CPPUNIT_ASSERT(Events.push(event(1)));
     CPPUNIT_ASSERT(!Events.push(event(1)));
+    CPPUNIT_ASSERT_EQUAL(event(1), Events.takeCompleteEvents());
+    CPPUNIT_ASSERT_EQUAL(uint64_t(1), *Events.lastId());
   }
 
   void eventsWhenWithoutIdsAreAccepted() {
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -1,4 +1,4 @@
-//===- Forwarding.cpp - Forwards one request to a backend server ----------===//
+//===- Forwarding.cpp - Forwards one request to backend servers -----------===//
 #include "ragwort/gateway/Forwarding.h"
 #include "ragwort/base/Bytes.h"
 #include "ragwort/gateway/RequestHead.h"
@@ -10,9 +10,6 @@
 
 namespace {
 
-// Within a data centre a connection opens in a few milliseconds, but one lost
-// packet delays it by a second. Trying another server is faster.
-constexpr Duration ConnectTimeout = std::chrono::milliseconds(400);
 // Callers abandon a stream without new events after the longest of this time
 // and the multiples of the route's targets below. The platform publishes the
 // rule.
@@ -35,26 +32,13 @@
 // Interval at which a request that makes no progress is checked again while no
 // other server is free.
 constexpr Duration ProgressCheckInterval = std::chrono::milliseconds(100);
-// A server that has written a stream for this long survives its prompt; one
-// that crashes of a prompt does so within its first events.
-constexpr Duration SurvivalTime = std::chrono::milliseconds(1000);
 // Retry-After time if no better estimate is available.
 constexpr Duration DefaultRetryAfter = std::chrono::milliseconds(500);
-// Maximum size of an answer that is not an event stream, and of what may come
-// before the answer to a request.
-constexpr size_t MaxWholeAnswerBytes = 8 * MiB;
 // Part of an answer that is read even while memory is exhausted.
 constexpr size_t SmallAnswerBytes = 64 * KiB;
 
-constexpr size_t MaxLoggedPartsBytes = 160;
-
 TimePoint now() { return SteadyClock().now(); }
 
-int64_t millis(Duration Length) { return Length.count() / 1000; }
-
-bool isSuccess(unsigned Status) { return Status >= 200 && Status < 300; }
-bool isServerFailure(unsigned Status) { return Status >= 500; }
-
 std::optional<uint64_t> parseNumber(std::string_view Text) {
   uint64_t Number = 0;
   auto Parsed = std::from_chars(Text.data(), Text.data() + Text.size(), Number);
@@ -71,13 +55,11 @@
     : Context(Context), Accepted(std::move(Given)), Sink(&Sink),
       Service(chooseService(*Accepted.Target, Accepted.RequestId)),
       Flow(Accepted.Target->Repeat, Accepted.Target->MaxAttempts),
-      Timer(Context.Io), AnswerCharge(Context.Memory, dispatch::Held::Servers) {
-  std::string_view After = Accepted.Message.header(Context.Names.LastEventId);
-  if (std::optional<uint64_t> Id = parseNumber(After))
-    Events.resumeAfter(*Id);
-}
+      Timer(Context.Io),
+      LastEventId(
+          parseNumber(Accepted.Message.header(Context.Names.LastEventId))) {}
 
-Forwarding::~Forwarding() { leaveServer(false); }
+Forwarding::~Forwarding() { abandonAttempt(); }
 
 void Forwarding::start() {
   Context.Dispatch.onRequest(Service, now());
@@ -111,36 +93,20 @@
     return false;
   LastFault = quarantineReason(Active->Subject.Kind);
   RetryAfter = Active->Until - At;
-  leaveServer(false);
+  abandonAttempt();
   carryOut(Flow.onNoBackend());
   return true;
 }
 
 bool Forwarding::moveIfEvacuated() {
-  if (!Context.Dispatch.loadTracker().isEvacuated(Server.Id))
+  if (!Context.Dispatch.loadTracker().isEvacuated(ServerId))
     return false;
-  logEvent(LogLevel::Info, "request-moved",
-           {{"request", Accepted.RequestId},
-            {"cause", "evacuation"},
-            {"instance", Server.Id},
-            {"events", Events.events()},
-            {"sends", Flow.sends()}});
-  leaveServer(false);
+  logMoved("evacuation");
+  abandonAttempt();
   place();
   return true;
 }
 
-void Forwarding::noteSurvival() {
-  if (!std::exchange(HasSurvived, true))
-    Context.Quarantine.onSurvived(Accepted.Traits, SentAt, now());
-}
-
-void Forwarding::noteConnectionEnd() {
-  if (HasSurvived || Context.Dispatch.loadTracker().isStopping(Server.Id))
-    return;
-  Context.Crashes.onBroken(Server, Accepted.Traits, now());
-}
-
 dispatch::PlacementRequest Forwarding::placementRequest() const {
   dispatch::PlacementRequest R;
   R.Service = Service;
@@ -165,47 +131,7 @@
   return R;
 }
 
-void Forwarding::logPlacement(const dispatch::Placement &P) const {
-  if (P.Result == dispatch::Placement::Decision::Send)
-    return;
-  bool Waits = P.Result == dispatch::Placement::Decision::Wait;
-  std::string_view Reason = Waits ? "waits" : toString(P.Refusal);
-  Context.Metrics
-      .counter("ragwort_unplaced_requests_total",
-               "decision=\"" + std::string(Reason) + "\"")
-      .add();
-  logEvent(LogLevel::Info, Waits ? "request-waits" : "request-turned-away",
-           {{"request", Accepted.RequestId},
-            {"service", Service},
-            {"reason", Reason},
-            {"priority", Accepted.Priority},
-            {"work", std::to_string(P.Work)},
-            {"work_ahead", std::to_string(P.Expected.WorkAhead)},
-            {"predicted_ms",
-             P.Expected.Wait ? std::to_string(millis(*P.Expected.Wait)) : ""},
-            {"waiting", P.Waiting},
-            {"came_back", static_cast<int>(Accepted.HasComeBack)},
-            {"retry_ms", millis(P.RetryAfter)}});
-}
-
-void Forwarding::logTurnedAway(const dispatch::DequeuedRequest &C) const {
-  Context.Metrics
-      .counter("ragwort_unplaced_requests_total",
-               "decision=\"" + std::string(toString(C.Refusal)) + "\"")
-      .add();
-  logEvent(LogLevel::Info, "request-turned-away",
-           {{"request", Accepted.RequestId},
-            {"service", Service},
-            {"reason", toString(C.Refusal)},
-            {"priority", Accepted.Priority},
-            {"work", std::to_string(Work)},
-            {"waited_ms", millis(now() - Accepted.Arrived)},
-            {"came_back", static_cast<int>(Accepted.HasComeBack)},
-            {"retry_ms", millis(C.RetryAfter)}});
-}
-
 void Forwarding::place() {
-  CurrentPhase = Phase::Placing;
   if (endIfQuarantined())
     return;
   dispatch::Placement P = Context.Dispatch.place(placementRequest(), now());
@@ -216,7 +142,6 @@
     sendTo(P.Server);
     return;
   case dispatch::Placement::Decision::Wait:
-    CurrentPhase = Phase::Waiting;
     Ticket = P.Ticket;
     Context.OnQueued(Ticket, weak_from_this());
     armTimer();
@@ -231,7 +156,7 @@
 }
 
 void Forwarding::onDequeued(const dispatch::DequeuedRequest &C) {
-  if (CurrentPhase != Phase::Waiting || C.Ticket != Ticket)
+  if (Ticket == 0 || C.Ticket != Ticket)
     return;
   auto Self = shared_from_this();
   Ticket = 0;
@@ -249,39 +174,18 @@
 }
 
 void Forwarding::sendTo(const dispatch::BackendInstance &Chosen) {
-  Server = Chosen;
-  IsCounted = true;
-  Context.Dispatch.onStarted(Server.Id, now());
-  Duration MaxIdle =
-      Flow.isRepeatable() ? MaxIdleRepeatable : MaxIdleAtMostOnce;
-  // On a path that is not good, what is written to a kept connection may never
-  // arrive; a new connection shows that before the request is sent.
-  const dispatch::PathHealth &Paths = Context.Dispatch.loadTracker().paths();
-  if (Paths.areAllGood() ||
-      Paths.state(Server.DataCentre) == dispatch::PathState::Good)
-    Socket = Context.Pool.take(Server.Id, now(), MaxIdle);
-  IsFreshConnection = !Socket;
-  if (Socket) {
-    Socket->setHandler(this);
+  ServerId = Chosen.Id;
+  Current = std::make_shared<Attempt>(Context, Accepted, Chosen, Service, Work,
+                                      *this);
+  if (Current->connect(Flow.isRepeatable() ? MaxIdleRepeatable
+                                           : MaxIdleAtMostOnce))
     writeRequest();
-    return;
-  }
-  CurrentPhase = Phase::Connecting;
-  ConnectBegun = now();
-  Context.Metrics.counter("ragwort_backend_connections_total").add();
-  Socket = std::make_shared<StreamSocket>(Context.Io);
-  Socket->setCharge({Context.Memory, dispatch::Held::Servers});
-  Socket->setHandler(this);
-  std::optional<Address> At = parseAddress(Server.Address);
-  Socket->connect(endpointOf<asio::ip::tcp>(At.value_or(Address{"0.0.0.0", 0})),
-                  ConnectTimeout);
-  armTimer();
+  else
+    armTimer();
 }
 
 void Forwarding::onConnected() {
   auto Self = shared_from_this();
-  Context.Dispatch.loadTracker().onConnected(Server.Id);
-  Context.Dispatch.loadTracker().onReached(Server, ConnectBegun, now());
   if (!endIfQuarantined() && !moveIfEvacuated())
     writeRequest();
 }
@@ -289,170 +193,41 @@
 std::string Forwarding::requestHead() const {
   SystemFields Fields;
   Fields.TimeLeft = Accepted.Deadline - now();
-  Fields.Instance = Server.Id;
+  Fields.Instance = ServerId;
   Fields.Organisation = Accepted.Organisation;
   if (Accepted.Target->IsStream)
     Fields.Priority = Accepted.Priority;
   if (Flow.hasAnswerBegun())
-    Fields.LastEventId = Events.lastId();
+    Fields.LastEventId = LastEventId;
   return makeRequestHead(Accepted.Message, Context.Names, Fields);
 }
 
 void Forwarding::writeRequest() {
-  CurrentPhase = Phase::Sent;
-  Parser = ResponseParser();
-  if (Accepted.Message.Method == "HEAD")
-    Parser.expectNoBody();
-  Unparsed.clear();
-  Body.clear();
-  HasHead = false;
-  Stated = ServerStatement();
-  IsEventStream = false;
-  SkippedBytes = 0;
-  HasBytes = false;
-  HasEvent = false;
-  HasSurvived = false;
   if (Flow.arrivals() > 0)
     Context.Dispatch.onRetry(Service, now());
-  std::string Bytes = requestHead();
-  Bytes += Accepted.Message.Body;
+  std::string Head = requestHead();
   Flow.onSent();
-  SentAt = now();
-  LastProgress = SentAt;
-  Socket->write(Bytes);
+  Current->send(Head, LastEventId);
   armTimer();
 }
 
-void Forwarding::onBytes(std::string_view Bytes) {
-  auto Self = shared_from_this();
-  if (CurrentPhase != Phase::Sent)
-    return;
-  if (!std::exchange(HasBytes, true))
-    Context.Dispatch.loadTracker().onReached(Server, SentAt, now());
-  Unparsed += Bytes;
-  parse();
-  if (CurrentPhase == Phase::Sent)
-    AnswerCharge.set(Body.capacity() + Unparsed.capacity());
-}
-
-bool Forwarding::isOtherRequestsAnswer() const {
-  return Parser.head().header(Context.Names.RequestId) != Accepted.RequestId;
-}
-
-void Forwarding::parse() {
-  while (CurrentPhase == Phase::Sent) {
-    size_t Taken = Parser.feed(Unparsed);
-    Unparsed.erase(0, Taken);
-    ParseStage Stage = Parser.stage();
-    if (Stage == ParseStage::Failed || SkippedBytes > MaxWholeAnswerBytes) {
-      onServerFault(dispatch::ServerFault::Malformed, "malformed-response");
-      return;
-    }
-    if (Stage == ParseStage::Head)
-      return;
-    if (Parser.isInterim() || isOtherRequestsAnswer()) {
-      // A late answer to an earlier request may precede the answer to this one.
-      Parser.takeBody();
-      SkippedBytes += Taken;
-      if (Stage == ParseStage::Done && !Parser.isInterim())
-        noteForeignAnswer();
-      if (Stage != ParseStage::Done)
-        return;
-      Parser = ResponseParser();
-      if (Unparsed.empty())
-        return;
-      continue;
-    }
-    if (!HasHead && !acceptHead())
-      return;
-    forwardBody();
-    if (CurrentPhase != Phase::Sent)
-      return;
-    if (Stage == ParseStage::Done)
-      finishAnswer();
-    return;
-  }
-}
-
-void Forwarding::noteForeignAnswer() const {
-  Context.Metrics.counter("ragwort_foreign_answers_total").add();
-  const http::ResponseHead &H = Parser.head();
-  logEvent(LogLevel::Info, "foreign-answer",
-           {{"request", Accepted.RequestId},
-            {"instance", Server.Id},
-            {"answered", H.header(Context.Names.RequestId)},
-            {"status", H.Status}});
-}
-
-void Forwarding::noteStatement() {
-  dispatch::LoadTracker &Tracker = Context.Dispatch.loadTracker();
-  Stated = readStatement(Parser.head(), Context.Names, Server.Id);
-  for (const HeaderField &Field : Stated.Malformed)
-    Tracker.onMalformedField(Server.Id, Field.Name, Field.Value);
-  if (Stated.IsLeaving)
-    Tracker.onLeaving(Server, now());
-  if (Stated.IsRateLimitKnown)
-    Tracker.onRateLimit(Server, Stated.RateLimit, now());
-  if (Stated.Pause)
-    Tracker.onPaused(Server, *Stated.Pause, now());
-}
-
-bool Forwarding::acceptHead() {
-  HasHead = true;
-  const http::ResponseHead &H = Parser.head();
-  noteStatement();
-  bool IsStamped = !H.header(Context.Names.AnswerStamp).empty();
-  if (isSuccess(H.Status) && !IsStamped) {
-    onServerFault(dispatch::ServerFault::Malformed, "missing-answer-stamp");
-    return false;
-  }
-  IsEventStream = Accepted.Target->IsStream && isSuccess(H.Status) &&
-                  H.header("Content-Type").starts_with("text/event-stream");
-  return true;
-}
-
-void Forwarding::noteEvents() {
-  TimePoint Before = std::exchange(LastProgress, now());
-  if (!std::exchange(HasEvent, true)) {
-    FirstEventAt = LastProgress;
+void Forwarding::beginStream() {
+  if (Flow.hasAnswerBegun())
     return;
-  }
-  Duration Gap = LastProgress - Before;
-  LongestGap = std::max(LongestGap, Gap);
-  Context.Dispatch.loadTracker().onEvent(Server.Id, Gap, LastProgress);
-  if (LastProgress - FirstEventAt >= SurvivalTime)
-    noteSurvival();
+  Flow.onAnswerBegun();
+  Sink->beginStream(Current->head());
 }
 
-void Forwarding::forwardBody() {
-  std::string Bytes = Parser.takeBody();
-  if (Bytes.empty())
-    return;
-  if (!IsEventStream) {
-    Body += Bytes;
-    if (Body.size() > MaxWholeAnswerBytes)
-      onServerFault(dispatch::ServerFault::Malformed, "answer-too-large");
-    else if (Body.size() > SmallAnswerBytes &&
-             Context.Memory->level() == dispatch::MemoryLevel::Exhausted)
-      pauseServer();
-    return;
-  }
-  if (!Events.push(Bytes)) {
-    onServerFault(dispatch::ServerFault::Malformed, "malformed-event");
-    return;
-  }
-  std::string Complete = Events.takeCompleteEvents();
-  if (Complete.empty())
-    return;
-  noteEvents();
+void Forwarding::onEvents(std::string_view Complete) {
+  auto Self = shared_from_this();
   if (!Flow.hasAnswerBegun()) {
-    Head = Parser.head();
-    TimeToFirstByte = LastProgress - Accepted.Arrived;
-    Context.Dispatch.loadTracker().onAnswered(Server.Id, LastProgress - SentAt,
-                                              LastProgress);
-    Flow.onAnswerBegun();
-    Sink->beginStream(Head);
+    TimePoint At = Current->lastProgress();
+    TimeToFirstByte = At - Accepted.Arrived;
+    Context.Dispatch.loadTracker().onAnswered(ServerId, At - Current->sentAt(),
+                                              At);
   }
+  beginStream();
+  LastEventId = Current->lastEventId();
   AnswerBytes += Complete.size();
   Sink->continueStream(Complete);
   armTimer();
@@ -460,20 +235,24 @@
     pauseServer();
 }
 
+void Forwarding::onBodyGrown(size_t Size) {
+  if (Size > SmallAnswerBytes &&
+      Context.Memory->level() == dispatch::MemoryLevel::Exhausted)
+    pauseServer();
+}
+
 void Forwarding::pauseServer() {
   Sink->pace().onPaused(now());
-  Socket->pauseReading();
+  Current->pauseReading();
 }
 
 void Forwarding::resumeServer() {
-  // The server was not silent: it was not read.
-  LastProgress = now();
-  Socket->resumeReading();
+  Current->resumeReading();
   armTimer();
 }
 
 void Forwarding::onSinkDrained() {
-  if (CurrentPhase == Phase::Sent && IsEventStream && Socket->isReadingPaused())
+  if (isSent() && Current->isEventStream() && Current->isReadingPaused())
     resumeServer();
 }
 
@@ -482,7 +261,7 @@
       Context.Memory->level() == dispatch::MemoryLevel::Exhausted;
   dispatch::CallerPace &Pace = Sink->pace();
   dispatch::PausedStep Step =
-      IsEventStream
+      Current->isEventStream()
           ? Pace.whilePaused(Context.Memory->unreadLimit(), IsExhausted, At)
           : Pace.whileAnswerPaused(IsExhausted, At);
   if (Step == dispatch::PausedStep::Resume)
@@ -496,187 +275,114 @@
            {{"request", Accepted.RequestId},
             {"unread", Sink->unsent()},
             {"level", toString(Context.Memory->level())},
-            {"instance", Server.Id}});
+            {"instance", ServerId}});
   Context.Metrics.counter("ragwort_slow_callers_total").add();
   AnswerSink *Last = std::exchange(Sink, nullptr);
   Flow.onCallerGone();
-  leaveServer(false);
+  abandonAttempt();
   finish("slow-caller", 0);
   Last->cut();
 }
 
-void Forwarding::finishAnswer() {
-  const http::ResponseHead &H = Parser.head();
-  bool IsDeclined =
-      H.Status == StatusMisdirected || !H.header(Context.Names.NotRun).empty();
-  if (IsDeclined) {
-    onDeclined();
+std::shared_ptr<Attempt> Forwarding::leaveAttempt() {
+  LastProgress = std::max(LastProgress, Current->lastProgress());
+  LongestGap = std::max(LongestGap, Current->longestGap());
+  IsFramed = Current->isFramed();
+  Events += Current->events();
+  if (!Current->fault().empty())
+    LastFault = Current->fault();
+  return std::exchange(Current, nullptr);
+}
+
+void Forwarding::abandonAttempt() {
+  if (Current)
+    leaveAttempt()->abandon();
+}
+
+void Forwarding::onAttemptEnd(AttemptEnd End) {
+  auto Self = shared_from_this();
+  if (End == AttemptEnd::StreamEnded)
+    beginStream(); // It may have had no events.
+  std::shared_ptr<Attempt> Last = leaveAttempt();
+  switch (End) {
+  case AttemptEnd::NotConnected:
+    Excluded.push_back(ServerId);
+    carryOut(Flow.onConnectFailed(retryConditions()));
     return;
-  }
-  // An answer that ends with its connection looks the same after a crash.
-  if (isSuccess(H.Status) && Parser.isFramed())
-    noteSurvival();
-  if (IsEventStream) {
-    finishStream();
+  case AttemptEnd::Declined:
+    onDeclined(*Last);
     return;
-  }
-  if (isServerFailure(H.Status)) {
-    onFailureAnswer();
+  case AttemptEnd::Answered:
+    onAnswered(*Last);
     return;
-  }
-  if (isSuccess(H.Status))
-    Context.Dispatch.loadTracker().onAnswered(Server.Id, now() - SentAt, now());
-  relayAnswer();
-}
-
-void Forwarding::finishStream() {
-  if (Events.hasPartialEvent()) {
-    onServerFault(dispatch::ServerFault::Malformed, "incomplete-event");
+  case AttemptEnd::StreamEnded:
+    finishStream(*Last);
+    return;
+  case AttemptEnd::IdleClosed:
+  case AttemptEnd::Broken:
+    onBroken(*Last, End);
     return;
   }
-  if (!Flow.hasAnswerBegun()) {
-    Flow.onAnswerBegun();
-    Sink->beginStream(Parser.head());
-  }
-  unsigned Status = Parser.head().Status;
-  leaveServer(true);
-  AnswerSink *Last = Sink;
-  Sink = nullptr;
-  finish("completed", Status);
-  Last->endStream();
-}
-
-void Forwarding::relayAnswer() {
-  http::ResponseHead Answer = Parser.head();
-  if (TimeToFirstByte.count() == 0)
-    TimeToFirstByte = now() - Accepted.Arrived;
-  AnswerBytes += Body.size();
-  leaveServer(true);
-  AnswerSink *Last = Sink;
-  Sink = nullptr;
-  finish(isSuccess(Answer.Status) ? "completed" : "server-failure",
-         Answer.Status);
-  Last->sendResponse(Answer, Body);
 }
 
-void Forwarding::onDeclined() {
-  const http::ResponseHead &H = Parser.head();
-  dispatch::LoadTracker &Tracker = Context.Dispatch.loadTracker();
-  // A server that declines a request although it has free slots is not full but
-  // unavailable.
-  bool IsUnavailable = H.Status == StatusMisdirected ||
-                       !H.header(Context.Names.InstanceAtFault).empty() ||
-                       Tracker.inFlight(Server.Id) < Server.Slots;
-  LastFault = "declined-" + std::to_string(H.Status);
-  if (Stated.IsReplaced)
-    Tracker.onReplaced(Server.Id);
-  else if (!Stated.Pause) // Otherwise, the server has stated when to come back.
-    Tracker.onFault(Server.Id,
-                    IsUnavailable ? dispatch::ServerFault::Unavailable
-                                  : dispatch::ServerFault::Full,
-                    now());
-  Excluded.push_back(Server.Id);
+void Forwarding::onDeclined(const Attempt &Last) {
+  const ServerStatement &Stated = Last.statement();
+  Excluded.push_back(ServerId);
   Work = 0;
-  leaveServer(!Stated.IsReplaced);
   if (Stated.Pause)
     RetryAfter = Context.Dispatch.spread(*Stated.Pause);
   else
-    RetryAfter = IsUnavailable ? dispatch::Dispatcher::RecoveringRetryAfter
-                               : DefaultRetryAfter;
+    RetryAfter = Last.isServerUnavailable()
+                     ? dispatch::Dispatcher::RecoveringRetryAfter
+                     : DefaultRetryAfter;
   carryOut(Stated.IsReplaced ? Flow.onMisdirected(retryConditions())
                              : Flow.onDeclined(retryConditions()));
 }
 
-void Forwarding::onFailureAnswer() {
-  LastFault = "status-" + std::to_string(Parser.head().Status);
-  Context.Dispatch.loadTracker().onFault(Server.Id,
-                                         dispatch::ServerFault::Failure, now());
+void Forwarding::onAnswered(const Attempt &Last) {
+  unsigned Status = Last.head().Status;
+  dispatch::LoadTracker &Tracker = Context.Dispatch.loadTracker();
+  if (!http::isServerFailure(Status)) {
+    if (http::isSuccess(Status))
+      Tracker.onAnswered(ServerId, now() - Last.sentAt(), now());
+    relayAnswer(Last);
+    return;
+  }
+  Tracker.onFault(ServerId, dispatch::ServerFault::Failure, now());
   Step Next = Flow.onFailureAnswer(retryConditions());
   if (Next == Step::RelayAnswer) {
-    relayAnswer();
+    relayAnswer(Last);
     return;
   }
-  Excluded.push_back(Server.Id);
-  leaveServer(true);
+  LastFault = "status-" + std::to_string(Status);
+  Excluded.push_back(ServerId);
   carryOut(Next);
 }
 
-void Forwarding::logFailedSend(std::string_view Fault) const {
-  Context.Metrics
-      .counter("ragwort_failed_sends_total",
-               "fault=\"" + std::string(Fault) + "\"")
-      .add();
-  std::string_view Parts = Accepted.Message.header(Context.Names.PromptParts);
-  logEvent(
-      LogLevel::Info, "send-failed",
-      {{"request", Accepted.RequestId},
-       {"instance", Server.Id},
-       {"fault", Fault},
-       {"send", Flow.sends()},
-       {"events", Events.events()},
-       {"sent_ms", millis(now() - SentAt)},
-       {"silent_ms", millis(now() - LastProgress)},
-       {"organisation", Accepted.Organisation},
-       {"fingerprint", quarantine::toString(Accepted.Traits.fingerprint())},
-       {"parts", Parts.substr(0, MaxLoggedPartsBytes)}});
-}
-
-void Forwarding::onServerFault(dispatch::ServerFault Fault,
-                               std::string_view Text) {
-  logFailedSend(Text);
-  LastFault = Text;
-  dispatch::LoadTracker &Tracker = Context.Dispatch.loadTracker();
-  bool IsSilent = Fault == dispatch::ServerFault::TimedOut ||
-                  (Socket && Socket->hasTimedOut());
-  if (IsSilent && !HasBytes)
-    Tracker.onSilence(Server, dispatch::Silence::Send, SentAt, now());
-  else
-    Tracker.onFault(Server.Id, Fault, now());
-  Excluded.push_back(Server.Id);
-  leaveServer(false);
-  carryOut(Flow.onBroken(retryConditions()));
+void Forwarding::finishStream(const Attempt &Last) {
+  AnswerSink *To = std::exchange(Sink, nullptr);
+  finish("completed", Last.head().Status);
+  To->endStream();
 }
 
-void Forwarding::onEnd(SocketEnd End) {
-  auto Self = shared_from_this();
-  if (CurrentPhase == Phase::Connecting) {
-    LastFault = "connect-failed";
-    dispatch::LoadTracker &Tracker = Context.Dispatch.loadTracker();
-    if (Socket->hasTimedOut()) {
-      Tracker.onSilence(Server, dispatch::Silence::Connect, ConnectBegun,
-                        now());
-    } else {
-      // A refusal passed both ways.
-      Tracker.onReached(Server, ConnectBegun, now());
-      Tracker.onFault(Server.Id, dispatch::ServerFault::NotConnected, now());
-    }
-    Excluded.push_back(Server.Id);
-    Work = 0;
-    leaveServer(false);
-    carryOut(Flow.onConnectFailed(retryConditions()));
-    return;
-  }
-  if (CurrentPhase != Phase::Sent)
-    return;
-  noteConnectionEnd();
-  if (End == SocketEnd::Closed && HasHead) {
-    // An answer without a length ends when the connection is closed.
-    Parser.feedEnd();
-    if (Parser.stage() == ParseStage::Done) {
-      finishAnswer();
-      return;
-    }
-  }
-  if (!IsFreshConnection && !HasBytes) {
-    // The server closed a reused idle connection just as the request was sent;
-    // this is not a sign of bad health.
-    LastFault = "idle-connection-closed";
-    logFailedSend(LastFault);
-    leaveServer(false);
-    carryOut(Flow.onBroken(retryConditions()));
-    return;
-  }
-  onServerFault(dispatch::ServerFault::Unreachable, "connection-broken");
+void Forwarding::relayAnswer(const Attempt &Last) {
+  const http::ResponseHead &Head = Last.head();
+  if (TimeToFirstByte.count() == 0)
+    TimeToFirstByte = now() - Accepted.Arrived;
+  AnswerBytes += Last.body().size();
+  if (http::isServerFailure(Head.Status))
+    LastFault = "status-" + std::to_string(Head.Status);
+  AnswerSink *To = std::exchange(Sink, nullptr);
+  finish(http::isSuccess(Head.Status) ? "completed" : "server-failure",
+         Head.Status);
+  To->sendResponse(Head, Last.body());
+}
+
+void Forwarding::onBroken(const Attempt &Last, AttemptEnd End) {
+  logFailedSend(Last);
+  if (End != AttemptEnd::IdleClosed)
+    Excluded.push_back(ServerId);
+  carryOut(Flow.onBroken(retryConditions()));
 }
 
 void Forwarding::carryOut(Step Next) {
@@ -686,7 +392,6 @@
   case Step::Abandon:
     return;
   case Step::TryAnother:
-    Events.beginContinuation();
     place();
     return;
   case Step::RefuseNotRun:
@@ -700,8 +405,7 @@
     sendLocalReply(504, "timeout", std::nullopt);
     return;
   case Step::CutAnswer: {
-    AnswerSink *Last = Sink;
-    Sink = nullptr;
+    AnswerSink *Last = std::exchange(Sink, nullptr);
     finish("cut", 0);
     Last->cut();
     return;
@@ -711,105 +415,71 @@
 
 void Forwarding::sendLocalReply(unsigned Status, std::string_view Reason,
                                 std::optional<Duration> RetryAfterTime) {
-  AnswerSink *Last = Sink;
-  Sink = nullptr;
+  AnswerSink *Last = std::exchange(Sink, nullptr);
   finish(Reason, Status);
   Last->sendLocalReply({Status, Reason, RetryAfterTime});
 }
 
-void Forwarding::releaseServer() {
-  if (!IsCounted)
-    return;
-  IsCounted = false;
-  Context.Dispatch.onEnded(Service, Server.Id, now(), Work);
-  Context.OnSlotFree();
-}
-
-void Forwarding::leaveServer(bool IsReusable) {
-  if (Socket) {
-    bool IsClean = IsReusable && Parser.stage() == ParseStage::Done &&
-                   Parser.isKeepAlive() && Unparsed.empty() &&
-                   Socket->unsent() == 0 && Socket->isOpen();
-    if (IsClean)
-      Socket->resumeReading();
-    if (IsClean)
-      Context.Pool.keep(Server.Id, std::move(Socket),
-                        keepAliveTime(Parser.head()), now());
-    else if (Parser.stage() == ParseStage::Done)
-      Socket->close();
-    else
-      Socket->abort();
-    Socket.reset();
-  }
-  Unparsed = std::string();
-  AnswerCharge.set(Body.capacity());
-  releaseServer();
-}
-
 void Forwarding::onCallerGone() {
-  if (CurrentPhase == Phase::Done)
+  if (IsDone)
     return;
   auto Self = shared_from_this();
   Sink = nullptr;
   Flow.onCallerGone();
-  leaveServer(false);
+  abandonAttempt();
   finish("caller-gone", 0);
 }
 
 bool Forwarding::hasOtherFreeServer(TimePoint At) {
   std::vector<std::string> Tried = Excluded;
-  Tried.push_back(Server.Id);
+  Tried.push_back(ServerId);
   return Context.Dispatch.hasFreeServer({Service, Tried, Accepted.regions()},
                                         At);
 }
 
 void Forwarding::onTick(TimePoint At) {
   auto Self = shared_from_this();
-  if (CurrentPhase == Phase::Sent && !HasEvent && endIfQuarantined())
+  if (isSent() && !Current->hasEvent() && endIfQuarantined())
     return;
-  if (CurrentPhase == Phase::Sent && Socket->isReadingPaused())
+  if (isSent() && Current->isReadingPaused())
     whilePaused(At);
-  moveFromServer(At);
+  if (isSent())
+    moveFromServer(At);
 }
 
 void Forwarding::moveFromServer(TimePoint At) {
-  if (CurrentPhase != Phase::Sent)
-    return;
   const dispatch::LoadTracker &Tracker = Context.Dispatch.loadTracker();
+  const std::string &DataCentre = Current->server().DataCentre;
   bool IsPathLost =
       !Tracker.paths().areAllGood() &&
-      Tracker.paths().state(Server.DataCentre) == dispatch::PathState::Lost &&
-      At - LastProgress >= LostPathSilence;
+      Tracker.paths().state(DataCentre) == dispatch::PathState::Lost &&
+      At - Current->lastProgress() >= LostPathSilence;
   // A slow rank delays not only its own streams but all streams of its group.
-  if ((!IsPathLost && !Tracker.isStraggler(Server.Id, At)) ||
+  if ((!IsPathLost && !Tracker.isStraggler(ServerId, At)) ||
       !Flow.mayRetry(retryConditions()) || !hasOtherFreeServer(At))
     return;
   std::string_view Cause = IsPathLost ? "path-lost" : "straggler";
-  logEvent(LogLevel::Info, "request-moved",
-           {{"request", Accepted.RequestId},
-            {"cause", Cause},
-            {"instance", Server.Id},
-            {"events", Events.events()},
-            {"sends", Flow.sends()}});
+  logMoved(Cause);
+  abandonAttempt();
   LastFault = Cause;
-  Excluded.push_back(Server.Id);
-  leaveServer(false);
+  Excluded.push_back(ServerId);
   carryOut(Flow.onBroken(retryConditions()));
 }
 
 TimePoint Forwarding::progressDeadline() const {
   const Route &R = *Accepted.Target;
-  if (Socket && Socket->isReadingPaused())
+  if (Current->isReadingPaused())
     return Accepted.Deadline;
   if (R.IsStream)
-    return LastProgress + callerTimeout() / 2;
+    return Current->lastProgress() + callerTimeout() / 2;
+  TimePoint SentAt = Current->sentAt();
   return SentAt + std::min((Accepted.Deadline - SentAt) / 2,
                            ResponseTimeoutTargetLatencies * R.TargetLatency);
 }
 
 void Forwarding::armTimer() {
   TimePoint Due = Accepted.Deadline;
-  if (CurrentPhase == Phase::Sent && !IsProgressTimeoutOff)
+  if (isSent() && !IsProgressTimeoutOff)
     Due = std::min(Due, std::max(progressDeadline(), NextProgressCheck));
   Timer.expires_at(std::chrono::steady_clock::time_point(Due));
   Timer.async_wait([Weak = weak_from_this()](error_code Error) {
@@ -821,22 +491,22 @@
 }
 
 void Forwarding::onTimer() {
-  if (CurrentPhase == Phase::Done)
+  if (IsDone)
     return;
   TimePoint At = now();
   if (At >= Accepted.Deadline) {
     if (LastFault.empty())
       LastFault = "deadline-reached";
-    leaveServer(false);
+    abandonAttempt();
     carryOut(Flow.onTimeUp());
     return;
   }
-  if (CurrentPhase == Phase::Sent && At >= progressDeadline()) {
+  if (isSent() && At >= progressDeadline()) {
     if (!Flow.mayRetry(retryConditions())) {
       // No retry is possible; wait until the deadline.
       IsProgressTimeoutOff = true;
     } else if (hasOtherFreeServer(At)) {
-      onServerFault(dispatch::ServerFault::TimedOut, "response-timeout");
+      Current->fail(dispatch::ServerFault::TimedOut, "response-timeout");
       return;
     } else {
       // No other server is free: keep waiting instead of losing this run.
@@ -847,7 +517,7 @@
 }
 
 void Forwarding::finish(std::string_view Outcome, unsigned Status) {
-  CurrentPhase = Phase::Done;
+  IsDone = true;
   Timer.cancel();
   if (Ticket != 0)
     Context.Dispatch.cancelWait(Service, Ticket);
@@ -860,29 +530,7 @@
   if (TimeToFirstByte.count() > 0)
     Context.Metrics.histogram("ragwort_first_byte_seconds")
         .record(TimeToFirstByte);
-  bool IsRoutine = Outcome == "completed" || Outcome == "caller-gone";
-  logEvent(
-      IsRoutine ? LogLevel::Info : LogLevel::Warning, "request-finished",
-      {{"request", Accepted.RequestId},
-       {"outcome", Outcome},
-       {"status", Status},
-       {"route", Accepted.Target->Name},
-       {"organisation", Accepted.Organisation},
-       {"fingerprint", quarantine::toString(Accepted.Traits.fingerprint())},
-       {"service", Service},
-       {"instance", Server.Id},
-       {"sends", Flow.sends()},
-       {"fault", LastFault},
-       {"events", Events.events()},
-       {"bytes", AnswerBytes},
-       {"framed", static_cast<int>(Parser.isFramed())},
-       {"first_ms", millis(TimeToFirstByte)},
-       {"longest_gap_ms", millis(LongestGap)},
-       {"total_ms", millis(Total)},
-       {"in_flight", Context.Dispatch.loadTracker().inFlight(Server.Id)},
-       {"waiting", Context.Dispatch.waiting()},
-       {"config", Accepted.Config->Version},
-       {"directory", Context.DirectoryVersion()}});
+  logFinished(Outcome, Status, Total);
 }
 
 } // namespace ragwort::gateway
--- a/libs/http/include/ragwort/http/HttpTypes.h
+++ b/libs/http/include/ragwort/http/HttpTypes.h
@@ -41,6 +41,11 @@
   std::string Body;
 };
 
+constexpr bool isSuccess(unsigned Status) {
+  return Status >= 200 && Status < 300;
+}
+constexpr bool isServerFailure(unsigned Status) { return Status >= 500; }
+
 /// Creates a response whose only header is its content type.
 Response makeResponse(unsigned Status, std::string_view ContentType,
                       std::string Body);
