Never join another answer to a stream that has begun

Cause: only server errors and declines asked whether a stream had begun; every other answer was relayed. Class: a rule for the usual case that lists the exceptions one by one.

Change: RequestFlow::onWholeAnswer decides for every answer that is not an event stream: with a stream begun, another server within the limits, or the connection is cut. The server counts as failing.

Looked at too: sendLocalReply is reached only through RequestFlow, which cuts a begun answer in giveUp() and onTimeUp().

--- a/libs/gateway/include/ragwort/gateway/RequestFlow.h
+++ b/libs/gateway/include/ragwort/gateway/RequestFlow.h
@@ -71,6 +71,10 @@
   Step onMisdirected(RetryConditions Conditions);
   /// The backend server answered with a server error.
   Step onFailureAnswer(RetryConditions Conditions);
+  /// The backend server's whole answer has arrived, and it is not an event
+  /// stream. \p IsFailure: it is a server error. Never joined to a stream that
+  /// has begun, whatever its status and type.
+  Step onWholeAnswer(bool IsFailure, RetryConditions Conditions);
   /// After a send the connection broke, timed out or returned invalid data.
   Step onBroken(RetryConditions Conditions);
   /// The response head is being sent to the caller.
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -341,15 +341,14 @@
 
 void Forwarding::onAnswered(const Attempt &Last) {
   unsigned Status = Last.head().Status;
+  bool IsFailure = http::isServerFailure(Status);
   dispatch::LoadTracker &Tracker = Context.Dispatch.loadTracker();
-  if (!http::isServerFailure(Status)) {
-    if (http::isSuccess(Status))
-      Tracker.onAnswered(ServerId, now() - Last.sentAt(), now());
-    relayAnswer(Last);
-    return;
-  }
-  Tracker.onFault(ServerId, dispatch::ServerFault::Failure, now());
-  Step Next = Flow.onFailureAnswer(retryConditions());
+  // A server that does not continue a stream fails, whatever else it answers.
+  if (IsFailure || Flow.hasAnswerBegun())
+    Tracker.onFault(ServerId, dispatch::ServerFault::Failure, now());
+  else if (http::isSuccess(Status))
+    Tracker.onAnswered(ServerId, now() - Last.sentAt(), now());
+  Step Next = Flow.onWholeAnswer(IsFailure, retryConditions());
   if (Next == Step::RelayAnswer) {
     relayAnswer(Last);
     return;
--- a/libs/gateway/src/RequestFlow.cpp
+++ b/libs/gateway/src/RequestFlow.cpp
@@ -78,6 +78,11 @@
   return Step::RelayAnswer;
 }
 
+Step RequestFlow::onWholeAnswer(bool IsFailure, RetryConditions Conditions) {
+  return IsFailure || IsAnswerBegun ? onFailureAnswer(Conditions)
+                                    : Step::RelayAnswer;
+}
+
 Step RequestFlow::onBroken(RetryConditions Conditions) {
   if (isRepeatable() && canSendAgain(Conditions))
     return Step::TryAnother;
--- a/libs/gateway/src/RequestFlowTest.cpp
+++ b/libs/gateway/src/RequestFlowTest.cpp
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(breakWhenStreamIsResumableTriesAnother);
   CPPUNIT_TEST(failureAnswerWhenAtMostOnceIsRelayed);
   CPPUNIT_TEST(failureAnswerWhenIdempotentIsRepeatedOnce);
+  CPPUNIT_TEST(wholeAnswerWhenStreamHasBegunIsNeverRelayed);
   CPPUNIT_TEST(timeUpWhenSentIsUnknownOtherwiseNotRun);
   CPPUNIT_TEST(repeatWhenBudgetIsSpentIsNotMade);
   CPPUNIT_TEST(stepsWhenEventsAreRandomMatchWhatHasRun);
@@ -139,6 +140,38 @@
     checkStep(Step::RelayAnswer, Flow.onFailureAnswer(Conditions));
   }
 
+  void wholeAnswerWhenStreamHasBegunIsNeverRelayed() {
+    struct Row {
+      Repeatability Repeat;
+      bool HasBegun;
+      bool IsFailure;
+      Step First; // With an attempt left.
+      Step Last;  // Without.
+    };
+    constexpr auto Once = Repeatability::AtMostOnce;
+    constexpr auto Safe = Repeatability::Idempotent;
+    constexpr auto Stream = Repeatability::Resumable;
+    const Row Rows[] = {
+        {Once, false, false, Step::RelayAnswer, Step::RelayAnswer},
+        {Once, false, true, Step::RelayAnswer, Step::RelayAnswer},
+        {Once, true, false, Step::CutAnswer, Step::CutAnswer},
+        {Once, true, true, Step::CutAnswer, Step::CutAnswer},
+        {Safe, false, false, Step::RelayAnswer, Step::RelayAnswer},
+        {Safe, false, true, Step::TryAnother, Step::RelayAnswer},
+        {Stream, false, false, Step::RelayAnswer, Step::RelayAnswer},
+        {Stream, false, true, Step::TryAnother, Step::RelayAnswer},
+        {Stream, true, false, Step::TryAnother, Step::CutAnswer},
+        {Stream, true, true, Step::TryAnother, Step::CutAnswer}};
+    for (const Row &R : Rows) {
+      RequestFlow Flow(R.Repeat, 2);
+      Flow.onSent();
+      if (R.HasBegun)
+        Flow.onAnswerBegun();
+      checkStep(R.First, Flow.onWholeAnswer(R.IsFailure, Conditions));
+      checkStep(R.Last, Flow.onWholeAnswer(R.IsFailure, {false, true}));
+    }
+  }
+
   void timeUpWhenSentIsUnknownOtherwiseNotRun() {
     RequestFlow Waiting(Repeatability::AtMostOnce, 1);
     checkStep(Step::RefuseNotRun, Waiting.onTimeUp());
