Cut a stream whose position is unknown instead of starting it again

What callers would see: the events of a resumable stream twice, if they carry no ids and its server breaks off: the next server was asked without a last event id and began anew.

Change: a begun stream is continued only after an event id. RequestFlowTest::breakWhenPositionInTheStreamIsUnknownIsCut failed to compile before, as the condition did not exist; it passes.

--- a/libs/gateway/include/ragwort/gateway/RequestFlow.h
+++ b/libs/gateway/include/ragwort/gateway/RequestFlow.h
@@ -43,6 +43,9 @@
   bool IsTimeLeft = true;
   /// The retry budget allows another send.
   bool IsBudgetLeft = true;
+  /// The last event that the caller has is known by its id, so that another
+  /// server can continue a stream after it.
+  bool IsPositionKnown = true;
 };
 
 /// One request, from acceptance to its final answer.
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -83,6 +83,7 @@
   Result.IsTimeLeft = Accepted.Deadline - At > MinRetryTime;
   Result.IsBudgetLeft =
       Flow.arrivals() == 0 || Context.Dispatch.hasRetryBudget(Service, At);
+  Result.IsPositionKnown = LastEventId.has_value();
   return Result;
 }
 
--- a/libs/gateway/src/RequestFlow.cpp
+++ b/libs/gateway/src/RequestFlow.cpp
@@ -37,7 +37,8 @@
       !Conditions.IsBudgetLeft)
     return false;
   // A partly sent answer can be continued only if the stream is resumable.
-  return !IsAnswerBegun || Repeat == Repeatability::Resumable;
+  return !IsAnswerBegun ||
+         (Repeat == Repeatability::Resumable && Conditions.IsPositionKnown);
 }
 
 Step RequestFlow::onNoBackend() { return giveUp(); }
--- a/libs/gateway/src/RequestFlowTest.cpp
+++ b/libs/gateway/src/RequestFlowTest.cpp
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(failureAnswerWhenAtMostOnceIsRelayed);
   CPPUNIT_TEST(failureAnswerWhenIdempotentIsRepeatedOnce);
   CPPUNIT_TEST(wholeAnswerWhenStreamHasBegunIsNeverRelayed);
+  CPPUNIT_TEST(breakWhenPositionInTheStreamIsUnknownIsCut);
   CPPUNIT_TEST(timeUpWhenSentIsUnknownOtherwiseNotRun);
   CPPUNIT_TEST(repeatWhenBudgetIsSpentIsNotMade);
   CPPUNIT_TEST(stepsWhenEventsAreRandomMatchWhatHasRun);
@@ -172,6 +173,13 @@
     }
   }
 
+  void breakWhenPositionInTheStreamIsUnknownIsCut() {
+    RequestFlow Flow(Repeatability::Resumable, 3);
+    Flow.onSent();
+    Flow.onAnswerBegun();
+    checkStep(Step::CutAnswer, Flow.onBroken({true, true, false}));
+  }
+
   void timeUpWhenSentIsUnknownOtherwiseNotRun() {
     RequestFlow Waiting(Repeatability::AtMostOnce, 1);
     checkStep(Step::RefuseNotRun, Waiting.onTimeUp());
