Accept no event without an id after events with ids

What callers saw: the head of a second answer as an event of their stream, where a server that answers without a length writes its answer twice before it closes the connection; or an event of another kind between two others.

Cause: a block without a readable id counted as an event that is not numbered. After a numbered one it can't be told which events the caller has. An id that only begins with a number was taken for that number.

Change: once a stream is numbered, every block with a field must carry the next number; comments stay allowed.

Streams that are not numbered at all are passed on as before (EventStreamTest::eventsWhenWithoutIdsAreAccepted).

--- a/libs/gateway/src/EventStream.cpp
+++ b/libs/gateway/src/EventStream.cpp
@@ -21,6 +21,17 @@
   return std::string_view::npos;
 }
 
+// Whether a line of the event is neither blank nor a comment.
+bool hasField(std::string_view Event) {
+  bool IsLineStart = true;
+  for (char C : Event) {
+    if (IsLineStart && C != ':' && C != '\r' && C != '\n')
+      return true;
+    IsLineStart = C == '\n';
+  }
+  return false;
+}
+
 std::optional<uint64_t> parseEventId(std::string_view Event) {
   constexpr std::string_view Field = "id:";
   size_t At = 0;
@@ -33,9 +44,12 @@
     Line.remove_prefix(Field.size());
     if (Line.starts_with(' '))
       Line.remove_prefix(1);
+    if (Line.ends_with('\r'))
+      Line.remove_suffix(1);
     uint64_t Id = 0;
-    auto Parsed = std::from_chars(Line.data(), Line.data() + Line.size(), Id);
-    if (Parsed.ec == std::errc())
+    const char *Last = Line.data() + Line.size();
+    auto Parsed = std::from_chars(Line.data(), Last, Id);
+    if (Parsed.ec == std::errc() && Parsed.ptr == Last)
       return Id;
   }
   return std::nullopt;
@@ -47,6 +61,9 @@
   std::optional<uint64_t> Id = parseEventId(Event);
   if (LastId && Id && *Id != *LastId + 1)
     return false;
+  // It could not be told which events a caller lacks.
+  if (LastId && !Id && hasField(Event))
+    return false;
   if (Id)
     LastId = Id;
   ++Events;
--- a/libs/gateway/src/EventStreamTest.cpp
+++ b/libs/gateway/src/EventStreamTest.cpp
@@ -10,6 +10,8 @@
   CPPUNIT_TEST(responseWhenInterruptedWithinAnEventDropsThePartialEvent);
   CPPUNIT_TEST(eventWhenOneIsMissingIsRejected);
   CPPUNIT_TEST(eventWhenRepeatedIsRejected);
+  CPPUNIT_TEST(eventWhenItsIdIsNoNumberAfterOthersIsRejected);
+  CPPUNIT_TEST(commentsWhenBetweenEventsAreAccepted);
   CPPUNIT_TEST(eventsWhenWithoutIdsAreAccepted);
   CPPUNIT_TEST(streamWhenResumedStartsAfterTheCallersId);
   CPPUNIT_TEST(eventWhenItNeverEndsIsRejected);
@@ -60,6 +62,23 @@
     CPPUNIT_ASSERT_EQUAL(uint64_t(1), *Events.lastId());
   }
 
+  void eventWhenItsIdIsNoNumberAfterOthersIsRejected() {
+    for (const char *Line :
+         {"id: 2x", "id: 2 3", "id:", "data: x", "HTTP/1.1 200 OK"}) {
+      EventStream Events;
+      CPPUNIT_ASSERT(Events.push(event(1)));
+      CPPUNIT_ASSERT_MESSAGE(Line, !Events.push(std::string(Line) + "\n\n"));
+    }
+  }
+
+  void commentsWhenBetweenEventsAreAccepted() {
+    EventStream Events;
+    std::string All = event(1) + ": still here\n\n" + event(2) + "\n\n";
+    CPPUNIT_ASSERT(Events.push(All));
+    CPPUNIT_ASSERT_EQUAL(All, Events.takeCompleteEvents());
+    CPPUNIT_ASSERT_EQUAL(uint64_t(2), *Events.lastId());
+  }
+
   void eventsWhenWithoutIdsAreAccepted() {
     EventStream Events;
     CPPUNIT_ASSERT(Events.push("data: a\n\ndata: b\n\n"));
