Do not take a repeated answer without a length for one answer

What callers saw: a body of twice the size, with a second head in its middle, where a server that answers without a length writes its answer twice.

Cause: the end of such an answer is known only from its connection, so all that arrives before the close counted as its body. In the same way the late answer to another request, without a length, took in the answer to the next one until the deadline.

Change: a body without a length that holds the head of an answer with a request id is malformed: repeatable requests go to another server, the others end as unknown (502). An answer to another request without a length is given up at once.

Evidence: answerWhenWithoutLengthAndRepeatedIsNotForwarded failed (200 with 78 bytes instead of 502) and passes. What remains: a repeat without a head, or bytes inside a length, can't be seen by a relay.

--- a/libs/gateway/include/ragwort/gateway/Attempt.h
+++ b/libs/gateway/include/ragwort/gateway/Attempt.h
@@ -123,6 +123,7 @@
   void readBody();
   void readEvents(std::string_view Bytes);
   void finishAnswer();
+  bool isAnswerRepeated() const;
   void noteStatement();
   void noteDecline();
   void noteEvents();
--- a/libs/gateway/src/Attempt.cpp
+++ b/libs/gateway/src/Attempt.cpp
@@ -132,7 +132,8 @@
 
 bool Attempt::skipAnswer(size_t Taken) {
   SkippedBytes += Taken;
-  if (SkippedBytes > MaxWholeAnswerBytes) {
+  // Without an end of its own it would take in the answer to this request.
+  if (!Parser.isFramed() || SkippedBytes > MaxWholeAnswerBytes) {
     fail(dispatch::ServerFault::Malformed, "malformed-response");
     return false;
   }
@@ -238,9 +239,32 @@
       end(AttemptEnd::StreamEnded);
     return;
   }
+  if (isAnswerRepeated()) {
+    fail(dispatch::ServerFault::Malformed, "repeated-answer");
+    return;
+  }
   end(AttemptEnd::Answered);
 }
 
+bool Attempt::isAnswerRepeated() const {
+  if (Parser.isFramed())
+    return false;
+  // The end of an answer without a length is known only from its connection,
+  // so a second one would become a part of it.
+  constexpr std::string_view Begin = "HTTP/1.";
+  std::string_view Text = Body;
+  for (size_t At = Text.find(Begin); At != std::string_view::npos;
+       At = Text.find(Begin, At + 1)) {
+    ResponseParser Second;
+    Second.feed(Text.substr(At));
+    if (Second.stage() != ParseStage::Head &&
+        Second.stage() != ParseStage::Failed &&
+        !Second.head().header(Context.Names.RequestId).empty())
+      return true;
+  }
+  return false;
+}
+
 void Attempt::noteDecline() {
   const http::ResponseHead &H = Parser.head();
   FaultText = "declined-" + std::to_string(H.Status);
