--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SECONDS_OF_SOAK = $(SECONDS)
 
 .PHONY: deps build test demo soak fault-soak scenarios experiments lint \
-  format bench prove-failing
+  format bench prove-failing review
 
 deps:
 	scripts/install-dependencies
@@ -44,6 +44,10 @@
 prove-failing: build
 	scripts/prove-failing $(BUILD)
 
+# The cases of the independent review, five times each: make review TIMES=5
+review: deps
+	scripts/review $(or $(TIMES),5)
+
 lint: build
 	scripts/lint $(BUILD)
 
--- a/libs/gateway/src/MessageParserTest.cpp
+++ b/libs/gateway/src/MessageParserTest.cpp
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(responseWhenNotHttpFails);
   CPPUNIT_TEST(responseWhenInterimIsReportedAsInterim);
   CPPUNIT_TEST(messageWhenItsFramingNeverEndsFails);
+  CPPUNIT_TEST(bodyWhenAnotherHeadBeginsInItIsFound);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr uint32_t MaxHead = 1024;
@@ -158,6 +159,27 @@
                                     Begin, Piece) < MostBuffered);
     }
   }
+
+  void bodyWhenAnotherHeadBeginsInItIsFound() {
+    const std::string Head =
+        "HTTP/1.1 200 OK\r\nServer: s\r\nrequest-id: 7\r\n\r\nrest";
+    const std::string Body = "{\"a\": HTTP/1." + Head;
+    CPPUNIT_ASSERT(holdsResponseHead(Body, "", "Request-Id"));
+    // From the status line's beginning on, the head may end in the rest.
+    size_t Begin = Body.find(Head);
+    for (size_t Cut = 0; Cut < Body.size(); ++Cut)
+      CPPUNIT_ASSERT_EQUAL(Cut > Begin,
+                           holdsResponseHead(Body.substr(0, Cut),
+                                             Body.substr(Cut), "Request-Id"));
+    for (const char *Text :
+         {"", "HTTP/1.", "HTTP/1.1 200 OK", "HTTP/1.1 200 OK\r\n",
+          "HTTP/1.1 20 OK\r\nRequest-Id: 7\r\n",
+          "HTTP/1.1 2000\r\nRequest-Id: 7\r\n",
+          "POST / HTTP/1.1\r\nRequest-Id: 7\r\n",
+          "HTTP/1.1 200 OK\r\n\r\nRequest-Id: 7\r\n",
+          "HTTP/1.1 200 OK\r\nno field\r\nRequest-Id: 7\r\n"})
+      CPPUNIT_ASSERT_MESSAGE(Text, !holdsResponseHead(Text, "", "Request-Id"));
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(MessageParserTest);
 
