Look for a second head in linear time, and only for the request's own

Cause: a parser was started at each status line and given the rest of the body.

Change: the lines after a head are read once, and the field must have the request's own id where a whole body is searched. 8 MB of heads whose status lines look like header lines are a case of MessageParserTest; on the code before it takes quadratic time.

--- a/libs/gateway/include/ragwort/gateway/MessageParser.h
+++ b/libs/gateway/include/ragwort/gateway/MessageParser.h
@@ -86,11 +86,12 @@
   std::unique_ptr<Impl> State;
 };
 
-/// Whether the head of a response with the header field \p Field begins in
-/// \p Body; it may go on in \p Rest. A server that answers again before it has
-/// finished its first answer makes the second a part of the first one's body.
+/// Whether the head of a response with the header field \p Name begins in
+/// \p Body; it may go on in \p Rest. If \p Value is not empty, the field must
+/// have it. A server that answers again before it has finished its first answer
+/// makes the second a part of the first one's body. Takes linear time.
 bool holdsResponseHead(std::string_view Body, std::string_view Rest,
-                       std::string_view Field);
+                       std::string_view Name, std::string_view Value = {});
 
 } // namespace ragwort::gateway
 
--- a/libs/gateway/src/Attempt.cpp
+++ b/libs/gateway/src/Attempt.cpp
@@ -243,7 +243,8 @@
       end(AttemptEnd::StreamEnded);
     return;
   }
-  if (holdsResponseHead(Body, Unparsed, Context.Names.RequestId)) {
+  if (holdsResponseHead(Body, Unparsed, Context.Names.RequestId,
+                        Request.RequestId)) {
     fail(dispatch::ServerFault::Malformed, "repeated-answer");
     return;
   }
--- a/libs/gateway/src/MessageParser.cpp
+++ b/libs/gateway/src/MessageParser.cpp
@@ -112,20 +112,39 @@
          isDigit(Line[10]) && isDigit(Line[11]);
 }
 
-/// Whether one of the header lines that \p Text begins with has the name
-/// \p Field.
-bool beginsWithField(std::string_view Text, std::string_view Field) {
-  while (!Text.empty()) {
-    size_t End = std::min(Text.find("\r\n"), Text.size());
-    std::string_view Line = Text.substr(0, End);
+std::string_view withoutBlanks(std::string_view Text) {
+  while (Text.starts_with(' '))
+    Text.remove_prefix(1);
+  while (Text.ends_with(' '))
+    Text.remove_suffix(1);
+  return Text;
+}
+
+/// Result of reading the header lines that a text begins with.
+struct FieldSearch {
+  bool IsFound = false;
+  /// Number of bytes up to the line that is no header line.
+  size_t Length = 0;
+};
+
+FieldSearch findField(std::string_view Text, std::string_view Name,
+                      std::string_view Value) {
+  FieldSearch Result;
+  while (Result.Length < Text.size()) {
+    std::string_view Left = Text.substr(Result.Length);
+    size_t End = std::min(Left.find("\r\n"), Left.size());
+    std::string_view Line = Left.substr(0, End);
     size_t Colon = Line.find(':');
     if (Colon == std::string_view::npos)
-      return false;
-    if (isSameHeaderName(Line.substr(0, Colon), Field))
-      return true;
-    Text.remove_prefix(std::min(End + 2, Text.size()));
+      break;
+    Result.Length += std::min(End + 2, Left.size());
+    Result.IsFound =
+        isSameHeaderName(Line.substr(0, Colon), Name) &&
+        (Value.empty() || withoutBlanks(Line.substr(Colon + 1)) == Value);
+    if (Result.IsFound)
+      break;
   }
-  return false;
+  return Result;
 }
 
 } // namespace
@@ -231,7 +250,7 @@
 }
 
 bool holdsResponseHead(std::string_view Body, std::string_view Rest,
-                       std::string_view Field) {
+                       std::string_view Name, std::string_view Value) {
   constexpr std::string_view Begin = "HTTP/1.";
   std::string Joined;
   std::string_view Text = Body;
@@ -239,14 +258,20 @@
     Joined.append(Body).append(Rest);
     Text = Joined;
   }
-  for (size_t At = Text.find(Begin); At < Body.size();
-       At = Text.find(Begin, At + 1)) {
+  size_t At = Text.find(Begin);
+  while (At < Body.size()) {
     size_t End = Text.find("\r\n", At);
     if (End == std::string_view::npos)
       return false;
-    if (isStatusLine(Text.substr(At, End - At)) &&
-        beginsWithField(Text.substr(End + 2), Field))
-      return true;
+    size_t Next = At + Begin.size();
+    if (isStatusLine(Text.substr(At, End - At))) {
+      FieldSearch Search = findField(Text.substr(End + 2), Name, Value);
+      if (Search.IsFound)
+        return true;
+      // The lines after a later head would be the same.
+      Next = End + 2 + Search.Length;
+    }
+    At = Text.find(Begin, Next);
   }
   return false;
 }
--- a/libs/gateway/src/MessageParserTest.cpp
+++ b/libs/gateway/src/MessageParserTest.cpp
@@ -179,6 +179,13 @@
           "HTTP/1.1 200 OK\r\n\r\nRequest-Id: 7\r\n",
           "HTTP/1.1 200 OK\r\nno field\r\nRequest-Id: 7\r\n"})
       CPPUNIT_ASSERT_MESSAGE(Text, !holdsResponseHead(Text, "", "Request-Id"));
+    CPPUNIT_ASSERT(holdsResponseHead(Body, "", "Request-Id", "7"));
+    CPPUNIT_ASSERT(!holdsResponseHead(Body, "", "Request-Id", "8"));
+    // Heads whose status lines look like header lines of the one before.
+    std::string Many;
+    while (Many.size() < 8'000'000)
+      Many += "HTTP/1.1 200 a:b\r\n";
+    CPPUNIT_ASSERT(!holdsResponseHead(Many, "", "Request-Id"));
   }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(MessageParserTest);
