Tell events from comments, answers without a body and events that never came

- A begun stream that another server continues with a 204 of type text/event-stream ended as complete: any success of that type counted as a stream.
Now only a 200 does, in any case of the type, and none to HEAD (streamWhenContinuedWithoutEventsIsCut, streamWhenItsTypeIsInAnotherCase...).
- A stream that broke off within an event and was continued without that event ended as complete (streamWhenItsNextEventNeverComesIsCut).
- A stream of which only a comment had been sent was cut instead of being started at another server (streamWhenOnlyACommentWasSentIsStartedElsewhere), and blocks with only the time for reconnects counted as events without an id.
- A caller's own last event id made every event need one; now only events that were forwarded do (EventStreamTest::eventsWhenEarlierOnesHadIdsNeedOne).

They went in together since they meet in the same lines. A request that has ended can't be taken from the queue again (no path to it is known).

--- a/libs/gateway/include/ragwort/gateway/Attempt.h
+++ b/libs/gateway/include/ragwort/gateway/Attempt.h
@@ -68,9 +68,11 @@
   /// Takes a connection that has been idle for at most \p MaxIdle, or begins to
   /// open one. \returns whether it is open.
   bool connect(Duration MaxIdle);
-  /// Writes the request with the head \p Head. The server is expected to
-  /// continue after the event \p After, if it has a value.
-  void send(std::string_view Head, std::optional<uint64_t> After);
+  /// Writes the request with the head \p Head. The server is expected to go on
+  /// after the event \p After, if it has a value. \p IsContinuation: events of
+  /// an earlier attempt have been forwarded.
+  void send(std::string_view Head, std::optional<uint64_t> After,
+            bool IsContinuation);
   /// Gives up without a report.
   void abandon();
   /// Gives up because of the server and reports AttemptEnd::Broken. \p Text is
@@ -85,6 +87,9 @@
   bool isReadingPaused() const { return Socket && Socket->isReadingPaused(); }
   /// Whether a complete event has arrived.
   bool hasEvent() const { return Events.events() > 0; }
+  /// The same, without comments.
+  bool hasContent() const { return Events.hasContent(); }
+  bool hasPartialEvent() const { return Events.hasPartialEvent(); }
   bool isEventStream() const { return IsEventStream; }
   uint64_t events() const { return Events.events(); }
   std::optional<uint64_t> lastEventId() const { return Events.lastId(); }
--- a/libs/gateway/include/ragwort/gateway/EventStream.h
+++ b/libs/gateway/include/ragwort/gateway/EventStream.h
@@ -36,13 +36,17 @@
   bool push(std::string_view Bytes);
   /// \returns the complete events received since the last call, in order.
   std::string takeCompleteEvents();
-  /// Whether bytes of an incomplete event are buffered.
-  bool hasPartialEvent() const { return !Partial.empty(); }
+  /// Whether a part of an incomplete event is buffered.
+  bool hasPartialEvent() const;
+  /// Whether there was an event; a comment is none.
+  bool hasContent() const { return HasContent; }
   /// Id of the last complete event that had one.
   std::optional<uint64_t> lastId() const { return LastId; }
   /// Sets the id of the last event that the caller has received of an earlier
   /// response.
   void resumeAfter(uint64_t Id) { LastId = Id; }
+  /// Earlier events of the stream have ids, so each one must have one.
+  void requireIds() { IsNumbered = true; }
   /// Number of complete events so far.
   uint64_t events() const { return Events; }
 
@@ -53,6 +57,9 @@
   std::string Complete;
   std::optional<uint64_t> LastId;
   uint64_t Events = 0;
+  // Whether an event had an id.
+  bool IsNumbered = false;
+  bool HasContent = false;
 };
 
 } // namespace ragwort::gateway
--- a/libs/gateway/include/ragwort/gateway/Forwarding.h
+++ b/libs/gateway/include/ragwort/gateway/Forwarding.h
@@ -118,6 +118,10 @@
   std::string ServerId;
   // Id of the last event that the caller has.
   std::optional<uint64_t> LastEventId;
+  // Whether the caller has an event; a comment is none.
+  bool HasContent = false;
+  // Whether an attempt broke off within an event that the caller lacks still.
+  bool IsEventMissing = false;
   // Events and bytes of the answer that the caller was sent; Events without
   // those of the current attempt.
   uint64_t Events = 0;
--- a/libs/gateway/src/Attempt.cpp
+++ b/libs/gateway/src/Attempt.cpp
@@ -75,10 +75,13 @@
   Observer->onConnected();
 }
 
-void Attempt::send(std::string_view Head, std::optional<uint64_t> After) {
+void Attempt::send(std::string_view Head, std::optional<uint64_t> After,
+                   bool IsContinuation) {
   CurrentStage = Stage::Sent;
   if (After)
     Events.resumeAfter(*After);
+  if (After && IsContinuation)
+    Events.requireIds();
   SentAt = now();
   LastProgress = SentAt;
   std::string Bytes(Head);
@@ -172,8 +175,14 @@
     fail(dispatch::ServerFault::Malformed, "missing-answer-stamp");
     return;
   }
-  IsEventStream = Request.Target->IsStream && http::isSuccess(H.Status) &&
-                  H.header("Content-Type").starts_with("text/event-stream");
+  constexpr unsigned StatusOk = 200;
+  constexpr std::string_view EventStreamType = "text/event-stream";
+  IsEventStream =
+      Request.Target->IsStream && Request.Message.Method != "HEAD" &&
+      H.Status == StatusOk &&
+      isSameHeaderName(
+          H.header("Content-Type").substr(0, EventStreamType.size()),
+          EventStreamType);
 }
 
 void Attempt::readBody() {
--- a/libs/gateway/src/EventStream.cpp
+++ b/libs/gateway/src/EventStream.cpp
@@ -21,13 +21,17 @@
   return std::string_view::npos;
 }
 
-// Whether a line of the event is neither blank nor a comment.
-bool hasField(std::string_view Event) {
-  bool IsLineStart = true;
-  for (char C : Event) {
-    if (IsLineStart && C != ':' && C != '\r' && C != '\n')
+// Whether the block has more than comments and the time for reconnects, which
+// may come between events.
+bool isEventBlock(std::string_view Block) {
+  constexpr std::string_view Reconnect = "retry:";
+  while (!Block.empty()) {
+    size_t End = std::min(Block.find('\n'), Block.size());
+    std::string_view Line = Block.substr(0, End);
+    Block.remove_prefix(std::min(End + 1, Block.size()));
+    if (!Line.empty() && Line != "\r" && !Line.starts_with(':') &&
+        !Line.starts_with(Reconnect))
       return true;
-    IsLineStart = C == '\n';
   }
   return false;
 }
@@ -61,11 +65,15 @@
   std::optional<uint64_t> Id = parseEventId(Event);
   if (LastId && Id && *Id != *LastId + 1)
     return false;
+  bool IsEvent = isEventBlock(Event);
   // It could not be told which events a caller lacks.
-  if (LastId && !Id && hasField(Event))
+  if (IsNumbered && IsEvent && !Id)
     return false;
-  if (Id)
+  if (Id) {
     LastId = Id;
+    IsNumbered = true;
+  }
+  HasContent |= IsEvent;
   ++Events;
   Complete += Event;
   return true;
@@ -78,14 +86,18 @@
   size_t Begin = 0;
   for (size_t End = eventEnd(Partial, From); End != std::string::npos;
        End = eventEnd(Partial, Begin)) {
-    if (!acceptEvent(std::string_view(Partial).substr(Begin, End - Begin)))
+    if (!acceptEvent(std::string_view(Partial).substr(Begin, End - Begin))) {
+      Partial.clear();
       return false;
+    }
     Begin = End;
   }
   Partial.erase(0, Begin);
   return Partial.size() <= MaxEventBytes;
 }
 
+bool EventStream::hasPartialEvent() const { return isEventBlock(Partial); }
+
 std::string EventStream::takeCompleteEvents() {
   std::string Result;
   Result.swap(Complete);
--- a/libs/gateway/src/EventStreamTest.cpp
+++ b/libs/gateway/src/EventStreamTest.cpp
@@ -12,6 +12,7 @@
   CPPUNIT_TEST(eventWhenRepeatedIsRejected);
   CPPUNIT_TEST(eventWhenItsIdIsNoNumberAfterOthersIsRejected);
   CPPUNIT_TEST(commentsWhenBetweenEventsAreAccepted);
+  CPPUNIT_TEST(eventsWhenEarlierOnesHadIdsNeedOne);
   CPPUNIT_TEST(eventsWhenWithoutIdsAreAccepted);
   CPPUNIT_TEST(streamWhenResumedStartsAfterTheCallersId);
   CPPUNIT_TEST(eventWhenItNeverEndsIsRejected);
@@ -73,12 +74,23 @@
 
   void commentsWhenBetweenEventsAreAccepted() {
     EventStream Events;
-    std::string All = event(1) + ": still here\n\n" + event(2) + "\n\n";
+    std::string All = ": first\n\n" + event(1) + ": still here\n\n" +
+                      "retry: 1000\n\n" + event(2) + "\n\n";
     CPPUNIT_ASSERT(Events.push(All));
     CPPUNIT_ASSERT_EQUAL(All, Events.takeCompleteEvents());
     CPPUNIT_ASSERT_EQUAL(uint64_t(2), *Events.lastId());
   }
 
+  void eventsWhenEarlierOnesHadIdsNeedOne() {
+    EventStream Resumed;
+    Resumed.resumeAfter(2);
+    CPPUNIT_ASSERT(Resumed.push("data: x\n\n"));
+    EventStream Continued;
+    Continued.resumeAfter(2);
+    Continued.requireIds();
+    CPPUNIT_ASSERT(!Continued.push("data: x\n\n"));
+  }
+
   void eventsWhenWithoutIdsAreAccepted() {
     EventStream Events;
     CPPUNIT_ASSERT(Events.push("data: a\n\ndata: b\n\n"));
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -83,7 +83,7 @@
   Result.IsTimeLeft = Accepted.Deadline - At > MinRetryTime;
   Result.IsBudgetLeft =
       Flow.arrivals() == 0 || Context.Dispatch.hasRetryBudget(Service, At);
-  Result.IsPositionKnown = LastEventId.has_value();
+  Result.IsPositionKnown = !HasContent || LastEventId.has_value();
   return Result;
 }
 
@@ -157,7 +157,7 @@
 }
 
 void Forwarding::onDequeued(const dispatch::DequeuedRequest &C) {
-  if (Ticket == 0 || C.Ticket != Ticket)
+  if (IsDone || Ticket == 0 || C.Ticket != Ticket)
     return;
   auto Self = shared_from_this();
   Ticket = 0;
@@ -208,7 +208,7 @@
     Context.Dispatch.onRetry(Service, now());
   std::string Head = requestHead();
   Flow.onSent();
-  Current->send(Head, LastEventId);
+  Current->send(Head, LastEventId, Flow.hasAnswerBegun());
   armTimer();
 }
 
@@ -229,6 +229,8 @@
   }
   beginStream();
   LastEventId = Current->lastEventId();
+  HasContent |= Current->hasContent();
+  IsEventMissing &= !Current->hasContent();
   AnswerBytes += Complete.size();
   Sink->continueStream(Complete);
   armTimer();
@@ -290,6 +292,7 @@
   LongestGap = std::max(LongestGap, Current->longestGap());
   IsFramed = Current->isFramed();
   Events += Current->events();
+  IsEventMissing |= Current->hasPartialEvent();
   if (!Current->fault().empty())
     LastFault = Current->fault();
   return std::exchange(Current, nullptr);
@@ -360,6 +363,12 @@
 }
 
 void Forwarding::finishStream(const Attempt &Last) {
+  if (IsEventMissing) {
+    LastFault = "event-missing";
+    Excluded.push_back(ServerId);
+    carryOut(Flow.onBroken(retryConditions()));
+    return;
+  }
   AnswerSink *To = std::exchange(Sink, nullptr);
   finish("completed", Last.head().Status);
   To->endStream();
--- a/libs/gateway/src/SpoiledAnswerTest.cpp
+++ b/libs/gateway/src/SpoiledAnswerTest.cpp
@@ -19,6 +19,9 @@
   CPPUNIT_TEST(streamWhenAnEventHasNoIdAfterOthersIsContinuedElsewhere);
   CPPUNIT_TEST(answerWhenTooLargeIsReplacedByAnotherServers);
   CPPUNIT_TEST(streamWhenContinuedWithoutEventsIsCut);
+  CPPUNIT_TEST(streamWhenItsNextEventNeverComesIsCut);
+  CPPUNIT_TEST(streamWhenOnlyACommentWasSentIsStartedElsewhere);
+  CPPUNIT_TEST(streamWhenItsTypeIsInAnotherCaseIsContinued);
   CPPUNIT_TEST(streamWhenWithoutLengthAndRepeatedIsForwardedOnce);
   CPPUNIT_TEST(answerWhenWithoutLengthAndRepeatedIsNotForwarded);
   CPPUNIT_TEST(answerWhenBrokenOffAndRepeatedIsNotForwarded);
@@ -86,6 +89,8 @@
         continued(3));
     checkStream(exchange(request("/stream/", "r1")), 3);
     CPPUNIT_ASSERT_EQUAL(size_t(2), requestsSeen().size());
+    CPPUNIT_ASSERT_EQUAL(size_t(1), count(requestsSeen()[0] + requestsSeen()[1],
+                                          "Last-Event-Id: 2\r\n"));
   }
 
   void streamWhenSpoiledAfterItHasBegunIsContinuedElsewhere() {
@@ -141,6 +146,7 @@
     const std::pair<const char *, const char *> Answers[] = {
         {"200 OK", "Content-Type: application/json\r\n"},
         {"204 No Content", ""},
+        {"204 No Content", "Content-Type: text/event-stream\r\n"},
         {"302 Found", "Location: /\r\n"},
         {"400 Bad Request", ""},
         {"404 Not Found", "Content-Type: text/plain\r\n"},
@@ -177,6 +183,49 @@
     }
   }
 
+  void streamWhenItsNextEventNeverComesIsCut() {
+    warmUp();
+    scriptFirst(
+        [](const std::string &R) {
+          return streamHead(idOf(R)) + chunk(events(1, 2) + "id: 3\nda") +
+                 ScriptedServer::Reset;
+        },
+        continued(2));
+    auto C = call(request("/stream/", "r1"));
+    runUntil([&C] { return C->IsEnded || C->Received.ends_with("0\r\n\r\n"); });
+    CPPUNIT_ASSERT(C->IsEnded);
+  }
+
+  void streamWhenOnlyACommentWasSentIsStartedElsewhere() {
+    warmUp();
+    scriptFirst(
+        [](const std::string &R) {
+          return streamHead(idOf(R)) + chunk(": wait\n\n") +
+                 ScriptedServer::Reset;
+        },
+        continued(3));
+    std::string Got = exchange(request("/stream/", "r1"));
+    ResponseParser P;
+    P.feed(Got);
+    CPPUNIT_ASSERT_EQUAL(": wait\n\n" + events(1, 3), P.takeBody());
+    CPPUNIT_ASSERT(P.stage() == ParseStage::Done);
+  }
+
+  void streamWhenItsTypeIsInAnotherCaseIsContinued() {
+    warmUp();
+    scriptFirst(
+        [](const std::string &R) {
+          return streamHead(idOf(R)) + chunk(events(1, 2)) +
+                 ScriptedServer::Reset;
+        },
+        [](const std::string &R) {
+          std::string Answer = continued(3)(R);
+          Answer.replace(Answer.find("text/event"), 10, "Text/Event");
+          return Answer;
+        });
+    checkStream(exchange(request("/stream/", "r1")), 3);
+  }
+
   void streamWhenWithoutLengthAndRepeatedIsForwardedOnce() {
     warmUp();
     scriptFirst(
