Reuse no connection that has carried the request's id

Callers saw: a request that may run at most once was answered "not run, try again" while a server had it (REFUSED), or was sent to a second server as well (TWICE).

Cause: answers are told apart by the echoed id only, and that is the caller's. A caller that repeats a request under its id can meet the connection on which the first one was refused. A second copy of that refusal, after the request and before its answer, then counts as the answer.

Change: a kept connection remembers the hashes of the ids it has carried, and a request takes one that has not carried its id, or opens a new one. It is closed after 128 requests, so none is forgotten and the memory is bounded by 1 KiB.

Weighed: ids that this node sent recently (needs a time for which a copy may be late, and memory by rate); an id of the gateway's own for each send (servers are to receive the caller's); a new connection for each at-most-once request (one connection a request, for a rare case).

Looked at for the same id on the same connection: a request that is sent again by the gateway (the server is excluded, also while it waits; after "idle-connection-closed" it is not, but that connection is gone; moved by evacuation or a quarantine: nothing was written), 421 of another instance (closed), a server that starts again under its id (its connections ended with it), connections of path probes (have carried nothing), two callers with one id at the same time (two connections), request ids that are empty or given twice (answered 400), other case or blanks (another id: skipped).

Measured: gateway_tests 128 of 128 pass.

--- a/libs/gateway/include/ragwort/gateway/Attempt.h
+++ b/libs/gateway/include/ragwort/gateway/Attempt.h
@@ -147,6 +147,8 @@
   Stage CurrentStage = Stage::New;
   bool IsFreshConnection = false;
   std::shared_ptr<StreamSocket> Socket;
+  // Of the connection, this request included once it is sent.
+  CarriedIds Carried;
   ResponseParser Parser;
   std::string Unparsed;
   // Bytes of answers to other requests.
--- a/libs/gateway/include/ragwort/gateway/BackendPool.h
+++ b/libs/gateway/include/ragwort/gateway/BackendPool.h
@@ -1,20 +1,28 @@
 //===- BackendPool.h - Idle connections to backend servers ----------------===//
 //
 // Idle connections for reuse, by instance. A connection that receives data
-// while it is idle is closed.
+// while it is idle is closed. None carries two requests with the same id.
 //
 //===----------------------------------------------------------------------===//
 #ifndef RAGWORT_GATEWAY_BACKENDPOOL_H
 #define RAGWORT_GATEWAY_BACKENDPOOL_H
 
+#include "ragwort/gateway/CarriedIds.h"
 #include "ragwort/gateway/StreamSocket.h"
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace ragwort::gateway {
 
+/// An open connection to a backend server.
+struct KeptConnection {
+  std::shared_ptr<StreamSocket> Socket;
+  CarriedIds Carried;
+};
+
 class BackendPool {
 public:
   /// Maximum number of idle connections to one instance; others are closed.
@@ -25,14 +33,17 @@
   BackendPool(const BackendPool &) = delete;
   BackendPool &operator=(const BackendPool &) = delete;
 
-  /// Removes an idle connection to \p Id that has been idle for at most
-  /// \p MaxIdle. \returns it, or null if there is none.
-  std::shared_ptr<StreamSocket> take(std::string_view Id, TimePoint Now,
+  /// Removes a connection to \p Id that has been idle for at most \p MaxIdle
+  /// and has not carried \p RequestId. \returns it, or nothing if there is
+  /// none.
+  std::optional<KeptConnection> take(std::string_view Id,
+                                     std::string_view RequestId, TimePoint Now,
                                      Duration MaxIdle);
-  /// Adds a connection whose last answer was complete. \p KeepAlive is the idle
-  /// time after which the server closes it, or zero if unknown.
-  void keep(std::string Id, std::shared_ptr<StreamSocket> Socket,
-            Duration KeepAlive, TimePoint Now);
+  /// Adds a connection whose last answer was complete, or closes it if it has
+  /// carried as many requests as it may. \p KeepAlive is the idle time after
+  /// which the server closes it, or zero if unknown.
+  void keep(std::string Id, KeptConnection Connection, Duration KeepAlive,
+            TimePoint Now);
   void closeAll();
   /// Closes the connections to \p Id.
   void closeAll(std::string_view Id);
--- a/libs/gateway/src/Attempt.cpp
+++ b/libs/gateway/src/Attempt.cpp
@@ -50,12 +50,14 @@
   const dispatch::PathHealth &Paths = tracker().paths();
   if (Paths.areAllGood() ||
       Paths.state(Server.DataCentre) == dispatch::PathState::Good)
-    Socket = Context.Pool.take(Server.Id, now(), MaxIdle);
-  IsFreshConnection = !Socket;
-  if (Socket) {
-    Socket->setHandler(this);
-    return true;
-  }
+    if (auto Kept =
+            Context.Pool.take(Server.Id, Request.RequestId, now(), MaxIdle)) {
+      Socket = std::move(Kept->Socket);
+      Carried = std::move(Kept->Carried);
+      Socket->setHandler(this);
+      return true;
+    }
+  IsFreshConnection = true;
   CurrentStage = Stage::Connecting;
   ConnectBegun = now();
   Context.Metrics.counter("ragwort_backend_connections_total").add();
@@ -81,6 +83,7 @@
     Events.resumeAfter(*After);
   SentAt = now();
   LastProgress = SentAt;
+  Carried.add(Request.RequestId);
   std::string Bytes(Head);
   Bytes += Request.Message.Body;
   Socket->write(Bytes);
@@ -360,7 +363,7 @@
                    Socket->unsent() == 0 && Socket->isOpen();
     if (IsClean) {
       Socket->resumeReading();
-      Context.Pool.keep(Server.Id, std::move(Socket),
+      Context.Pool.keep(Server.Id, {std::move(Socket), std::move(Carried)},
                         keepAliveTime(Parser.head()), now());
     } else if (Parser.stage() == ParseStage::Done) {
       Socket->close();
--- a/libs/gateway/src/BackendPool.cpp
+++ b/libs/gateway/src/BackendPool.cpp
@@ -19,25 +19,24 @@
 
 class BackendPool::IdleConnection final : public SocketHandler {
 public:
-  IdleConnection(BackendPool &Owner, std::string Id,
-                 std::shared_ptr<StreamSocket> Socket, Duration KeepAlive,
-                 TimePoint Now)
-      : Id(std::move(Id)), Socket(std::move(Socket)), IdleSince(Now),
+  IdleConnection(BackendPool &Owner, std::string Id, KeptConnection Connection,
+                 Duration KeepAlive, TimePoint Now)
+      : Id(std::move(Id)), Kept(std::move(Connection)), IdleSince(Now),
         ExpiresAt(Now +
                   (KeepAlive.count() > 0
                        ? std::max(KeepAlive - KeepAliveMargin, KeepAlive / 2)
                        : DefaultKeepAlive)),
         Owner(Owner) {
-    this->Socket->setHandler(this);
+    Kept.Socket->setHandler(this);
   }
   ~IdleConnection() override {
-    if (Socket)
-      Socket->close();
+    if (Kept.Socket)
+      Kept.Socket->close();
   }
 
-  std::shared_ptr<StreamSocket> release() {
-    Socket->setHandler(nullptr);
-    return std::move(Socket);
+  KeptConnection release() {
+    Kept.Socket->setHandler(nullptr);
+    return std::move(Kept);
   }
   // Data received while no request is pending belongs to no request.
   void onBytes(std::string_view Bytes) override {
@@ -48,7 +47,8 @@
   void onEnd(SocketEnd) override { Owner.drop(this); }
 
   const std::string Id;
-  std::shared_ptr<StreamSocket> Socket;
+  // Its socket is null once it is released.
+  KeptConnection Kept;
   const TimePoint IdleSince;
   const TimePoint ExpiresAt;
 
@@ -68,37 +68,37 @@
   });
 }
 
-std::shared_ptr<StreamSocket>
-BackendPool::take(std::string_view Id, TimePoint Now, Duration MaxIdle) {
+std::optional<KeptConnection> BackendPool::take(std::string_view Id,
+                                                std::string_view RequestId,
+                                                TimePoint Now,
+                                                Duration MaxIdle) {
   auto Found = ByInstance.find(Id);
   if (Found == ByInstance.end())
-    return nullptr;
+    return std::nullopt;
   Connections &List = Found->second;
+  std::erase_if(List,
+                [Now](const auto &Item) { return Now >= Item->ExpiresAt; });
   // The most recently used connection is the most likely to be open still.
-  while (!List.empty()) {
-    IdleConnection &Last = *List.back();
-    if (Now >= Last.ExpiresAt) {
-      List.pop_back();
-      continue;
-    }
-    if (Now - Last.IdleSince > MaxIdle)
-      return nullptr;
-    std::shared_ptr<StreamSocket> Socket = Last.release();
-    List.pop_back();
-    return Socket;
-  }
-  return nullptr;
+  auto Usable = std::find_if(List.rbegin(), List.rend(), [&](const auto &Item) {
+    return Now - Item->IdleSince <= MaxIdle &&
+           !Item->Kept.Carried.contains(RequestId);
+  });
+  if (Usable == List.rend())
+    return std::nullopt;
+  KeptConnection Result = (*Usable)->release();
+  List.erase(std::next(Usable).base());
+  return Result;
 }
 
-void BackendPool::keep(std::string Id, std::shared_ptr<StreamSocket> Socket,
+void BackendPool::keep(std::string Id, KeptConnection Connection,
                        Duration KeepAlive, TimePoint Now) {
   Connections &List = ByInstance[Id];
-  if (List.size() >= MaxIdlePerInstance) {
-    Socket->close();
+  if (List.size() >= MaxIdlePerInstance || Connection.Carried.isFull()) {
+    Connection.Socket->close();
     return;
   }
   List.push_back(std::make_unique<IdleConnection>(
-      *this, std::move(Id), std::move(Socket), KeepAlive, Now));
+      *this, std::move(Id), std::move(Connection), KeepAlive, Now));
 }
 
 void BackendPool::closeAll() { ByInstance.clear(); }
--- a/libs/gateway/src/LoopbackPeers.h
+++ b/libs/gateway/src/LoopbackPeers.h
@@ -59,6 +59,10 @@
 
   /// Writes \p Text on the connection that was accepted last.
   void sendLate(const std::string &Text) { Held.back()->send(Text); }
+  /// Writes \p Text on the connection that was accepted at \p Index.
+  void sendOn(size_t Index, const std::string &Text) {
+    Held.at(Index)->send(Text);
+  }
 
   /// Closes all connections and stops listening, as a process that ends does.
   void crash() {
--- a/libs/gateway/src/PathProbes.cpp
+++ b/libs/gateway/src/PathProbes.cpp
@@ -32,7 +32,7 @@
     TimePoint Now = SteadyClock().now();
     Owner.Tracker.onReached(Server, Begun, Now);
     Socket->setHandler(nullptr);
-    Owner.Pool.keep(Server.Id, std::move(Socket), Duration(0), Now);
+    Owner.Pool.keep(Server.Id, {std::move(Socket), {}}, Duration(0), Now);
   }
   void onBytes(std::string_view) override {}
   void onEnd(SocketEnd) override {
