Take an answer that names two requests for the answer to none

Callers saw: a refusal "not run" although it cannot be told which request the answer belongs to, if its id header is doubled with different values: the first one counted.

Evidence: RepeatedIdTest::refusalWhenItNamesTwoRequestsIsTheAnswerToNone on: got "HTTP/1.1 503 ... not-run" instead of 502.

Change: an answer whose ids differ is malformed ("ambiguous-request-id"), so its connection is closed and the outcome is unknown. The same id twice stands.

Looked at: requests with two ids are answered 400 (Gateway::accept); an answer without an id, or with an empty one, is skipped, since a request's id is not empty.

Measured: gateway_tests 129 of 129 pass.

--- a/libs/gateway/include/ragwort/gateway/Attempt.h
+++ b/libs/gateway/include/ragwort/gateway/Attempt.h
@@ -119,6 +119,8 @@
   /// whether it is complete.
   bool skipAnswer(size_t Taken);
   bool isOthersAnswer() const;
+  /// Whether the answer has ids that differ.
+  bool namesSeveralRequests() const;
   void acceptHead();
   void readBody();
   void readEvents(std::string_view Bytes);
--- a/libs/gateway/src/Attempt.cpp
+++ b/libs/gateway/src/Attempt.cpp
@@ -117,6 +117,10 @@
     fail(dispatch::ServerFault::Malformed, "malformed-response");
     return false;
   }
+  if (!HasHead && namesSeveralRequests()) {
+    fail(dispatch::ServerFault::Malformed, "ambiguous-request-id");
+    return false;
+  }
   // A late answer to an earlier request may precede the answer to this one.
   if (Parser.isInterim() || isOthersAnswer())
     return skipAnswer(Taken) && !Unparsed.empty();
@@ -133,6 +137,16 @@
   return Parser.head().header(Context.Names.RequestId) != Request.RequestId;
 }
 
+bool Attempt::namesSeveralRequests() const {
+  const http::ResponseHead &H = Parser.head();
+  std::string_view First = H.header(Context.Names.RequestId);
+  return std::any_of(
+      H.Headers.begin(), H.Headers.end(), [&](const HeaderField &Field) {
+        return isSameHeaderName(Field.Name, Context.Names.RequestId) &&
+               Field.Value != First;
+      });
+}
+
 bool Attempt::skipAnswer(size_t Taken) {
   SkippedBytes += Taken;
   // Without an end of its own it would take in the answer to this request.
--- a/libs/gateway/src/RepeatedIdTest.cpp
+++ b/libs/gateway/src/RepeatedIdTest.cpp
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(refusalWhenRepeatedAfterTheNextAnswerIsNotItsAnswer);
   CPPUNIT_TEST(refusalWhenRepeatedSendsTheNextRequestToNoSecondServer);
   CPPUNIT_TEST(requestsWhenTheirIdsDifferShareAConnection);
+  CPPUNIT_TEST(refusalWhenItNamesTwoRequestsIsTheAnswerToNone);
   CPPUNIT_TEST_SUITE_END();
 
   // The pause is shorter than the time between two requests of the tests.
@@ -136,6 +137,20 @@
       CPPUNIT_ASSERT(exchange(request("/once/", Id)).ends_with("second"));
     CPPUNIT_ASSERT_EQUAL(2, server().Connections);
   }
+
+  void refusalWhenItNamesTwoRequestsIsTheAnswerToNone() {
+    useOneServer();
+    for (bool IsOwnFirst : {true, false}) {
+      server().Script = {[IsOwnFirst](const std::string &R) {
+        std::string Own = idOf(R);
+        std::string Other = "earlier\r\nRagwort-Request-Id: ";
+        return refusal(IsOwnFirst ? Own + "\r\nRagwort-Request-Id: earlier"
+                                  : Other + Own);
+      }};
+      std::string Got = exchange(request("/once/", IsOwnFirst ? "r1" : "r2"));
+      CPPUNIT_ASSERT_MESSAGE(Got, Got.starts_with("HTTP/1.1 502 "));
+    }
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(RepeatedIdTest);
 
