Reuse no HTTP connection on which more was written than asked

Seen by users of the client: the answer to one call is what the server wrote twice for the call before, if both copies arrive at once. For an engine's client an old 202 would count as the answer to an order, or an old report as a new one.

Cause: ClientConnection looks for unexpected bytes at the socket only. Those that were read together with an answer lie in its buffer and are parsed as the next answer. The same holds for a body after the answer to HEAD, and for the final answer after an interim one (1xx), which is taken for the whole answer.

Change: a connection is reused only if its buffer is empty after an answer that is final and not to HEAD. This covers all users: EngineClient, PlatformStore, BackendSlot (those that keep a connection), and fetch() in libs/fleet, libs/control and libs/platform and RankEngineClient, which open one per call.

Looked at besides: connections of the gateway to servers (left-over bytes are not kept; answers are matched by id), PathProbes (send nothing and hand on an unused connection), CrashDetector (only connects), CallerSession (left-over bytes are the next request, as they should be), frame connections of libs/transport (no HTTP; messages name their stream).

Open: a copy that arrives between the look at the socket and the answer.

--- a/libs/http/include/ragwort/http/HttpClient.h
+++ b/libs/http/include/ragwort/http/HttpClient.h
@@ -17,7 +17,8 @@
 
 namespace ragwort::http {
 
-/// A connection to one server. All calls must come from one strand.
+/// A connection to one server. All calls must come from one strand. It is not
+/// reused once the server has written more than it was asked for.
 ///
 /// \code
 ///   ClientConnection C(Executor, {"127.0.0.1", 8080});
--- a/libs/http/src/HttpClient.cpp
+++ b/libs/http/src/HttpClient.cpp
@@ -158,7 +158,10 @@
     Chunk.resize(Received);
     co_return std::optional<std::string>(std::move(Chunk));
   }
-  State->IsReusable = Parser.keep_alive();
+  // Bytes that follow an answer, the body that a server wrote for HEAD, or the
+  // final answer after an interim one would be read as the next answer.
+  State->IsReusable = Parser.keep_alive() && State->Buffer.size() == 0 &&
+                      !State->IsHead && Parser.get().result_int() >= 200;
   co_return Nothing;
 }
 
