Refuse an engine's answer that names another call

Seen by a rank's agent: a late copy of the answer to an earlier call, written after the next call and before its answer, counts as that call's: an old report as a new one, an old 202 as the answer to an order.

Cause: calls of the control interface had no id.

Weighed: a connection of its own for each order (double the connections to servers, and a full server may reset the one that would release a held group); believing an order's answer only once a report shows its effect (a change of MapSwitch, proposed).

Looked at: PlatformStore (the store repeats no ids; same remaining window), BackendSlot (kept connections for idempotent calls only; its backend servers repeat no ids), RankEngineClient and fetch() (one connection per call).

--- a/libs/http/include/ragwort/http/HttpClient.h
+++ b/libs/http/include/ragwort/http/HttpClient.h
@@ -26,7 +26,10 @@
 /// \endcode
 class ClientConnection {
 public:
-  ClientConnection(asio::any_io_executor Executor, Address Server);
+  /// If requests have the header \p IdHeader, a response to one must have the
+  /// same value or none; otherwise it belongs to another request.
+  ClientConnection(asio::any_io_executor Executor, Address Server,
+                   std::string IdHeader = "");
   ~ClientConnection();
 
   /// Connects unless a reusable connection is open.
--- a/libs/http/src/HttpClient.cpp
+++ b/libs/http/src/HttpClient.cpp
@@ -1,5 +1,6 @@
 //===- HttpClient.cpp - Client connection over Boost.Beast ----------------===//
 #include "ragwort/http/HttpClient.h"
+#include <algorithm>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <limits>
@@ -25,13 +26,28 @@
 struct ClientConnection::Impl {
   using Parser = bhttp::response_parser<bhttp::buffer_body>;
 
-  Impl(asio::any_io_executor Executor, Address Server)
-      : Server(std::move(Server)), Stream(Executor) {}
+  Impl(asio::any_io_executor Executor, Address Server, std::string IdHeader)
+      : Server(std::move(Server)), IdHeader(std::move(IdHeader)),
+        Stream(Executor) {}
+
+  /// Not every server repeats the id.
+  bool isOthersAnswer(const ResponseHead &Head) const {
+    return !SentId.empty() &&
+           std::any_of(Head.Headers.begin(), Head.Headers.end(),
+                       [this](const HeaderField &Field) {
+                         return isSameHeaderName(Field.Name, IdHeader) &&
+                                !Field.Value.empty() && Field.Value != SentId;
+                       });
+  }
 
   const Address Server;
+  // Empty if answers are not told apart by an id.
+  const std::string IdHeader;
   beast::tcp_stream Stream;
   beast::flat_buffer Buffer;
   std::optional<Parser> Body;
+  // Id of the last request; empty if it has none.
+  std::string SentId;
   bool IsHead = false;
   // Invariant: true only between complete exchanges on a connection that the
   // server keeps open.
@@ -39,8 +55,9 @@
 };
 
 ClientConnection::ClientConnection(asio::any_io_executor Executor,
-                                   Address Server)
-    : State(std::make_unique<Impl>(Executor, std::move(Server))) {}
+                                   Address Server, std::string IdHeader)
+    : State(std::make_unique<Impl>(Executor, std::move(Server),
+                                   std::move(IdHeader))) {}
 
 ClientConnection::~ClientConnection() = default;
 
@@ -81,6 +98,8 @@
                                                      Duration Timeout) {
   State->IsReusable = false;
   State->IsHead = R.Method == "HEAD";
+  if (!State->IdHeader.empty())
+    State->SentId = R.header(State->IdHeader);
   bhttp::request<bhttp::string_body> Message;
   Message.version(11);
   Message.method_string(R.Method);
@@ -120,6 +139,10 @@
   for (const auto &Field : Parser.get())
     Head.Headers.push_back(
         {std::string(Field.name_string()), std::string(Field.value())});
+  if (State->isOthersAnswer(Head)) {
+    close();
+    co_return absl::DataLossError("response to another request");
+  }
   co_return Head;
 }
 
