--- a/libs/gateway/include/ragwort/gateway/Attempt.h
+++ b/libs/gateway/include/ragwort/gateway/Attempt.h
@@ -124,6 +124,8 @@
   /// whether it is complete.
   bool skipAnswer(size_t Taken);
   bool isOthersAnswer() const;
+  /// Whether the answer has ids that differ.
+  bool namesSeveralRequests() const;
   void acceptHead();
   void readBody();
   void readEvents(std::string_view Bytes);
@@ -151,6 +153,8 @@
   Stage CurrentStage = Stage::New;
   bool IsFreshConnection = false;
   std::shared_ptr<StreamSocket> Socket;
+  // Of the connection, this request included once it is sent.
+  CarriedIds Carried;
   ResponseParser Parser;
   std::string Unparsed;
   // Bytes of answers to other requests.
--- a/libs/gateway/src/Attempt.cpp
+++ b/libs/gateway/src/Attempt.cpp
@@ -50,12 +50,14 @@
   const dispatch::PathHealth &Paths = tracker().paths();
   if (Paths.areAllGood() ||
       Paths.state(Server.DataCentre) == dispatch::PathState::Good)
-    Socket = Context.Pool.take(Server.Id, now(), MaxIdle);
-  IsFreshConnection = !Socket;
-  if (Socket) {
-    Socket->setHandler(this);
-    return true;
-  }
+    if (auto Kept =
+            Context.Pool.take(Server.Id, Request.RequestId, now(), MaxIdle)) {
+      Socket = std::move(Kept->Socket);
+      Carried = std::move(Kept->Carried);
+      Socket->setHandler(this);
+      return true;
+    }
+  IsFreshConnection = true;
   CurrentStage = Stage::Connecting;
   ConnectBegun = now();
   Context.Metrics.counter("ragwort_backend_connections_total").add();
@@ -84,6 +86,7 @@
     Events.requireIds();
   SentAt = now();
   LastProgress = SentAt;
+  Carried.add(Request.RequestId);
   std::string Bytes(Head);
   Bytes += Request.Message.Body;
   Socket->write(Bytes);
@@ -117,6 +120,10 @@
     fail(dispatch::ServerFault::Malformed, "malformed-response");
     return false;
   }
+  if (!HasHead && namesSeveralRequests()) {
+    fail(dispatch::ServerFault::Malformed, "ambiguous-request-id");
+    return false;
+  }
   // A late answer to an earlier request may precede the answer to this one.
   if (Parser.isInterim() || isOthersAnswer())
     return skipAnswer(Taken) && !Unparsed.empty();
@@ -133,6 +140,16 @@
   return Parser.head().header(Context.Names.RequestId) != Request.RequestId;
 }
 
+bool Attempt::namesSeveralRequests() const {
+  const http::ResponseHead &H = Parser.head();
+  std::string_view First = H.header(Context.Names.RequestId);
+  return std::any_of(
+      H.Headers.begin(), H.Headers.end(), [&](const HeaderField &Field) {
+        return isSameHeaderName(Field.Name, Context.Names.RequestId) &&
+               Field.Value != First;
+      });
+}
+
 bool Attempt::skipAnswer(size_t Taken) {
   SkippedBytes += Taken;
   // Without an end of its own it would take in the answer to this request.
@@ -355,7 +372,7 @@
                    Socket->unsent() == 0 && Socket->isOpen();
     if (IsClean) {
       Socket->resumeReading();
-      Context.Pool.keep(Server.Id, std::move(Socket),
+      Context.Pool.keep(Server.Id, {std::move(Socket), std::move(Carried)},
                         keepAliveTime(Parser.head()), now());
     } else if (Parser.stage() == ParseStage::Done) {
       Socket->close();
--- a/libs/http/include/ragwort/http/HttpClient.h
+++ b/libs/http/include/ragwort/http/HttpClient.h
@@ -17,7 +17,8 @@
 
 namespace ragwort::http {
 
-/// A connection to one server. All calls must come from one strand.
+/// A connection to one server. All calls must come from one strand. It is not
+/// reused once the server has written more than it was asked for.
 ///
 /// \code
 ///   ClientConnection C(Executor, {"127.0.0.1", 8080});
@@ -25,7 +26,10 @@
 /// \endcode
 class ClientConnection {
 public:
-  ClientConnection(asio::any_io_executor Executor, Address Server);
+  /// If requests have the header \p IdHeader, a response to one must have the
+  /// same value or none; otherwise it belongs to another request.
+  ClientConnection(asio::any_io_executor Executor, Address Server,
+                   std::string IdHeader = "");
   ~ClientConnection();
 
   /// Connects unless a reusable connection is open.
