Promise only what a node that stops can end

A request that waits or runs at the exit got a closed connection without an answer.

Cause: the stop kept idle connections and took every request for 3.2 s, whatever time was left; at its end the process exited with what was there.

Change: StopSchedule, without sockets, says who is taken when. Until 2.8 s a request is taken unless those of its route usually last beyond the end (RouteDurations); at 2.8 s idle connections close; new ones are accepted until 3.2 s, and a request is taken then only if its deadline is before the end (7.6 s), else it is refused as not run, Retry-After 0.2 s at most. At the end what is left is refused if it was not sent, 502 if it was, cut only within a stream. Readiness as before: false from the signal on.

GatewayTest and SlowCallerTest pass the schedule to beginDrain(), nothing else in them has changed.

Places looked at for promises of time without a count of what is left: Forwarding (retries check the deadline), Admission (forecast against GiveUpAt), PlatformAgent::stop (releases held passes, ends before the grace), EntryNode::drainLoop and AgentNode::drainLoop of the product's own programs: they wait drain_timeout (10 min), beyond each request's deadline, and are unchanged.

--- a/libs/fleet/include/ragwort/fleet/NodeLifecycle.h
+++ b/libs/fleet/include/ragwort/fleet/NodeLifecycle.h
@@ -6,9 +6,9 @@
 
 namespace ragwort::fleet {
 
-/// Shuts down without interrupting requests: stops being ready, waits until the
-/// load balancer in front has noticed, closes idle connections and returns when
-/// no request is left, or shortly before \p Grace is over.
+/// Shuts down as gateway::StopSchedule says: stops being ready, closes idle
+/// connections, stops accepting, and returns when no request is left. Shortly
+/// before \p Grace is over it ends the requests that are left.
 asio::awaitable<void> shutDownGracefully(gateway::Gateway &Node,
                                          PeerExchange &Peers, Duration Grace);
 
--- a/libs/fleet/src/LoopbackFleet.h
+++ b/libs/fleet/src/LoopbackFleet.h
@@ -38,6 +38,7 @@
   void startAnother() { start(Nodes.size(), Nodes.size()); }
   size_t size() const { return Nodes.size(); }
   gateway::Gateway &front(size_t Index) { return Nodes[Index]->Front; }
+  PeerExchange &peers(size_t Index) { return Nodes[Index]->Peers; }
   MetricsRegistry &metrics(size_t Index) { return Nodes[Index]->Metrics; }
 
   /// Lists the running servers as instances `i0`, `i1`, ... at all nodes.
--- a/libs/fleet/src/NodeLifecycle.cpp
+++ b/libs/fleet/src/NodeLifecycle.cpp
@@ -7,12 +7,9 @@
 
 namespace {
 
-// The load balancer in front probes once a second and removes a node after two
-// failed probes. New callers may arrive until then.
-constexpr Duration ProbeRemovalDelay = std::chrono::milliseconds(3200);
-// Time reserved at the end of the grace period for the process to exit.
-constexpr Duration StopMargin = std::chrono::milliseconds(400);
 constexpr Duration DrainPollInterval = std::chrono::milliseconds(50);
+// Time for the last answers to leave before the process exits.
+constexpr Duration LastAnswerTime = std::chrono::milliseconds(150);
 constexpr Duration ClockCheckInterval = std::chrono::milliseconds(250);
 // Longer gaps count as a suspension, shorter ones as a scheduling delay.
 constexpr Duration SuspendedGap = std::chrono::milliseconds(700);
@@ -32,25 +29,35 @@
   return Reading(CLOCK_BOOTTIME) - Reading(CLOCK_MONOTONIC);
 }
 
+/// Closes idle callers until no request is left or \p Limit is reached.
+asio::awaitable<void> waitForRequests(gateway::Gateway &Node, TimePoint Limit) {
+  Node.closeIdle();
+  while (Node.activeRequests() > 0 && now() < Limit) {
+    co_await sleepFor(DrainPollInterval);
+    Node.closeIdle();
+  }
+}
+
 } // namespace
 
 asio::awaitable<void> shutDownGracefully(gateway::Gateway &Node,
                                          PeerExchange &Peers, Duration Grace) {
   TimePoint Begun = now();
-  TimePoint StopBy = Begun + Grace - StopMargin;
+  gateway::StopSchedule Stop(Begun, Grace);
   logEvent(LogLevel::Info, "stopping",
            {{"active", Node.activeRequests()}, {"callers", Node.callers()}});
-  Node.beginDrain();
+  Node.beginDrain(Stop);
   Peers.announceLeaving();
-  co_await sleepFor(std::min(ProbeRemovalDelay, Grace / 2));
+  co_await sleepFor(Stop.noticedAt() - now());
   Node.closeIdle();
-  while (Node.activeRequests() > 0 && now() < StopBy) {
-    co_await sleepFor(DrainPollInterval);
-    Node.closeIdle();
-  }
+  co_await sleepFor(Stop.stopsAcceptingAt() - now());
+  Node.stopAccepting();
+  co_await waitForRequests(Node, Stop.endsAt());
+  size_t Ended = Node.activeRequests();
+  Node.endRequests();
+  co_await waitForRequests(Node, Stop.endsAt() + LastAnswerTime);
   logEvent(LogLevel::Info, "stopped-serving",
-           {{"cut", Node.activeRequests()},
-            {"after_ms", (now() - Begun).count() / 1000}});
+           {{"cut", Ended}, {"after_ms", (now() - Begun).count() / 1000}});
 }
 
 asio::awaitable<void> watchForSuspension(gateway::Gateway &Node,
--- a/libs/gateway/include/ragwort/gateway/CallerSession.h
+++ b/libs/gateway/include/ragwort/gateway/CallerSession.h
@@ -41,6 +41,8 @@
   void onTick(TimePoint Now);
   /// Closes the connection unless a request is being read or answered.
   void closeIfIdle();
+  /// Ends the request in progress, if any, as Forwarding::endNow() does.
+  void endRequest();
   bool isClosed() const { return IsClosed; }
   /// Whether an answer is in progress, or not yet written completely.
   bool isAnswering() const { return Active || Socket->unsent() > 0; }
--- a/libs/gateway/include/ragwort/gateway/Forwarding.h
+++ b/libs/gateway/include/ragwort/gateway/Forwarding.h
@@ -32,6 +32,9 @@
   void start();
   /// The caller closed its connection; no answer is sent any more.
   void onCallerGone();
+  /// Ends the request as its state allows, for \p Cause: not run, outcome
+  /// unknown, or cut within a stream.
+  void endNow(std::string_view Cause);
   /// The waiting request was dequeued, to be sent or because it has expired.
   void onDequeued(const dispatch::DequeuedRequest &C);
   /// Retries the request at another server if its server is a straggler, and
@@ -65,6 +68,8 @@
   /// Decides how long reading from the server stays paused.
   void whilePaused(TimePoint At);
   void giveUpSlowCaller();
+  /// Records how long the request has taken, which is complete.
+  void noteDuration();
   void finishStream(const Attempt &Last);
   void relayAnswer(const Attempt &Last);
   /// Repeats the request elsewhere if its server straggles, or if it is silent
--- a/libs/gateway/include/ragwort/gateway/ForwardingContext.h
+++ b/libs/gateway/include/ragwort/gateway/ForwardingContext.h
@@ -7,6 +7,7 @@
 #include "ragwort/gateway/BackendPool.h"
 #include "ragwort/gateway/CrashDetector.h"
 #include "ragwort/gateway/ProtocolNames.h"
+#include "ragwort/gateway/RouteDurations.h"
 #include "ragwort/observe/Metrics.h"
 #include "ragwort/quarantine/RequestQuarantine.h"
 #include <functional>
@@ -23,6 +24,7 @@
   BackendPool &Pool;
   quarantine::RequestQuarantine &Quarantine;
   CrashDetector &Crashes;
+  RouteDurations &Durations;
   MetricsRegistry &Metrics;
   std::shared_ptr<dispatch::MemoryBudget> Memory;
   /// Registers a waiting request by its ticket, until it is dequeued.
--- a/libs/gateway/include/ragwort/gateway/Gateway.h
+++ b/libs/gateway/include/ragwort/gateway/Gateway.h
@@ -10,6 +10,7 @@
 #include "ragwort/dispatch/LinkLoad.h"
 #include "ragwort/gateway/CallerSession.h"
 #include "ragwort/gateway/PathProbes.h"
+#include "ragwort/gateway/StopSchedule.h"
 #include <absl/status/status.h>
 #include <functional>
 #include <set>
@@ -78,11 +79,15 @@
   /// Whether a load balancer may send callers to this node: it has a
   /// configuration and a directory, and is not draining.
   bool isReady() const;
-  /// Starts draining: isReady() becomes false and each response closes its
-  /// connection.
-  void beginDrain();
-  /// Stops accepting and closes the caller connections without a request.
+  /// Starts draining: isReady() becomes false, each response closes its
+  /// connection, and requests that cannot end by \p Schedule are refused.
+  void beginDrain(const StopSchedule &Schedule);
+  /// Closes the caller connections without a request.
   void closeIdle();
+  void stopAccepting();
+  /// Ends all requests truthfully before the process exits: those that no
+  /// server has been sent are refused, the others fail or are cut.
+  void endRequests();
   /// Caller connections that have a request in progress.
   size_t activeRequests() const;
   /// Caller connections, including those closed since the last tick.
@@ -99,7 +104,7 @@
                                                    TimePoint Arrived) override;
   ForwardingContext &context() override { return Context; }
   CallerLimits limits() const override;
-  bool isDraining() const override { return IsDraining; }
+  bool isDraining() const override { return Stop.has_value(); }
 
 private:
   /// Whether it has what it needs to place requests.
@@ -125,13 +130,15 @@
   PathProbes Probes;
   quarantine::RequestQuarantine Quarantine;
   CrashDetector Crashes;
+  RouteDurations Durations;
   dispatch::BackendDirectory Directory;
   dispatch::Evacuations Evacuated;
   std::shared_ptr<const TrafficConfig> Config;
   ForwardingContext Context;
   std::set<std::shared_ptr<CallerSession>> Sessions;
   std::unordered_map<uint64_t, std::weak_ptr<Forwarding>> Waiting;
-  bool IsDraining = false;
+  // Has a value while the node drains.
+  std::optional<StopSchedule> Stop;
   bool IsDispatchScheduled = false;
 };
 
--- a/libs/gateway/include/ragwort/gateway/RequestFlow.h
+++ b/libs/gateway/include/ragwort/gateway/RequestFlow.h
@@ -84,6 +84,8 @@
   void onAnswerBegun() { IsAnswerBegun = true; }
   /// The deadline of the route or of the caller has passed.
   Step onTimeUp();
+  /// The node exits: nothing can be tried any more.
+  Step onNodeStop() { return giveUp(); }
   Step onCallerGone();
 
   /// Whether onBroken() would try another server now.
--- a/libs/gateway/src/CallerSession.cpp
+++ b/libs/gateway/src/CallerSession.cpp
@@ -348,6 +348,12 @@
     close();
 }
 
+void CallerSession::endRequest() {
+  // A second reference, since finishing resets Active.
+  if (auto Last = Active)
+    Last->endNow("stopping");
+}
+
 void CallerSession::closeIfIdle() {
   if (!IsClosed && !isAnswering() && !Parser && Unparsed.empty())
     close();
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -361,10 +361,17 @@
 
 void Forwarding::finishStream(const Attempt &Last) {
   AnswerSink *To = std::exchange(Sink, nullptr);
+  noteDuration();
   finish("completed", Last.head().Status);
   To->endStream();
 }
 
+void Forwarding::noteDuration() {
+  Context.Durations.add(Accepted.Target->Name,
+                        readTokens(Accepted.Message, Context.Names).Answer,
+                        now() - Accepted.Arrived);
+}
+
 void Forwarding::relayAnswer(const Attempt &Last) {
   const http::ResponseHead &Head = Last.head();
   if (TimeToFirstByte.count() == 0)
@@ -373,6 +380,7 @@
   if (http::isServerFailure(Head.Status))
     LastFault = "status-" + std::to_string(Head.Status);
   AnswerSink *To = std::exchange(Sink, nullptr);
+  noteDuration();
   finish(http::isSuccess(Head.Status) ? "completed" : "server-failure",
          Head.Status);
   To->sendResponse(Head, Last.body());
@@ -430,6 +438,15 @@
   finish("caller-gone", 0);
 }
 
+void Forwarding::endNow(std::string_view Cause) {
+  if (IsDone)
+    return;
+  auto Self = shared_from_this();
+  LastFault = Cause;
+  abandonAttempt();
+  carryOut(Flow.onNodeStop());
+}
+
 bool Forwarding::hasOtherFreeServer(TimePoint At) {
   std::vector<std::string> Tried = Excluded;
   Tried.push_back(ServerId);
--- a/libs/gateway/src/Gateway.cpp
+++ b/libs/gateway/src/Gateway.cpp
@@ -1,6 +1,7 @@
 //===- Gateway.cpp - Accepts callers and owns their shared state ----------===//
 #include "ragwort/gateway/Gateway.h"
 #include "ragwort/base/Hash.h"
+#include "ragwort/gateway/RequestHead.h"
 #include "ragwort/observe/Log.h"
 #include "ragwort/quarantine/RequestFingerprint.h"
 #include "ragwort/transport/Listen.h"
@@ -88,6 +89,7 @@
               Pool,
               Quarantine,
               Crashes,
+              Durations,
               Metrics,
               Memory,
               [this](uint64_t Ticket, std::weak_ptr<Forwarding> Request) {
@@ -244,13 +246,21 @@
          (Evacuated.isKnown() || !Options.AwaitsEvacuations);
 }
 
-bool Gateway::isReady() const { return hasState() && !IsDraining; }
+bool Gateway::isReady() const { return hasState() && !Stop; }
 
-void Gateway::beginDrain() { IsDraining = true; }
+void Gateway::beginDrain(const StopSchedule &Schedule) { Stop = Schedule; }
 
-void Gateway::closeIdle() {
+void Gateway::stopAccepting() {
   error_code Error; // Ignored: closing twice has no effect.
   Acceptor.close(Error);
+}
+
+void Gateway::endRequests() {
+  for (const auto &Session : Sessions)
+    Session->endRequest();
+}
+
+void Gateway::closeIdle() {
   for (const auto &Session : Sessions)
     Session->closeIfIdle();
 }
@@ -310,11 +320,16 @@
   Duration Time = Target->Timeout;
   if (auto TimeLeft = parseMillis(Message.header(Names.TimeLeftMillis)))
     Time = std::min(Time, *TimeLeft);
+  Result.Deadline = Arrived + Time;
+  TimePoint Now = SteadyClock().now();
+  if (Stop && !Stop->admits(Now, Result.Deadline,
+                            Durations.usual(Target->Name,
+                                            readTokens(Message, Names).Answer)))
+    return LocalReply{503, "stopping", Stop->retryAfter(Now)};
   Result.HasComeBack =
       Dispatch.refused().hasComeBack(Result.Traits.fingerprint(), Arrived);
   Result.RequestId = RequestId;
   Result.Arrived = Arrived;
-  Result.Deadline = Arrived + Time;
   Result.Config = Config;
   Result.Target = Target;
   Result.Regions = allowedRegions(*Target, Owner);
@@ -362,7 +377,7 @@
 
 std::string Gateway::describe() const {
   return "ready=" + std::to_string(isReady()) +
-         " draining=" + std::to_string(IsDraining) +
+         " draining=" + std::to_string(isDraining()) +
          " config=" + std::to_string(configVersion()) +
          " directory=" + toString(Directory.version()) +
          " evacuations=" + toString(Evacuated.version()) +
--- a/libs/gateway/src/GatewayTest.cpp
+++ b/libs/gateway/src/GatewayTest.cpp
@@ -571,7 +571,7 @@
   void callersWhenNodeDrainsReceiveConnectionClose() {
     scriptBoth(served("x"));
     CPPUNIT_ASSERT(Node->isReady());
-    Node->beginDrain();
+    Node->beginDrain({SteadyClock().now(), std::chrono::seconds(8)});
     CPPUNIT_ASSERT(!Node->isReady());
     auto C = call(request("/once/", "r1"));
     runUntil([&C] { return C->IsEnded; });
--- a/libs/gateway/src/SlowCallerTest.cpp
+++ b/libs/gateway/src/SlowCallerTest.cpp
@@ -121,7 +121,7 @@
     Io.run_for(std::chrono::milliseconds(3500));
     CPPUNIT_ASSERT(Node->memory().held(dispatch::Held::CallerAnswers) > MiB);
     // The node stops meanwhile: it must wait for the caller.
-    Node->beginDrain();
+    Node->beginDrain({SteadyClock().now(), std::chrono::seconds(8)});
     Node->closeIdle();
     CPPUNIT_ASSERT_EQUAL(size_t(1), Node->activeRequests());
     Reader->Socket->resumeReading();
