Accept only IP addresses in the form ip:port

Seen: an entry of a server with the address 999.0.0.1:80 or with 300 digits before the port was used. Such an address has no endpoint: connections were opened to the unspecified address, that is, to this machine, and a name of more than 256 bytes cannot be sent to peers.

Cause: parseAddress() looked only at the set of characters.

Change: the address is parsed by inet_pton.

--- a/libs/base/src/Address.cpp
+++ b/libs/base/src/Address.cpp
@@ -1,14 +1,16 @@
 //===- Address.cpp - Parsing and printing of addresses --------------------===//
 #include "ragwort/base/Address.h"
+#include <arpa/inet.h>
 #include <charconv>
 
 namespace ragwort {
 
 namespace {
 
-bool isIpCharacter(char C) {
-  return (C >= '0' && C <= '9') || (C >= 'a' && C <= 'f') ||
-         (C >= 'A' && C <= 'F') || C == '.' || C == ':';
+bool isIp(const std::string &Text) {
+  in6_addr Parsed;
+  return inet_pton(AF_INET, Text.c_str(), &Parsed) == 1 ||
+         inet_pton(AF_INET6, Text.c_str(), &Parsed) == 1;
 }
 
 } // namespace
@@ -21,17 +23,17 @@
   bool IsBracketed = Ip.front() == '[' && Ip.back() == ']';
   if (IsBracketed)
     Ip = Ip.substr(1, Ip.size() - 2);
-  if (Ip.empty() || (!IsBracketed && Ip.find(':') != Ip.npos))
+  if (!IsBracketed && Ip.find(':') != Ip.npos)
+    return std::nullopt;
+  std::string Number(Ip);
+  if (Ip.find('\0') != Ip.npos || !isIp(Number))
     return std::nullopt;
-  for (char C : Ip)
-    if (!isIpCharacter(C))
-      return std::nullopt;
   uint16_t Port = 0;
   const char *End = Text.data() + Text.size();
   auto [Rest, Error] = std::from_chars(Text.data() + Colon + 1, End, Port);
   if (Error != std::errc() || Rest != End)
     return std::nullopt;
-  return Address{std::string(Ip), Port};
+  return Address{std::move(Number), Port};
 }
 
 std::string toString(const Address &A) {
