Parse documents of any depth on a small stack

Seen by operators: one deeply nested entry among those of the servers, and the machines that read the list ended.

Looked at: ConfigDecoder, DirectoryDecoder, EngineClient (reports, counts, experts), PlatformStore (answers); QuarantineTable (no JSON); nlohmann parses without recursion, but copies with it: InstanceList copied fields of any type, now it does not (by reading, no run); yaml-cpp 0.7 bounds its levels to 500; messages between nodes have no nesting.

--- a/libs/platform/src/InstanceList.cpp
+++ b/libs/platform/src/InstanceList.cpp
@@ -19,8 +19,11 @@
   std::vector<ListedInstance> Result;
   for (const Json &Item : Parsed) {
     auto Text = [&](const char *Key) {
-      Json Value = Item.is_object() ? Item.value(Key, Json()) : Json();
-      return Value.is_string() ? Value.get<std::string>() : std::string();
+      // A copy of a field of another type could be nested without bound.
+      auto Found = Item.is_object() ? Item.find(Key) : Item.end();
+      return Found != Item.end() && Found->is_string()
+                 ? Found->get<std::string>()
+                 : std::string();
     };
     std::optional<Address> Peer = parseAddress(Text("peer"));
     if (!Peer || Text("name").empty())
