Keep a server's last usable entry when its row becomes unusable

Callers saw: a row that cannot be used took the healthy server of the same id out of use until its next report (`server-changed state=gone`); a row that is complete but names another service under a live id moved the server there, and it ran that service's requests.

Cause: an unusable row counted as the removal of its id, and nothing compared an entry with the one before it.

Change: DirectorySink refuses what it cannot decode and what contradicts the entry of its id: another service, or for the same run another address or data centre. The entry before stays, draining or not, until the row is removed or a usable one replaces it.

Failed before (StoreSinksTest, 4 of 7 new): serverWhenItsRowIsUnusableKeepsItsEntry - isUsed("a", "s") serverWhenItsRowIsUnusableStaysDraining - !isUsed("a", "s") && !isUsed("a", "t") rowWhenItNamesAnotherServiceIsRefused - isUsed("a", "s") && !isUsed("a", "t") rowWhenItContradictsItsRunIsRefused - Expected: 10.0.0.1:1, Actual: 10.0.0.2:1

Looked at: ConfigSink (keeps the configuration in force), EvacuationSink (keys only), QuarantineTable (skips the row), PeerExchange's lists of servers (not compared: they hold what a peer accepted), PlatformAgent (reads no rows of servers, only lists of entry nodes' making and the rows of entry nodes).

--- a/libs/dispatch/include/ragwort/dispatch/BackendDirectory.h
+++ b/libs/dispatch/include/ragwort/dispatch/BackendDirectory.h
@@ -16,6 +16,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -55,6 +56,8 @@
 /// \endcode
 class BackendDirectory {
 public:
+  using IdSet = std::set<std::string, std::less<>>;
+
   /// Time after the grace period of a restored list for which an entry is
   /// doubted that was known to be removed. The platform removes the entries of
   /// servers that have been silent for less than this.
@@ -66,9 +69,11 @@
   /// Replaces the list unless \p NewVersion is older. \returns whether it was
   /// replaced. \p GraceUntil is set when the store has just recovered from an
   /// outage or a restore: missing entries may have expired during it or have
-  /// been lost with it, and are kept until then.
+  /// been lost with it, and are kept until then. Entries of \p UnusableIds,
+  /// whose rows are listed but name no usable server, stay as they are.
   bool replaceAll(std::vector<BackendInstance> Listed, StoreVersion NewVersion,
-                  std::optional<TimePoint> GraceUntil);
+                  std::optional<TimePoint> GraceUntil,
+                  const IdSet &UnusableIds = {});
   /// Applies the changes that lead to \p NewVersion. Removed entries are kept
   /// until \p GraceUntil in the same way.
   void apply(std::vector<DirectoryChange> Changes, StoreVersion NewVersion,
--- a/libs/dispatch/src/BackendDirectory.cpp
+++ b/libs/dispatch/src/BackendDirectory.cpp
@@ -28,7 +28,8 @@
 
 bool BackendDirectory::replaceAll(std::vector<BackendInstance> Listed,
                                   StoreVersion NewVersion,
-                                  std::optional<TimePoint> GraceUntil) {
+                                  std::optional<TimePoint> GraceUntil,
+                                  const IdSet &UnusableIds) {
   if (NewVersion < Version)
     return false;
   bool IsRestored =
@@ -55,7 +56,7 @@
   }
   std::vector<std::string> Missing;
   for (const auto &[Id, Entry] : Entries)
-    if (!Present.contains(Id))
+    if (!Present.contains(Id) && !UnusableIds.contains(Id))
       Missing.push_back(Id);
   for (const std::string &Id : Missing) {
     if (GraceUntil) {
--- a/libs/fleet/include/ragwort/fleet/StoreSinks.h
+++ b/libs/fleet/include/ragwort/fleet/StoreSinks.h
@@ -44,26 +44,35 @@
 };
 
 /// Keeps the gateway's directory of backend servers up to date.
+///
+/// A row that cannot be decoded, or that contradicts the entry of its id, was
+/// written by other software: it is logged and counted, and the entry stays
+/// until the row is removed or replaced by a usable one.
 class DirectorySink {
 public:
-  DirectorySink(gateway::Gateway &Node, InstanceDecoder Decode)
-      : Node(Node), Decode(std::move(Decode)) {}
+  DirectorySink(gateway::Gateway &Node, InstanceDecoder Decode,
+                MetricsRegistry &Metrics)
+      : Node(Node), Decode(std::move(Decode)),
+        RefusedRows(Metrics.counter("ragwort_refused_rows_total",
+                                    "table=\"servers\"")) {}
 
   void onList(RowList List, std::optional<TimePoint> GraceUntil);
   void onChanges(RowChanges Changes, std::optional<TimePoint> GraceUntil);
 
 private:
+  /// Decodes a row that was not removed; nothing if it is refused.
   std::optional<dispatch::BackendInstance> decodeRow(const StoredRow &Row);
   void logChange(const StoredRow &Row, const dispatch::DirectoryChange &Change,
                  bool IsInGrace) const;
 
   gateway::Gateway &Node;
   const InstanceDecoder Decode;
-  // Rows beyond this number are skipped without a log line.
-  static constexpr size_t MaxUndecodableKeys = 1024;
+  Counter &RefusedRows;
+  // Rows beyond this number are refused without a log line.
+  static constexpr size_t MaxRefusedKeys = 1024;
 
-  // Keys of rows that could not be decoded, so that each is logged once.
-  std::set<std::string> UndecodableKeys;
+  // Keys of rows that were refused, so that each is logged once.
+  std::set<std::string> RefusedKeys;
 };
 
 } // namespace ragwort::fleet
--- a/libs/fleet/src/StoreSinks.cpp
+++ b/libs/fleet/src/StoreSinks.cpp
@@ -33,32 +33,60 @@
     apply(Newest->Value);
 }
 
-std::optional<dispatch::BackendInstance>
-DirectorySink::decodeRow(const StoredRow &Row) {
-  auto Instance = Decode(Row.Key, Row.Value);
-  if (Instance.ok()) {
-    UndecodableKeys.erase(Row.Key);
-    return std::move(*Instance);
+namespace {
+
+using dispatch::BackendInstance;
+
+/// Why \p Next cannot follow \p Known; empty if it can. An id keeps its
+/// service, and one run its address and data centre.
+std::string_view contradiction(const BackendInstance &Known,
+                               const BackendInstance &Next) {
+  if (Next.Service != Known.Service)
+    return "names another service than before";
+  if (Next.BornMillis != Known.BornMillis)
+    return "";
+  if (Next.Address != Known.Address)
+    return "names another address than before for the same run";
+  if (Next.DataCentre != Known.DataCentre)
+    return "names another data centre than before for the same run";
+  return "";
+}
+
+} // namespace
+
+std::optional<BackendInstance> DirectorySink::decodeRow(const StoredRow &Row) {
+  absl::StatusOr<BackendInstance> Decoded = Decode(Row.Key, Row.Value);
+  std::string Reason(Decoded.status().message());
+  const auto &Entries = Node.directory().instances();
+  if (auto Known = Entries.find(Row.Key);
+      Decoded.ok() && Known != Entries.end())
+    Reason = contradiction(Known->second, *Decoded);
+  if (Reason.empty()) {
+    RefusedKeys.erase(Row.Key);
+    return std::move(*Decoded);
   }
-  if (UndecodableKeys.size() < MaxUndecodableKeys &&
-      UndecodableKeys.insert(Row.Key).second)
+  RefusedRows.add();
+  if (RefusedKeys.size() < MaxRefusedKeys && RefusedKeys.insert(Row.Key).second)
     logEvent(LogLevel::Warning, "server-row-skipped",
-             {{"key", Row.Key},
-              {"version", Row.Version},
-              {"reason", std::string(Instance.status().message())}});
+             {{"key", Row.Key}, {"version", Row.Version}, {"reason", Reason}});
   return std::nullopt;
 }
 
 void DirectorySink::onList(RowList List, std::optional<TimePoint> GraceUntil) {
-  std::vector<dispatch::BackendInstance> Listed;
-  for (const StoredRow &Row : List.Rows)
+  std::vector<BackendInstance> Listed;
+  dispatch::BackendDirectory::IdSet Refused;
+  for (const StoredRow &Row : List.Rows) {
     if (auto Instance = decodeRow(Row))
       Listed.push_back(std::move(*Instance));
+    else
+      Refused.insert(Row.Key);
+  }
   logEvent(LogLevel::Info, "directory-listed",
            {{"version", toString(List.Version)},
             {"servers", Listed.size()},
             {"grace", int(GraceUntil.has_value())}});
-  Node.directory().replaceAll(std::move(Listed), List.Version, GraceUntil);
+  Node.directory().replaceAll(std::move(Listed), List.Version, GraceUntil,
+                              Refused);
   Node.onDirectoryChanged();
 }
 
@@ -86,16 +114,19 @@
 
 void DirectorySink::onChanges(RowChanges Changes,
                               std::optional<TimePoint> GraceUntil) {
-  std::vector<dispatch::DirectoryChange> Decoded;
+  // One after the other, because a row is compared with the entry before it.
   for (const StoredRow &Row : Changes.Rows) {
-    // A row that cannot be decoded counts as removed.
     dispatch::DirectoryChange Change{Row.Key, std::nullopt};
-    if (!Row.IsRemoved)
+    if (Row.IsRemoved)
+      RefusedKeys.erase(Row.Key);
+    else
       Change.Entry = decodeRow(Row);
+    if (!Row.IsRemoved && !Change.Entry)
+      continue;
     logChange(Row, Change, GraceUntil.has_value());
-    Decoded.push_back(std::move(Change));
+    Node.directory().apply({std::move(Change)}, Changes.Version, GraceUntil);
   }
-  Node.directory().apply(std::move(Decoded), Changes.Version, GraceUntil);
+  Node.directory().apply({}, Changes.Version, GraceUntil);
   Node.onDirectoryChanged();
 }
 
--- a/libs/fleet/src/StoreSinksTest.cpp
+++ b/libs/fleet/src/StoreSinksTest.cpp
@@ -6,6 +6,7 @@
 //===----------------------------------------------------------------------===//
 #include "ragwort/fleet/StoreSinks.h"
 #include <cppunit/extensions/HelperMacros.h>
+#include <sstream>
 
 namespace ragwort::fleet {
 
@@ -14,6 +15,13 @@
   CPPUNIT_TEST(configWhenTheStoreIsRestoredStaysInForce);
   CPPUNIT_TEST(configWhenWrittenAfterARestoreIsApplied);
   CPPUNIT_TEST(rowWhenItCannotBeDecodedIsSkipped);
+  CPPUNIT_TEST(serverWhenItsRowIsUnusableKeepsItsEntry);
+  CPPUNIT_TEST(serverWhenItsRowIsUnusableStaysDraining);
+  CPPUNIT_TEST(serverWhenItsUnusableRowIsRemovedIsGone);
+  CPPUNIT_TEST(rowWhenItNamesAnotherServiceIsRefused);
+  CPPUNIT_TEST(rowWhenItContradictsItsRunIsRefused);
+  CPPUNIT_TEST(rowWhenOfANewRunMayNameAnotherAddress);
+  CPPUNIT_TEST(rowAfterARemovalMayNameAnotherService);
   CPPUNIT_TEST(serverWhenDrainingBeforeARestoreReceivesNothing);
   CPPUNIT_TEST_SUITE_END();
 
@@ -31,7 +39,7 @@
     Peers = std::make_unique<PeerExchange>(Io, PeerOptions(), *Node,
                                            [](const ConfigDocument &) {});
     Configs = std::make_unique<ConfigSink>(*Node, *Peers, "config", decode);
-    Servers = std::make_unique<DirectorySink>(*Node, decodeServer);
+    Servers = std::make_unique<DirectorySink>(*Node, decodeServer, Metrics);
   }
 
 private:
@@ -43,16 +51,21 @@
     return Config;
   }
 
-  /// A row is the state of its server.
+  /// A row is the state, service, address, data centre and run of its server;
+  /// what it leaves out is as in all other rows.
   static absl::StatusOr<dispatch::BackendInstance>
   decodeServer(std::string_view Id, std::string_view Row) {
-    if (Row != "ready" && Row != "draining")
-      return absl::InvalidArgumentError("unknown state");
     dispatch::BackendInstance B;
     B.Id = Id;
     B.Service = "s";
     B.Address = "10.0.0.1:1";
-    B.IsDraining = Row == "draining";
+    B.DataCentre = "d";
+    std::string State;
+    std::istringstream Words{std::string(Row)};
+    Words >> State >> B.Service >> B.Address >> B.DataCentre >> B.BornMillis;
+    if (State != "ready" && State != "draining")
+      return absl::InvalidArgumentError("unknown state");
+    B.IsDraining = State == "draining";
     return B;
   }
 
@@ -65,6 +78,17 @@
     return {{{Key, Value, Version.Number, false}}, Version, false};
   }
 
+  /// Whether the server \p Id is chosen for \p Service.
+  bool isUsed(std::string_view Id, std::string_view Service) {
+    auto Chosen = Node->dispatcher().loadTracker().choose(
+        {std::string(Service), {}}, SteadyClock().now());
+    return Chosen && Chosen->Server->Id == Id;
+  }
+  uint64_t refused() {
+    return Metrics.counter("ragwort_refused_rows_total", "table=\"servers\"")
+        .value();
+  }
+
 public:
   void configWhenTheStoreIsRestoredStaysInForce() {
     Configs->onList(list({1, 90}, "config", "12"), std::nullopt);
@@ -91,6 +115,74 @@
     CPPUNIT_ASSERT(Node->directory().instances().empty());
   }
 
+  void serverWhenItsRowIsUnusableKeepsItsEntry() {
+    Servers->onList(list({1, 90}, "a", "ready"), std::nullopt);
+    Servers->onChanges(changes({1, 91}, "a", "?"), std::nullopt);
+    Servers->onList(list({1, 92}, "a", "?"), std::nullopt);
+    CPPUNIT_ASSERT(isUsed("a", "s"));
+    CPPUNIT_ASSERT(Node->directory().version() ==
+                   (dispatch::StoreVersion{1, 92}));
+    CPPUNIT_ASSERT_EQUAL(uint64_t(2), refused());
+  }
+
+  void serverWhenItsRowIsUnusableStaysDraining() {
+    Servers->onList(list({1, 90}, "a", "ready"), std::nullopt);
+    Servers->onChanges(changes({1, 91}, "a", "draining"), std::nullopt);
+    Servers->onChanges(changes({1, 92}, "a", "ready t"), std::nullopt);
+    CPPUNIT_ASSERT(!isUsed("a", "s") && !isUsed("a", "t"));
+    CPPUNIT_ASSERT(Node->directory().instances().contains("a"));
+  }
+
+  void serverWhenItsUnusableRowIsRemovedIsGone() {
+    Servers->onList(list({1, 90}, "a", "ready"), std::nullopt);
+    Servers->onChanges(changes({1, 91}, "a", "?"), std::nullopt);
+    RowChanges Removal = changes({1, 92}, "a", "");
+    Removal.Rows[0].IsRemoved = true;
+    Servers->onChanges(Removal, std::nullopt);
+    CPPUNIT_ASSERT(Node->directory().instances().empty());
+  }
+
+  void rowWhenItNamesAnotherServiceIsRefused() {
+    Servers->onList(list({1, 90}, "a", "ready s"), std::nullopt);
+    for (const char *Row : {"ready t", "ready t 10.0.0.1:1 d 5"}) {
+      Servers->onChanges(changes({1, 91}, "a", Row), std::nullopt);
+      CPPUNIT_ASSERT(isUsed("a", "s") && !isUsed("a", "t"));
+      Servers->onList(list({1, 91}, "a", Row), std::nullopt);
+      CPPUNIT_ASSERT(isUsed("a", "s") && !isUsed("a", "t"));
+    }
+    CPPUNIT_ASSERT_EQUAL(uint64_t(4), refused());
+  }
+
+  void rowWhenItContradictsItsRunIsRefused() {
+    Servers->onList(list({1, 90}, "a", "ready s 10.0.0.1:1 d 5"), std::nullopt);
+    for (const char *Row :
+         {"ready s 10.0.0.2:1 d 5", "ready s 10.0.0.1:1 e 5"}) {
+      Servers->onChanges(changes({1, 91}, "a", Row), std::nullopt);
+      const dispatch::BackendInstance &Entry =
+          Node->directory().instances().at("a");
+      CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1:1"), Entry.Address);
+      CPPUNIT_ASSERT_EQUAL(std::string("d"), Entry.DataCentre);
+    }
+  }
+
+  void rowWhenOfANewRunMayNameAnotherAddress() {
+    Servers->onList(list({1, 90}, "a", "ready s 10.0.0.1:1 d 5"), std::nullopt);
+    Servers->onChanges(changes({1, 91}, "a", "ready s 10.0.0.2:1 e 6"),
+                       std::nullopt);
+    CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.2:1"),
+                         Node->directory().instances().at("a").Address);
+    CPPUNIT_ASSERT_EQUAL(uint64_t(0), refused());
+  }
+
+  void rowAfterARemovalMayNameAnotherService() {
+    Servers->onList(list({1, 90}, "a", "ready s"), std::nullopt);
+    RowChanges Both = changes({1, 92}, "a", "ready t");
+    StoredRow Removal{"a", "", 91, true};
+    Both.Rows.insert(Both.Rows.begin(), Removal);
+    Servers->onChanges(Both, std::nullopt);
+    CPPUNIT_ASSERT(isUsed("a", "t") && !isUsed("a", "s"));
+  }
+
   void serverWhenDrainingBeforeARestoreReceivesNothing() {
     Servers->onList(list({1, 80}, "a", "ready"), std::nullopt);
     Servers->onChanges(changes({1, 90}, "a", "draining"), std::nullopt);
