Write no body for HEAD and keep the server's length

Callers saw: an answer of the gateway's own to HEAD with a body, and "0\r\n\r\n" after the answer to HEAD on a streaming route; both stay in the connection before the next answer (MIXED for a caller that keeps it). An answer passed on said "Content-Length: 0", whatever the server said.

Change: the session notes whether it answers HEAD and then writes a head only; an answer to HEAD is a whole answer, and its Content-Length is the server's, if it states one.

Looked at: refusals before the request is complete (413, 503 for lack of memory; 408 and 431 close the connection), 204 and 304 (no length, as before), HttpServer (writes no body for HEAD), HttpClient (expects none).

--- a/libs/gateway/include/ragwort/gateway/CallerSession.h
+++ b/libs/gateway/include/ragwort/gateway/CallerSession.h
@@ -75,6 +75,9 @@
   void updateCharge();
   void beginRequest();
   std::string headText(const http::ResponseHead &Head) const;
+  // The header that states the length of the body, if the response has one.
+  std::string lengthField(const http::ResponseHead &Head,
+                          std::string_view Body) const;
   bool closesAfterAnswer() const;
   void finishAnswer();
   void close();
@@ -94,6 +97,8 @@
   size_t Reserved = 0;
   TimePoint ReadSince{};
   TimePoint IdleSince{};
+  // Whether the request that is being answered is a HEAD.
+  bool IsHead = false;
   bool IsKeepAlive = true;
   bool IsClosed = false;
   // The last answer is still being written; then the connection closes.
--- a/libs/gateway/src/Attempt.cpp
+++ b/libs/gateway/src/Attempt.cpp
@@ -40,7 +40,7 @@
 
 void Attempt::resetParser() {
   Parser = ResponseParser();
-  if (Request.Message.Method == "HEAD")
+  if (http::isHead(Request.Message.Method))
     Parser.expectNoBody();
 }
 
@@ -195,7 +195,7 @@
   constexpr unsigned StatusOk = 200;
   constexpr std::string_view EventStreamType = "text/event-stream";
   IsEventStream =
-      Request.Target->IsStream && Request.Message.Method != "HEAD" &&
+      Request.Target->IsStream && !http::isHead(Request.Message.Method) &&
       H.Status == StatusOk &&
       isSameHeaderName(
           H.header("Content-Type").substr(0, EventStreamType.size()),
--- a/libs/gateway/src/CallerSession.cpp
+++ b/libs/gateway/src/CallerSession.cpp
@@ -102,6 +102,7 @@
 }
 
 bool CallerSession::decline(const http::Request &R) {
+  IsHead = http::isHead(R.Method);
   RequestId = R.header(Handler.context().Names.RequestId);
   bool IsComplete = Parser->stage() == ParseStage::Done;
   IsKeepAlive = IsComplete && Parser->isKeepAlive();
@@ -171,6 +172,7 @@
   // The rest of an incompletely read request cannot be distinguished from the
   // next request, so the connection must close.
   IsKeepAlive = false;
+  IsHead = http::isHead(Parser->request().Method);
   RequestId.clear();
   logEvent(LogLevel::Warning, "request-refused",
            {{"status", Status}, {"reason", Reason}});
@@ -181,6 +183,7 @@
   IsKeepAlive = Parser->isKeepAlive();
   http::Request Message = Parser->takeRequest();
   Parser.reset();
+  IsHead = http::isHead(Message.Method);
   RequestId = Message.header(Handler.context().Names.RequestId);
   auto Result = Handler.accept(std::move(Message), ReadSince);
   if (LocalReply *Own = std::get_if<LocalReply>(&Result)) {
@@ -219,6 +222,17 @@
   return Text;
 }
 
+std::string CallerSession::lengthField(const http::ResponseHead &Head,
+                                       std::string_view Body) const {
+  if (Head.Status == 204 || Head.Status == 304)
+    return "";
+  std::string Length = std::to_string(Body.size());
+  // The server states the length that the body would have, or none.
+  if (IsHead && Body.empty())
+    Length = Head.header("Content-Length");
+  return Length.empty() ? "" : "Content-Length: " + Length + "\r\n";
+}
+
 void CallerSession::sendLocalReply(const LocalReply &A) {
   std::string Body = "{\"status\":" + std::to_string(A.Status) +
                      ",\"reason\":\"" + std::string(A.Reason) + "\"}\n";
@@ -235,10 +249,10 @@
 void CallerSession::sendResponse(const http::ResponseHead &Head,
                                  std::string_view Body) {
   std::string Text = headText(Head);
-  bool HasNoBody = Head.Status == 204 || Head.Status == 304;
-  if (!HasNoBody)
-    Text += "Content-Length: " + std::to_string(Body.size()) + "\r\n";
+  Text += lengthField(Head, Body);
   Text += "\r\n";
+  if (IsHead)
+    Body = {};
   // A large answer is not copied once more.
   if (Body.size() > KeptBufferBytes) {
     Socket->write(Text);
--- a/libs/http/include/ragwort/http/HttpTypes.h
+++ b/libs/http/include/ragwort/http/HttpTypes.h
@@ -44,6 +44,8 @@
 constexpr bool isSuccess(unsigned Status) {
   return Status >= 200 && Status < 300;
 }
+/// A response to HEAD has a head only.
+constexpr bool isHead(std::string_view Method) { return Method == "HEAD"; }
 constexpr bool isServerFailure(unsigned Status) { return Status >= 500; }
 
 /// Creates a response whose only header is its content type.
--- a/libs/http/src/HttpClient.cpp
+++ b/libs/http/src/HttpClient.cpp
@@ -97,7 +97,7 @@
 asio::awaitable<absl::Status> ClientConnection::send(const Request &R,
                                                      Duration Timeout) {
   State->IsReusable = false;
-  State->IsHead = R.Method == "HEAD";
+  State->IsHead = isHead(R.Method);
   if (!State->IdHeader.empty())
     State->SentId = R.header(State->IdHeader);
   bhttp::request<bhttp::string_body> Message;
--- a/libs/http/src/HttpServer.cpp
+++ b/libs/http/src/HttpServer.cpp
@@ -88,7 +88,7 @@
     bhttp::response<bhttp::string_body> Message(
         bhttp::int_to_status(R.Head.Status), 11, std::move(R.Body));
     fillHead(Message, R.Head);
-    if (Current.Method == "HEAD") {
+    if (isHead(Current.Method)) {
       // A HEAD response announces the length but carries no body.
       auto Length = Message.body().size();
       Message.body().clear();
