Reuse no connection that has carried HEAD

Callers saw: with a server that writes a body for HEAD, late, that body as the answer to the next request, if it reads as one with the request's id; otherwise a 502 for the next request.

Evidence: HeadRequestTest::bodyWhenSentForHeadReachesNoCaller on the commit before: Expected: (nothing) Actual: HTTP/1.1 200 OK ... stray

Change: the connection to the server is closed after the answer. A body that comes with the head, or while the connection is idle, did no harm before.

--- a/libs/gateway/src/Attempt.cpp
+++ b/libs/gateway/src/Attempt.cpp
@@ -367,7 +367,9 @@
 
 void Attempt::leaveServer(bool IsReusable) {
   if (Socket) {
+    // A server that writes a body for HEAD may do so late.
     bool IsClean = IsReusable && Parser.stage() == ParseStage::Done &&
+                   !http::isHead(Request.Message.Method) &&
                    Parser.isKeepAlive() && Unparsed.empty() &&
                    Socket->unsent() == 0 && Socket->isOpen();
     if (IsClean) {
--- a/libs/gateway/src/HeadRequestTest.cpp
+++ b/libs/gateway/src/HeadRequestTest.cpp
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(streamWhenForHeadHasNoBody);
   CPPUNIT_TEST(answerWhenForHeadKeepsItsLength);
   CPPUNIT_TEST(answerWhenForHeadAndChunkedHasNoLength);
+  CPPUNIT_TEST(bodyWhenSentForHeadReachesNoCaller);
   CPPUNIT_TEST_SUITE_END();
 
   static std::string head(const std::string &Path, const std::string &Id,
@@ -85,6 +86,40 @@
     checkHeadOnly(Got, "200");
     CPPUNIT_ASSERT_EQUAL(size_t(0), count(Got, "Content-Length"));
   }
+
+  void bodyWhenSentForHeadReachesNoCaller() {
+    Servers.resize(1);
+    configure();
+    ScriptedServer &Server = *Servers[0];
+    // The body comes with the head, on the idle connection, and after the next
+    // request. It is itself the text of an answer to that request.
+    for (int Late = 0; Late < 3; ++Late) {
+      std::string Id = "h" + std::to_string(Late);
+      std::string Next = "n" + std::to_string(Late);
+      std::string Stray = answer("200 OK", Next, Stamp, "stray");
+      std::string Head =
+          "HTTP/1.1 200 OK\r\nRagwort-Request-Id: " + Id + "\r\n" + Stamp +
+          "Content-Length: " + std::to_string(Stray.size()) + "\r\n\r\n";
+      Server.Script = {literal(Head + (Late == 0 ? Stray : "")),
+                       literal(ScriptedServer::Silence)};
+      checkHeadOnly(receive(head("/once/", Id)), "200");
+      size_t Used = static_cast<size_t>(Server.Connections) - 1;
+      size_t Seen = Server.Requests.size();
+      if (Late == 1) {
+        Server.sendOn(Used, Stray);
+        runFor(std::chrono::milliseconds(20));
+      }
+      auto C = call(request("/once/", Next));
+      runUntil([&] { return Server.Requests.size() == Seen + 1; });
+      if (Late == 2)
+        Server.sendOn(Used, Stray);
+      runFor(std::chrono::milliseconds(20));
+      CPPUNIT_ASSERT_EQUAL(std::string(), C->Received);
+      Server.sendLate(answer("200 OK", Next, Stamp, "own"));
+      runUntil([&C] { return !C->Received.empty(); });
+      CPPUNIT_ASSERT_MESSAGE(C->Received, C->Received.ends_with("own"));
+    }
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(HeadRequestTest);
 
