Bound the age of what a node knows of the servers

Cause: a poll was given up only 2.7 s after its begin, up to 0.5 s after the silence; and the failed poll counted as an outage of the store, whose grace period kept the removed entry for 1.8 s more.

Change: TableFollower knows the age of the store's last answer. If that answers and nothing can have expired meanwhile (two report intervals), the connection was lost and not the store: no grace period, no back-off. A refused call (ResourceExhausted now), or a new connection that fails too, is an outage as before.

Places looked at: RowStore users (PlatformStore, both followers), QuarantineTable, findPeers, PlatformAgent (short calls, 0.7 s, then a new connection), PeerExchange (datagrams; new connection for each document), PathHealth and BackendPool (silent server: doubtful path, new connections), EngineClient (own time-outs).

--- a/libs/fleet/include/ragwort/fleet/RowStore.h
+++ b/libs/fleet/include/ragwort/fleet/RowStore.h
@@ -42,16 +42,18 @@
 };
 
 /// A store that can list a table and report its changes after the version with
-/// a given number, waiting up to a given time for one. An error status means
-/// that the store did not respond or refused the request.
+/// a given number, waiting up to a given time for one; its answer is overdue if
+/// it comes later than that by more than a margin. An error status means that
+/// the store did not respond in time or not with a valid response, or, with
+/// ResourceExhausted, that it refused the request.
 template <class T>
 concept RowStore = requires(T &Store, std::string Table, uint64_t After,
-                            Duration Wait) {
+                            Duration Wait, Duration Margin) {
   {
     Store.list(Table)
     } -> std::same_as<asio::awaitable<absl::StatusOr<RowList>>>;
   {
-    Store.follow(Table, After, Wait)
+    Store.follow(Table, After, Wait, Margin)
     } -> std::same_as<asio::awaitable<absl::StatusOr<RowChanges>>>;
 };
 
--- a/libs/fleet/include/ragwort/fleet/TableFollower.h
+++ b/libs/fleet/include/ragwort/fleet/TableFollower.h
@@ -5,6 +5,10 @@
 // no longer has the history or was restored from a backup, and tells its sink
 // that the store has just recovered.
 //
+// A connection may fall silent while the store works. So the age of what the
+// follower knows is bounded: a poll without an answer in time is repeated at
+// once on a new connection, and only if that fails too is it an outage.
+//
 //===----------------------------------------------------------------------===//
 #ifndef RAGWORT_FLEET_TABLEFOLLOWER_H
 #define RAGWORT_FLEET_TABLEFOLLOWER_H
@@ -30,9 +34,18 @@
 
 /// Intervals and timeouts of a follower.
 struct FollowerTiming {
-  /// How long the store may delay its response while nothing changes. Bounds
-  /// the time for which a dead connection goes unnoticed.
+  /// How long the store may delay its response while nothing changes.
   Duration PollTimeout = std::chrono::milliseconds(2000);
+  /// Polls are shorter if what the follower knows would otherwise be older than
+  /// this before it notices that its connection is silent.
+  Duration MaxAge = Duration::max();
+  /// Time after the end of a poll at which its connection counts as silent.
+  Duration AnswerMargin = std::chrono::milliseconds(400);
+  /// Time for the first answer on the connection that replaces a silent one.
+  /// Longer, since a store that is only slow must not seem to be away.
+  Duration ReplacementMargin = std::chrono::milliseconds(700);
+  /// Entries of live servers do not expire in an outage shorter than this.
+  Duration LapseTime = std::chrono::milliseconds(2400);
   /// Used instead of PollTimeout while IsRelaxed returns true: other nodes poll
   /// with PollTimeout and inform this one of changes that it missed.
   Duration RelaxedPollTimeout = std::chrono::milliseconds(10'000);
@@ -95,8 +108,15 @@
       To.onList(std::move(*List), graceUntil());
       co_return absl::OkStatus();
     }
-    absl::StatusOr<RowChanges> Changes =
-        co_await From.follow(Table, Version.Number, pollTimeout());
+    absl::StatusOr<RowChanges> Changes = co_await From.follow(
+        Table, Version.Number, pollTimeout(), Timing.AnswerMargin);
+    if (IsReached && isConnectionLost(Changes.status())) {
+      absl::Status Lost = Changes.status();
+      Changes = co_await From.follow(Table, Version.Number, Duration(0),
+                                     Timing.ReplacementMargin);
+      if (Changes.ok())
+        onConnectionReplaced(Lost);
+    }
     if (!Changes.ok())
       co_return Changes.status();
     bool IsRestored = Changes->Version.Era > Version.Era;
@@ -120,7 +140,28 @@
   }
 
   Duration pollTimeout() const {
-    return Timing.IsRelaxed() ? Timing.RelaxedPollTimeout : Timing.PollTimeout;
+    if (Timing.IsRelaxed())
+      return Timing.RelaxedPollTimeout;
+    return std::clamp(Timing.MaxAge - Timing.AnswerMargin - age(),
+                      std::min(MinPollTimeout, Timing.PollTimeout),
+                      Timing.PollTimeout);
+  }
+
+  /// Age of what the follower knows, as of the store's last answer.
+  Duration age() const { return Clock.now() - LastAnswerAt; }
+
+  static bool isConnectionLost(const absl::Status &Result) {
+    // ResourceExhausted: the store has answered.
+    return !Result.ok() && !absl::IsResourceExhausted(Result);
+  }
+
+  // The store was not away, or not for long enough that entries expired.
+  void onConnectionReplaced(const absl::Status &Reason) {
+    logEvent(LogLevel::Info, "store-connection-replaced",
+             {{"table", Table},
+              {"age_ms", age().count() / 1000},
+              {"reason", std::string(Reason.message())}});
+    IsReached = age() < Timing.LapseTime;
   }
 
   // The first response after an outage or a restore starts the grace period.
@@ -133,6 +174,7 @@
     if (IsRestored || (!IsReached && WasReached))
       RecoveredAt = Clock.now();
     Version.Era = std::max(Version.Era, Era);
+    LastAnswerAt = Clock.now();
   }
 
   Duration randomUpTo(Duration Limit) {
@@ -173,6 +215,8 @@
     return Result;
   }
 
+  static constexpr Duration MinPollTimeout = std::chrono::milliseconds(100);
+
   asio::io_context &Io;
   Store &From;
   const std::string Table;
@@ -186,6 +230,7 @@
   bool IsListed = false;
   Duration Backoff = Timing.InitialBackoff;
   TimePoint RecoveredAt{};
+  TimePoint LastAnswerAt{};
   bool IsReached = false;
   bool WasReached = false;
   bool WasTried = false;
--- a/libs/fleet/src/TableFollowerTest.cpp
+++ b/libs/fleet/src/TableFollowerTest.cpp
@@ -9,7 +9,16 @@
 
 /// A store whose responses are scripted.
 struct ScriptedStore {
-  enum class Answer : uint8_t { Ok, Fail, HistoryLost, Restored };
+  enum class Answer : uint8_t {
+    Ok,
+    Fail,
+    /// The connection is silent.
+    Silent,
+    /// The store answers that it does not serve the call.
+    Refuse,
+    HistoryLost,
+    Restored
+  };
 
   asio::awaitable<absl::StatusOr<RowList>> list(std::string) {
     ++Lists;
@@ -24,12 +33,18 @@
   }
 
   asio::awaitable<absl::StatusOr<RowChanges>>
-  follow(std::string, uint64_t After, Duration Wait) {
+  follow(std::string, uint64_t After, Duration Wait, Duration) {
     LastAfter = After;
-    LastWait = Wait;
+    Waits.push_back(Wait);
     Answer Next = next();
     if (Next == Answer::Fail)
       co_return absl::UnavailableError("store is unavailable");
+    if (Next == Answer::Refuse)
+      co_return absl::ResourceExhaustedError("store answered status 503");
+    if (Next == Answer::Silent) {
+      co_await sleepFor(SilentFor);
+      co_return absl::DeadlineExceededError("no answer");
+    }
     if (Next == Answer::Restored)
       restore();
     RowChanges Changes;
@@ -63,7 +78,8 @@
   std::function<void()> OnScriptEnd;
   dispatch::StoreVersion Version{1, 40};
   uint64_t LastAfter = 0;
-  Duration LastWait{0};
+  std::vector<Duration> Waits;
+  Duration SilentFor{100};
   int Lists = 0;
 };
 
@@ -91,6 +107,11 @@
   CPPUNIT_TEST(followerWhenTheStoreIsRestoredListsAgainWithGrace);
   CPPUNIT_TEST(followerWhenTheStoreIsRestoredTwiceListsForTheLastEra);
   CPPUNIT_TEST(followerWhenTheStoreIsRestoredInAnOutageListsAgain);
+  CPPUNIT_TEST(connectionWhenSilentIsReplacedAtOnceWithoutGrace);
+  CPPUNIT_TEST(storeWhenSilentOnANewConnectionTooIsInAnOutage);
+  CPPUNIT_TEST(storeWhenItRefusesACallIsInAnOutage);
+  CPPUNIT_TEST(pollWhenWhatIsKnownIsOldEndsSooner);
+  CPPUNIT_TEST(connectionWhenSilentForAsLongAsEntriesLapseSetsTheGracePeriod);
   CPPUNIT_TEST_SUITE_END();
 
   using Answer = ScriptedStore::Answer;
@@ -99,10 +120,12 @@
   /// \p Script.
   std::string seen(std::deque<Answer> Script, bool IsRelaxed = false) {
     asio::io_context Io;
+    Duration SilentFor = Store.SilentFor;
     Store = ScriptedStore();
+    Store.SilentFor = SilentFor;
     Store.Script = std::move(Script);
     RecordingSink Sink;
-    FollowerTiming Timing;
+    Timing.LapseTime = LapseTime;
     Timing.InitialBackoff = Duration(10);
     Timing.MaxBackoff = Duration(10);
     Timing.RestoredListSpread = Duration(10);
@@ -114,7 +137,9 @@
     return Sink.Seen;
   }
 
+  static constexpr Duration LapseTime = std::chrono::milliseconds(50);
   ScriptedStore Store;
+  FollowerTiming Timing;
 
 public:
   void followerWhenTheStoreAnswersListsOnce() {
@@ -140,9 +165,50 @@
 
   void followerWhenRelaxedPollsLonger() {
     seen({Answer::Ok, Answer::Ok});
-    CPPUNIT_ASSERT(Store.LastWait == FollowerTiming().PollTimeout);
+    CPPUNIT_ASSERT(Store.Waits[0] == FollowerTiming().PollTimeout);
     seen({Answer::Ok, Answer::Ok}, true);
-    CPPUNIT_ASSERT(Store.LastWait == FollowerTiming().RelaxedPollTimeout);
+    CPPUNIT_ASSERT(Store.Waits[0] == FollowerTiming().RelaxedPollTimeout);
+  }
+
+  void connectionWhenSilentIsReplacedAtOnceWithoutGrace() {
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("lccc"),
+        seen({Answer::Ok, Answer::Ok, Answer::Silent, Answer::Ok, Answer::Ok}));
+    CPPUNIT_ASSERT_EQUAL(1, Store.Lists);
+    // The first call on the new connection asks for an answer at once.
+    CPPUNIT_ASSERT(Store.Waits[2] == Duration(0));
+  }
+
+  void storeWhenSilentOnANewConnectionTooIsInAnOutage() {
+    CPPUNIT_ASSERT_EQUAL(std::string("lcC"),
+                         seen({Answer::Ok, Answer::Ok, Answer::Silent,
+                               Answer::Silent, Answer::Ok}));
+  }
+
+  void storeWhenItRefusesACallIsInAnOutage() {
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("lcC"),
+        seen({Answer::Ok, Answer::Ok, Answer::Refuse, Answer::Ok}));
+  }
+
+  void connectionWhenSilentForAsLongAsEntriesLapseSetsTheGracePeriod() {
+    Store.SilentFor = 2 * LapseTime;
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("lcC"),
+        seen({Answer::Ok, Answer::Ok, Answer::Silent, Answer::Ok}));
+  }
+
+  void pollWhenWhatIsKnownIsOldEndsSooner() {
+    Timing.MaxAge = std::chrono::milliseconds(1700);
+    Timing.MinInterval = std::chrono::milliseconds(40);
+    seen({Answer::Ok, Answer::Ok});
+    Duration Most = Timing.MaxAge - Timing.AnswerMargin;
+    CPPUNIT_ASSERT(Store.Waits[0] <= Most - Timing.MinInterval);
+    CPPUNIT_ASSERT(Store.Waits[0] > Most / 2);
+    Timing.MinInterval = std::chrono::milliseconds(0);
+    seen({Answer::Ok, Answer::Ok});
+    CPPUNIT_ASSERT(Store.Waits[0] <= Most);
+    CPPUNIT_ASSERT(Store.Waits[0] > Most - std::chrono::milliseconds(30));
   }
 
   void followerWhenTheFirstCallFailsListsWithoutGrace() {
