--- a/libs/fleet/src/NodeLifecycleTest.cpp
+++ b/libs/fleet/src/NodeLifecycleTest.cpp
@@ -62,7 +62,9 @@
   // More requests than slots, so that some wait when the time is over.
   void requestsWhenTheNodeExitsAreAnsweredTruthfully() {
     std::vector<std::unique_ptr<gateway::Caller>> Callers;
-    for (int I = 0; I < 24; ++I)
+    constexpr size_t Count = 24;
+    Callers.reserve(Count);
+    for (size_t I = 0; I < Count; ++I)
       Callers.push_back(Fleet->call(0, {LoopbackFleet::LookupPrefix, "", ""}));
     Io.run_for(std::chrono::milliseconds(100));
     beginStop(std::chrono::seconds(1));
