Test streams without a length at every place of a second answer

A server may stop within an event, or before its first one, and answer once more. The head of the second answer must not reach the caller, wherever it begins.

--- a/libs/gateway/src/SpoiledAnswerTest.cpp
+++ b/libs/gateway/src/SpoiledAnswerTest.cpp
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(streamWhenOnlyACommentWasSentIsStartedElsewhere);
   CPPUNIT_TEST(streamWhenItsTypeIsInAnotherCaseIsContinued);
   CPPUNIT_TEST(streamWhenWithoutLengthAndRepeatedIsForwardedOnce);
+  CPPUNIT_TEST(streamWhenWithoutLengthAndBrokenByAnAnswerIsContinuedElsewhere);
   CPPUNIT_TEST(answerWhenWithoutLengthAndRepeatedIsNotForwarded);
   CPPUNIT_TEST(answerWhenBrokenOffAndRepeatedIsNotForwarded);
   CPPUNIT_TEST(streamWhenBrokenOffAndRepeatedIsContinuedElsewhere);
@@ -242,6 +243,28 @@
     checkStream(C->Received, 3);
   }
 
+  void streamWhenWithoutLengthAndBrokenByAnAnswerIsContinuedElsewhere() {
+    const std::string Heads[] = {
+        unframedStreamHead("r1"), streamHead("r0"),
+        "HTTP/1.1 503 Full\r\nRagwort-Request-Id: r0\r\n"
+        "Content-Length: 0\r\n\r\n"};
+    std::string Whole = events(1, 3);
+    for (const std::string &Head : Heads) {
+      for (size_t At = 0; At < Whole.size(); ++At) {
+        tearDown();
+        setUp();
+        warmUp();
+        scriptFirst(
+            [&](const std::string &R) {
+              return unframedStreamHead(idOf(R)) + Whole.substr(0, At) + Head +
+                     Whole.substr(At) + ScriptedServer::Close;
+            },
+            continued(3));
+        checkStream(exchange(request("/stream/", "r1")), 3);
+      }
+    }
+  }
+
   void answerWhenWithoutLengthAndRepeatedIsNotForwarded() {
     auto Twice = [](const std::string &R) {
       std::string Once = "HTTP/1.1 200 OK\r\nRagwort-Request-Id: " + idOf(R) +
