Let the soak's servers answer again within an answer

An answer with a length that is broken off and begun again in the same bytes, and a copy among the events of the stream that it repeats, framed or not.

--- a/testing/soak/backends.py
+++ b/testing/soak/backends.py
@@ -203,7 +203,12 @@
                         self._stamp_header(request_id), [text],
                         self._draw_framing("length", fault))
         self._record_status(answer)
-        await self._write(channel, answer.whole())
+        data = answer.whole()
+        if fault == "repeat" and self.random.random() < 0.3:
+            # Broken off within the body, and begun again in the same bytes.
+            cut_at = len(data) - self.random.randrange(1, len(text))
+            data, fault = data[:cut_at] + self._draw_repetition(answer).data, None
+        await self._write(channel, data)
         return await self._end_answer(channel, answer, fault)
 
     async def _write(self, channel, data, is_split=False):
@@ -245,7 +250,7 @@
         return True
 
     async def _repeat(self, channel, answer):
-        repetition = draw_repetition(self.random, answer, self._other_id())
+        repetition = self._draw_repetition(answer)
         if answer.framing == "none" or repetition.when == "at_once":
             # Only while the connection is open is it a part of what is read.
             await asyncio.sleep(0 if repetition.when == "at_once" else 0.02)
@@ -256,10 +261,11 @@
         else:
             channel.due = repetition
 
-    def _other_id(self):
-        # A node sends none of them to this server again.
-        return self.random.choice(
+    def _draw_repetition(self, answer):
+        # A node sends none of these requests to this server again.
+        other_id = self.random.choice(
             [id for _, id, at in self.ledger.arrivals[-500:] if at is self])
+        return draw_repetition(self.random, answer, other_id)
 
     async def _end_answer(self, channel, answer, fault):
         """Returns whether the connection stays open."""
@@ -300,9 +306,8 @@
                         events, self._draw_framing("chunked", fault))
         self._record_status(answer)
         within = due.data if due else b""
-        if fault == "repeat" and answer.framing == "none" and self.random.random() < 0.5:
-            within, fault = draw_repetition(
-                self.random, answer, self._other_id()).data, None
+        if fault == "repeat" and self.random.random() < 0.5:
+            within, fault = self._draw_repetition(answer).data, None
         if not await self._write_events(channel, answer, interval_s, within,
                                         self._cut_at(fault, events)):
             return False
