Do not forward another request's answer within a body

What callers saw: the head and body of the answer to an earlier request at the end of their own, or their own answer filled up with its first bytes. It takes a server that repeats an answer to another request after, or within, one that has no length, or in place of the rest of one that it broke off.

Cause: since only a head with the request's own id was looked for in a body, so that an answer may quote another one.

Change: only a body with an end of its own and nothing after it may quote the answer to another request. In one that ends with its connection, or that is followed by more bytes in the same read, any head with a request id is refused.

Evidence: answerWhenItHoldsAnEarlierOneIsNotForwarded failed (SpoiledAnswerTest.cpp:295, 200 instead of 502) and passes; it also shows that a quoted answer within a length is forwarded. 145 of 145 tests of the library pass.

Looked at too: events of streams are searched for any id. What remains as before: the copy's rest arrives in a later read than the end of the body.

--- a/libs/gateway/src/Attempt.cpp
+++ b/libs/gateway/src/Attempt.cpp
@@ -269,8 +269,11 @@
       end(AttemptEnd::StreamEnded);
     return;
   }
+  // A whole body may quote the answer to another request.
+  bool MayQuote = Parser.isFramed() && Unparsed.empty();
   if (holdsResponseHead(Body, Unparsed, Context.Names.RequestId,
-                        Request.RequestId)) {
+                        MayQuote ? std::string_view(Request.RequestId)
+                                 : std::string_view())) {
     fail(dispatch::ServerFault::Malformed, "repeated-answer");
     return;
   }
--- a/libs/gateway/src/SpoiledAnswerTest.cpp
+++ b/libs/gateway/src/SpoiledAnswerTest.cpp
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(streamWhenWithoutLengthAndRepeatedIsForwardedOnce);
   CPPUNIT_TEST(streamWhenWithoutLengthAndBrokenByAnAnswerIsContinuedElsewhere);
   CPPUNIT_TEST(answerWhenWithoutLengthAndRepeatedIsNotForwarded);
+  CPPUNIT_TEST(answerWhenItHoldsAnEarlierOneIsNotForwarded);
   CPPUNIT_TEST(answerWhenBrokenOffAndRepeatedIsNotForwarded);
   CPPUNIT_TEST(streamWhenBrokenOffAndRepeatedIsContinuedElsewhere);
   CPPUNIT_TEST(answerWhenItQuotesAnAnswerIsForwarded);
@@ -280,6 +281,30 @@
     CPPUNIT_ASSERT(exchange(request("/safe/", "r2")).ends_with("second"));
   }
 
+  void answerWhenItHoldsAnEarlierOneIsNotForwarded() {
+    const std::string Earlier = answer("200 OK", "r0", Stamp, "earlier");
+    for (bool HasLength : {false, true}) {
+      auto WithEarlier = [&](const std::string &R) {
+        std::string Length = HasLength ? "Content-Length: 9\r\n" : "";
+        return "HTTP/1.1 200 OK\r\nRagwort-Request-Id: " + idOf(R) + "\r\n" +
+               Length + Stamp + "\r\nown" + Earlier + ScriptedServer::Close;
+      };
+      tearDown();
+      setUp();
+      scriptBoth(WithEarlier);
+      CPPUNIT_ASSERT(
+          exchange(request("/once/", "r1")).starts_with("HTTP/1.1 502 "));
+      tearDown();
+      setUp();
+      scriptFirst(WithEarlier, served("second"));
+      CPPUNIT_ASSERT(exchange(request("/safe/", "r2")).ends_with("second"));
+    }
+    tearDown();
+    setUp();
+    scriptBoth(served(Earlier));
+    CPPUNIT_ASSERT(exchange(request("/once/", "r3")).ends_with(Earlier));
+  }
+
   void answerWhenBrokenOffAndRepeatedIsNotForwarded() {
     for (size_t Missing : {10, 90, 300}) {
       std::string Text = std::to_string(Missing);
