Send no aborted request again, and check the id of a backend server's answer

Cause: an abort closes the connection, which looked like a connection that the server had closed while it was idle. Answers were taken in their order.

Change: an abort forgets the request in progress, and only a request that is still in progress is sent again. An answer with the id of another request ends the run as broken; answers without an id are taken as before.

--- a/libs/agent/src/BackendSlot.cpp
+++ b/libs/agent/src/BackendSlot.cpp
@@ -11,6 +11,8 @@
 // Answers up to this size are sent in one frame, unless they are event streams.
 constexpr size_t MaxUnstreamedAnswerBytes = 64 * KiB;
 constexpr std::string_view EventStreamType = "text/event-stream";
+// Servers may repeat it in their answers.
+constexpr const char *RequestIdHeader = "Ragwort-Request-Id";
 
 Duration remainingTime(const WorkItem &Item) {
   Duration Left = Item.Deadline - SteadyClock().now();
@@ -37,12 +39,15 @@
 } // namespace
 
 BackendSlot::BackendSlot(asio::io_context &Io, const Address &Server)
-    : Strand(asio::make_strand(Io)), Connection(Strand, Server) {}
+    : Strand(asio::make_strand(Io)),
+      Connection(Strand, Server, RequestIdHeader) {}
 
 void BackendSlot::abort(StreamId Id) {
   asio::post(Strand, [this, Id] {
-    if (Current == Id)
-      Connection.close();
+    if (Current != Id)
+      return;
+    Current.reset();
+    Connection.close();
   });
 }
 
@@ -82,7 +87,9 @@
   Result.End = RunEnd::Broken;
   absl::StatusOr<http::ResponseHead> Head =
       co_await Connection.sendForHead(R, remainingTime(*Item));
-  if (Head.ok() || !IsIdempotent || !absl::IsUnavailable(Head.status()))
+  bool IsAborted = Current != Item->Id;
+  if (Head.ok() || !IsIdempotent || IsAborted ||
+      !absl::IsUnavailable(Head.status()))
     co_return Head;
   // The reused connection may have been stale: retry once on a new one.
   Connected = co_await Connection.reconnect(ConnectTimeout);
--- a/libs/agent/src/BackendSlot.h
+++ b/libs/agent/src/BackendSlot.h
@@ -76,6 +76,7 @@
   asio::strand<asio::io_context::executor_type> Strand;
   // The fields below are only used on the strand.
   http::ClientConnection Connection;
+  // The request in progress, unless it was aborted.
   std::optional<StreamId> Current;
 };
 
