--- a/libs/gateway/src/HeadRequestTest.cpp
+++ b/libs/gateway/src/HeadRequestTest.cpp
@@ -97,9 +97,11 @@
       std::string Id = "h" + std::to_string(Late);
       std::string Next = "n" + std::to_string(Late);
       std::string Stray = answer("200 OK", Next, Stamp, "stray");
-      std::string Head =
-          "HTTP/1.1 200 OK\r\nRagwort-Request-Id: " + Id + "\r\n" + Stamp +
-          "Content-Length: " + std::to_string(Stray.size()) + "\r\n\r\n";
+      std::string Head = "HTTP/1.1 200 OK\r\nRagwort-Request-Id: ";
+      Head += Id;
+      Head += "\r\n";
+      Head += Stamp;
+      Head += "Content-Length: " + std::to_string(Stray.size()) + "\r\n\r\n";
       Server.Script = {literal(Head + (Late == 0 ? Stray : "")),
                        literal(ScriptedServer::Silence)};
       checkHeadOnly(receive(head("/once/", Id)), "200");
