--- a/libs/gateway/src/SpoiledAnswerTest.cpp
+++ b/libs/gateway/src/SpoiledAnswerTest.cpp
@@ -69,6 +69,13 @@
     };
   }
 
+  /// A server that sends two events and then \p Rest.
+  static ScriptedServer::Responder begun(const std::string &Rest = "") {
+    return [Rest](const std::string &R) {
+      return streamHead(idOf(R)) + chunk(events(1, 2)) + Rest;
+    };
+  }
+
   static void checkStream(const std::string &Got, int Events) {
     CPPUNIT_ASSERT_EQUAL(size_t(1), count(Got, "HTTP/1.1 "));
     CPPUNIT_ASSERT_EQUAL(size_t(1), count(Got, Stamp));
@@ -97,11 +104,7 @@
 
   void streamWhenSpoiledAfterItHasBegunIsContinuedElsewhere() {
     warmUp();
-    scriptFirst(
-        [](const std::string &R) {
-          return streamHead(idOf(R)) + chunk(events(1, 2));
-        },
-        continued(3));
+    scriptFirst(begun(), continued(3));
     auto C = call(request("/slow/", "r1"));
     runUntil([&C] { return count(C->Received, "id: 2") == 1; });
     Servers[firstUsed()]->sendLate(chunk(event(7)) + "0\r\n\r\n");
@@ -161,17 +164,13 @@
       setUp();
       warmUp();
       std::string Other = std::string(Status) + "\n" + Field;
-      scriptFirst(
-          [](const std::string &R) {
-            return streamHead(idOf(R)) + chunk(events(1, 2)) +
-                   ScriptedServer::Reset;
-          },
-          [Status = std::string(Status),
-           Field = std::string(Field)](const std::string &R) {
-            bool HasBody = !Status.starts_with("204");
-            return answer(Status, idOf(R), Stamp + Field,
-                          HasBody ? "another answer" : "");
-          });
+      scriptFirst(begun(ScriptedServer::Reset),
+                  [Status = std::string(Status),
+                   Field = std::string(Field)](const std::string &R) {
+                    bool HasBody = !Status.starts_with("204");
+                    return answer(Status, idOf(R), Stamp + Field,
+                                  HasBody ? "another answer" : "");
+                  });
       auto C = call(request("/stream/", "r1"));
       runUntil([&C] {
         return C->IsEnded || C->Received.ends_with("0\r\n\r\n") ||
@@ -215,16 +214,11 @@
 
   void streamWhenItsTypeIsInAnotherCaseIsContinued() {
     warmUp();
-    scriptFirst(
-        [](const std::string &R) {
-          return streamHead(idOf(R)) + chunk(events(1, 2)) +
-                 ScriptedServer::Reset;
-        },
-        [](const std::string &R) {
-          std::string Answer = continued(3)(R);
-          Answer.replace(Answer.find("text/event"), 10, "Text/Event");
-          return Answer;
-        });
+    scriptFirst(begun(ScriptedServer::Reset), [](const std::string &R) {
+      std::string Answer = continued(3)(R);
+      Answer.replace(Answer.find("text/event"), 10, "Text/Event");
+      return Answer;
+    });
     checkStream(exchange(request("/stream/", "r1")), 3);
   }
 
@@ -390,11 +384,7 @@
 
   void answerWhenRepeatedWithinTheNextIsNotForwarded() {
     warmUp();
-    scriptFirst(
-        [](const std::string &R) {
-          return streamHead(idOf(R)) + chunk(events(1, 2));
-        },
-        continued(3));
+    scriptFirst(begun(), continued(3));
     auto C = call(request("/slow/", "r1"));
     runUntil([&C] { return count(C->Received, "id: 2") == 1; });
     Servers[firstUsed()]->sendLate(answer("200 OK", "warm0", Stamp, "warm") +
