--- a/libs/gateway/src/SpoiledAnswerTest.cpp
+++ b/libs/gateway/src/SpoiledAnswerTest.cpp
@@ -251,8 +251,9 @@
         warmUp();
         scriptFirst(
             [&](const std::string &R) {
-              return unframedStreamHead(idOf(R)) + Whole.substr(0, At) + Head +
-                     Whole.substr(At) + ScriptedServer::Close;
+              std::string Text = unframedStreamHead(idOf(R));
+              Text.append(Whole, 0, At).append(Head).append(Whole, At);
+              return Text.append(ScriptedServer::Close);
             },
             continued(3));
         checkStream(exchange(request("/stream/", "r1")), 3);
@@ -279,9 +280,11 @@
     const std::string Earlier = answer("200 OK", "r0", Stamp, "earlier");
     for (bool HasLength : {false, true}) {
       auto WithEarlier = [&](const std::string &R) {
-        std::string Length = HasLength ? "Content-Length: 9\r\n" : "";
-        return "HTTP/1.1 200 OK\r\nRagwort-Request-Id: " + idOf(R) + "\r\n" +
-               Length + Stamp + "\r\nown" + Earlier + ScriptedServer::Close;
+        std::string Text = "HTTP/1.1 200 OK\r\nRagwort-Request-Id: ";
+        Text.append(idOf(R)).append("\r\n").append(Stamp);
+        if (HasLength)
+          Text.append("Content-Length: 9\r\n");
+        return Text.append("\r\nown").append(Earlier) + ScriptedServer::Close;
       };
       tearDown();
       setUp();
