Reject events that hold bytes of something else

A chunk whose size is wrong can take in the framing of the next chunk, and a lost line end joins two events. Both were forwarded as one event, with the second one's content.

Cause: an event was judged by its first id line only.

Change: a block with two id lines, or with a line that is no field, is malformed. Names of fields that may stand without a value are data, event and id.

Evidence: EventStreamTest::eventWhenItHoldsOtherBytesIsRejected.

Looked at for the same: libs/http (a client of whole answers; no events), libs/agent (forwards bytes of its own server over numbered frames, reads no events).

--- a/libs/gateway/include/ragwort/gateway/EventStream.h
+++ b/libs/gateway/include/ragwort/gateway/EventStream.h
@@ -29,10 +29,10 @@
   /// Larger events are rejected.
   static constexpr size_t MaxEventBytes = 1 * MiB;
 
-  /// Adds bytes of the response. \returns false if an event is too large, has
-  /// no id although earlier ones had, or its id is not one above the last id.
-  /// The rest of the response is then unusable; the complete events before are
-  /// part of the stream.
+  /// Adds bytes of the response. \returns false if an event is too large or
+  /// malformed, has no id although earlier ones had, or its id is not one above
+  /// the last id. The rest of the response is then unusable; the complete
+  /// events before are part of the stream.
   bool push(std::string_view Bytes);
   /// \returns the complete events received since the last call, in order.
   std::string takeCompleteEvents();
--- a/libs/gateway/src/EventStream.cpp
+++ b/libs/gateway/src/EventStream.cpp
@@ -2,6 +2,7 @@
 #include "ragwort/gateway/EventStream.h"
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace ragwort::gateway {
 
@@ -21,59 +22,74 @@
   return std::string_view::npos;
 }
 
-// Whether the block has more than comments and the time for reconnects, which
-// may come between events.
-bool isEventBlock(std::string_view Block) {
-  constexpr std::string_view Reconnect = "retry:";
-  while (!Block.empty()) {
-    size_t End = std::min(Block.find('\n'), Block.size());
-    std::string_view Line = Block.substr(0, End);
-    Block.remove_prefix(std::min(End + 1, Block.size()));
-    if (!Line.empty() && Line != "\r" && !Line.starts_with(':') &&
-        !Line.starts_with(Reconnect))
-      return true;
+/// What the lines of a block say.
+struct Block {
+  /// It has more than comments and the time for reconnects, which may come
+  /// between events.
+  bool IsEvent = false;
+  /// Some line is no field, or there is more than one id: bytes are missing, or
+  /// belong to something else.
+  bool IsMalformed = false;
+  bool HasId = false;
+  /// Empty if the id is not a number.
+  std::optional<uint64_t> Id;
+};
+
+std::optional<uint64_t> parseId(std::string_view Text) {
+  uint64_t Id = 0;
+  const char *Last = Text.data() + Text.size();
+  auto Parsed = std::from_chars(Text.data(), Last, Id);
+  if (Parsed.ec != std::errc() || Parsed.ptr != Last)
+    return std::nullopt;
+  return Id;
+}
+
+void readLine(std::string_view Line, Block &Result) {
+  if (Line.empty() || Line.starts_with(':'))
+    return;
+  size_t Colon = Line.find(':');
+  std::string_view Name = Line.substr(0, Colon);
+  Result.IsEvent |= Name != "retry";
+  // A field may have no value; others than these always have one.
+  if (Colon == std::string_view::npos) {
+    Result.IsMalformed |= Name != "data" && Name != "event" && Name != "id";
+    return;
   }
-  return false;
+  if (Name != "id")
+    return;
+  std::string_view Value = Line.substr(Colon + 1);
+  if (Value.starts_with(' '))
+    Value.remove_prefix(1);
+  Result.IsMalformed |= std::exchange(Result.HasId, true);
+  Result.Id = parseId(Value);
 }
 
-std::optional<uint64_t> parseEventId(std::string_view Event) {
-  constexpr std::string_view Field = "id:";
-  size_t At = 0;
-  while (At < Event.size()) {
-    size_t End = std::min(Event.find('\n', At), Event.size());
-    std::string_view Line = Event.substr(At, End - At);
-    At = End + 1;
-    if (!Line.starts_with(Field))
-      continue;
-    Line.remove_prefix(Field.size());
-    if (Line.starts_with(' '))
-      Line.remove_prefix(1);
+Block readBlock(std::string_view Text) {
+  Block Result;
+  while (!Text.empty()) {
+    size_t End = std::min(Text.find('\n'), Text.size());
+    std::string_view Line = Text.substr(0, End);
+    Text.remove_prefix(std::min(End + 1, Text.size()));
     if (Line.ends_with('\r'))
       Line.remove_suffix(1);
-    uint64_t Id = 0;
-    const char *Last = Line.data() + Line.size();
-    auto Parsed = std::from_chars(Line.data(), Last, Id);
-    if (Parsed.ec == std::errc() && Parsed.ptr == Last)
-      return Id;
+    readLine(Line, Result);
   }
-  return std::nullopt;
+  return Result;
 }
 
 } // namespace
 
 bool EventStream::acceptEvent(std::string_view Event) {
-  std::optional<uint64_t> Id = parseEventId(Event);
-  if (LastId && Id && *Id != *LastId + 1)
-    return false;
-  bool IsEvent = isEventBlock(Event);
-  // It could not be told which events a caller lacks.
-  if (IsNumbered && IsEvent && !Id)
+  Block Read = readBlock(Event);
+  // An event without an id: it could not be told which events a caller lacks.
+  if (Read.IsMalformed || (LastId && Read.Id && *Read.Id != *LastId + 1) ||
+      (IsNumbered && Read.IsEvent && !Read.Id))
     return false;
-  if (Id) {
-    LastId = Id;
+  if (Read.Id) {
+    LastId = Read.Id;
     IsNumbered = true;
   }
-  HasContent |= IsEvent;
+  HasContent |= Read.IsEvent;
   ++Events;
   Complete += Event;
   return true;
@@ -96,7 +112,7 @@
   return Partial.size() <= MaxEventBytes;
 }
 
-bool EventStream::hasPartialEvent() const { return isEventBlock(Partial); }
+bool EventStream::hasPartialEvent() const { return readBlock(Partial).IsEvent; }
 
 std::string EventStream::takeCompleteEvents() {
   std::string Result;
--- a/libs/gateway/src/EventStreamTest.cpp
+++ b/libs/gateway/src/EventStreamTest.cpp
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(eventsWhenWithoutIdsAreAccepted);
   CPPUNIT_TEST(streamWhenResumedStartsAfterTheCallersId);
   CPPUNIT_TEST(eventWhenItNeverEndsIsRejected);
+  CPPUNIT_TEST(eventWhenItHoldsOtherBytesIsRejected);
   CPPUNIT_TEST_SUITE_END();
 
   static std::string event(uint64_t Id) {
@@ -116,6 +117,21 @@
       ++Pieces;
     CPPUNIT_ASSERT(Pieces < 1000);
   }
+
+  // Guards against events that a wrong chunk size or a lost line end has
+  // joined.
+  void eventWhenItHoldsOtherBytesIsRejected() {
+    for (const char *Text :
+         {"id: 2\ndata: x\nid: 3\ndata: y\n\n", "\r\n14\r\nid: 2\ndata: x\n\n",
+          "id: 2\ndata: x\n0\r\n\r\n", "i", "id: 2\ndat\n\n"}) {
+      EventStream Events;
+      CPPUNIT_ASSERT(Events.push(event(1)));
+      bool IsAccepted = Events.push(std::string(Text) + "\n\n");
+      CPPUNIT_ASSERT_MESSAGE(Text, !IsAccepted);
+    }
+    EventStream Sound;
+    CPPUNIT_ASSERT(Sound.push("weight-versions: 3\nid: 2\nevent\ndata\n\n"));
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(EventStreamTest);
 
