Continue a stream only from an id that something confirms

Cause: EventStream took the first id of a new stream as its position, whatever it was. When the next event contradicted it, the request went on from that position at another server, which had nothing to add. The same held for an event without an id before those with ids, and for a caller's own Last-Event-Id followed by events without.

Change: a position counts as known once another id agrees with it, if it follows the caller's Last-Event-Id, or if it is 1, before which there is none. Otherwise a stream that has begun is cut, which shows. The first event is still forwarded at once; if the contradiction is in the same read, nothing of that answer is, and another server starts the stream.

Evidence: three tests of SpoiledAnswerTest failed on (streamWhenItsFirstIdIsContradictedLaterIsCut, ...AtOnceIsStartedElsewhere, streamWhenBrokenAfterItsOnlyIdIsCut): a whole 200 in each.

--- a/libs/gateway/include/ragwort/gateway/Attempt.h
+++ b/libs/gateway/include/ragwort/gateway/Attempt.h
@@ -90,6 +90,7 @@
   /// The same, without comments.
   bool hasContent() const { return Events.hasContent(); }
   bool hasPartialEvent() const { return Events.hasPartialEvent(); }
+  bool isPositionConfirmed() const { return Events.isPositionConfirmed(); }
   bool isEventStream() const { return IsEventStream; }
   uint64_t events() const { return Events.events(); }
   std::optional<uint64_t> lastEventId() const { return Events.lastId(); }
--- a/libs/gateway/include/ragwort/gateway/EventStream.h
+++ b/libs/gateway/include/ragwort/gateway/EventStream.h
@@ -30,7 +30,7 @@
   static constexpr size_t MaxEventBytes = 1 * MiB;
 
   /// Adds bytes of the response. \returns false if an event is too large or
-  /// malformed, has no id although earlier ones had, or its id is not one above
+  /// malformed, has no id although others have one, or its id is not one above
   /// the last id. The rest of the response is then unusable; the complete
   /// events before are part of the stream.
   bool push(std::string_view Bytes);
@@ -42,9 +42,18 @@
   bool hasContent() const { return HasContent; }
   /// Id of the last complete event that had one.
   std::optional<uint64_t> lastId() const { return LastId; }
+  /// Whether the stream can be continued after lastId(). That id must follow
+  /// from more than the event itself: it came after another one, it was
+  /// expected, or it is a first id before which there is none. Any other single
+  /// id may be spoiled.
+  bool isPositionConfirmed() const { return IsConfirmed && !HasAnonymous; }
   /// Sets the id of the last event that the caller has received of an earlier
   /// response.
-  void resumeAfter(uint64_t Id) { LastId = Id; }
+  void resumeAfter(uint64_t Id) {
+    LastId = Id;
+    NextId = Id + 1;
+    IsConfirmed = true;
+  }
   /// Earlier events of the stream have ids, so each one must have one.
   void requireIds() { IsNumbered = true; }
   /// Number of complete events so far.
@@ -52,14 +61,20 @@
 
 private:
   bool acceptEvent(std::string_view Event);
+  bool isNext(std::optional<uint64_t> Id, bool IsEvent) const;
 
   std::string Partial;
   std::string Complete;
   std::optional<uint64_t> LastId;
+  // The id that the next event must have, if it is known.
+  std::optional<uint64_t> NextId;
   uint64_t Events = 0;
-  // Whether an event had an id.
+  // Whether each event must have an id.
   bool IsNumbered = false;
+  // Whether an event had no id.
+  bool HasAnonymous = false;
   bool HasContent = false;
+  bool IsConfirmed = false;
 };
 
 } // namespace ragwort::gateway
--- a/libs/gateway/include/ragwort/gateway/Forwarding.h
+++ b/libs/gateway/include/ragwort/gateway/Forwarding.h
@@ -123,6 +123,8 @@
   std::string ServerId;
   // Id of the last event that the caller has.
   std::optional<uint64_t> LastEventId;
+  // Whether another id agrees with LastEventId.
+  bool IsPositionConfirmed = false;
   // Whether the caller has an event; a comment is none.
   bool HasContent = false;
   // Whether an attempt broke off within an event that the caller lacks still.
--- a/libs/gateway/include/ragwort/gateway/RequestFlow.h
+++ b/libs/gateway/include/ragwort/gateway/RequestFlow.h
@@ -43,8 +43,8 @@
   bool IsTimeLeft = true;
   /// The retry budget allows another send.
   bool IsBudgetLeft = true;
-  /// The last event that the caller has is known by its id, so that another
-  /// server can continue a stream after it.
+  /// The last event that the caller has is known by its id, and another id
+  /// agrees with it, so that another server can continue a stream after it.
   bool IsPositionKnown = true;
 };
 
--- a/libs/gateway/src/Attempt.cpp
+++ b/libs/gateway/src/Attempt.cpp
@@ -219,8 +219,11 @@
 
 void Attempt::readEvents(std::string_view Bytes) {
   bool IsSound = Events.push(Bytes);
-  // Those before a malformed event are part of the stream.
+  // Those before a malformed event are part of the stream, unless the malformed
+  // one contradicts the only id.
   std::string Complete = Events.takeCompleteEvents();
+  if (!IsSound && !Events.isPositionConfirmed())
+    Complete.clear();
   if (holdsResponseHead(Complete, {}, Context.Names.RequestId)) {
     fail(dispatch::ServerFault::Malformed, "repeated-answer");
     return;
--- a/libs/gateway/src/EventStream.cpp
+++ b/libs/gateway/src/EventStream.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+// A first event with this id has nothing before it.
+constexpr uint64_t LowestFirstId = 1;
+
 // Returns the offset after the first blank line at or after From, which ends an
 // event, or npos.
 size_t eventEnd(std::string_view Text, size_t From) {
@@ -79,17 +82,25 @@
 
 } // namespace
 
+bool EventStream::isNext(std::optional<uint64_t> Id, bool IsEvent) const {
+  // It could not be told which events a caller lacks.
+  if (Id ? HasAnonymous : IsNumbered && IsEvent)
+    return false;
+  return !Id || !NextId || *Id == *NextId;
+}
+
 bool EventStream::acceptEvent(std::string_view Event) {
   Block Read = readBlock(Event);
-  // An event without an id: it could not be told which events a caller lacks.
-  if (Read.IsMalformed || (LastId && Read.Id && *Read.Id != *LastId + 1) ||
-      (IsNumbered && Read.IsEvent && !Read.Id))
+  if (Read.IsMalformed || !isNext(Read.Id, Read.IsEvent))
     return false;
   if (Read.Id) {
+    IsConfirmed = NextId.has_value() || *Read.Id == LowestFirstId;
     LastId = Read.Id;
+    NextId = *Read.Id + 1;
     IsNumbered = true;
   }
   HasContent |= Read.IsEvent;
+  HasAnonymous |= Read.IsEvent && !Read.Id;
   ++Events;
   Complete += Event;
   return true;
--- a/libs/gateway/src/EventStreamTest.cpp
+++ b/libs/gateway/src/EventStreamTest.cpp
@@ -16,6 +16,8 @@
   CPPUNIT_TEST(eventsWhenWithoutIdsAreAccepted);
   CPPUNIT_TEST(streamWhenResumedStartsAfterTheCallersId);
   CPPUNIT_TEST(eventWhenItNeverEndsIsRejected);
+  CPPUNIT_TEST(positionWhenOnlyOneIdIsKnownIsUnconfirmed);
+  CPPUNIT_TEST(eventWithAnIdAfterOneWithoutIsRejected);
   CPPUNIT_TEST(eventWhenItHoldsOtherBytesIsRejected);
   CPPUNIT_TEST_SUITE_END();
 
@@ -85,7 +87,10 @@
   void eventsWhenEarlierOnesHadIdsNeedOne() {
     EventStream Resumed;
     Resumed.resumeAfter(2);
+    CPPUNIT_ASSERT(Resumed.push(": first\n\n"));
+    CPPUNIT_ASSERT(Resumed.isPositionConfirmed());
     CPPUNIT_ASSERT(Resumed.push("data: x\n\n"));
+    CPPUNIT_ASSERT(!Resumed.isPositionConfirmed());
     EventStream Continued;
     Continued.resumeAfter(2);
     Continued.requireIds();
@@ -118,6 +123,30 @@
     CPPUNIT_ASSERT(Pieces < 1000);
   }
 
+  // Guards against continuing a stream from a spoiled first id.
+  void positionWhenOnlyOneIdIsKnownIsUnconfirmed() {
+    EventStream Events;
+    CPPUNIT_ASSERT(Events.push(event(91)));
+    CPPUNIT_ASSERT(!Events.isPositionConfirmed());
+    CPPUNIT_ASSERT(!Events.push(event(2)));
+    CPPUNIT_ASSERT(!Events.isPositionConfirmed());
+    EventStream Sound;
+    CPPUNIT_ASSERT(Sound.push(": first\n\n" + event(5) + event(6)));
+    CPPUNIT_ASSERT(Sound.isPositionConfirmed());
+    EventStream Continued;
+    Continued.resumeAfter(3);
+    CPPUNIT_ASSERT(Continued.push(event(4)));
+    CPPUNIT_ASSERT(Continued.isPositionConfirmed());
+  }
+
+  // Guards against a first event that has lost its id.
+  void eventWithAnIdAfterOneWithoutIsRejected() {
+    EventStream Events;
+    CPPUNIT_ASSERT(Events.push("data: x\n\n"));
+    CPPUNIT_ASSERT(!Events.push(event(2)));
+    CPPUNIT_ASSERT(!Events.isPositionConfirmed());
+  }
+
   // Guards against events that a wrong chunk size or a lost line end has
   // joined.
   void eventWhenItHoldsOtherBytesIsRejected() {
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -83,7 +83,7 @@
   Result.IsTimeLeft = Accepted.Deadline - At > MinRetryTime;
   Result.IsBudgetLeft =
       Flow.arrivals() == 0 || Context.Dispatch.hasRetryBudget(Service, At);
-  Result.IsPositionKnown = !HasContent || LastEventId.has_value();
+  Result.IsPositionKnown = !HasContent || IsPositionConfirmed;
   return Result;
 }
 
@@ -229,6 +229,7 @@
   }
   beginStream();
   LastEventId = Current->lastEventId();
+  IsPositionConfirmed = Current->isPositionConfirmed();
   HasContent |= Current->hasContent();
   IsEventMissing &= !Current->hasContent();
   AnswerBytes += Complete.size();
--- a/libs/gateway/src/SpoiledAnswerTest.cpp
+++ b/libs/gateway/src/SpoiledAnswerTest.cpp
@@ -17,6 +17,9 @@
   CPPUNIT_TEST(streamWhenSpoiledAfterItHasBegunIsContinuedElsewhere);
   CPPUNIT_TEST(streamWhenItsLastEventIsRepeatedKeepsEveryEvent);
   CPPUNIT_TEST(streamWhenAnEventHasNoIdAfterOthersIsContinuedElsewhere);
+  CPPUNIT_TEST(streamWhenItsFirstIdIsContradictedLaterIsCut);
+  CPPUNIT_TEST(streamWhenItsFirstIdIsContradictedAtOnceIsStartedElsewhere);
+  CPPUNIT_TEST(streamWhenBrokenAfterItsOnlyIdIsCut);
   CPPUNIT_TEST(answerWhenTooLargeIsReplacedByAnotherServers);
   CPPUNIT_TEST(streamWhenContinuedWithoutEventsIsCut);
   CPPUNIT_TEST(streamWhenItsNextEventNeverComesIsCut);
@@ -134,6 +137,66 @@
     checkStream(exchange(request("/stream/", "r1")), 3);
   }
 
+  // Guards against a stream that ends as complete after a first event with a
+  // wrong id, since no server has an event after that.
+  void streamWhenItsFirstIdIsContradictedLaterIsCut() {
+    for (const std::string &First :
+         {event(91), event(2), std::string("data: x\n\n")}) {
+      tearDown();
+      setUp();
+      warmUp();
+      scriptFirst(
+          [&](const std::string &R) {
+            return streamHead(idOf(R)) + chunk(First);
+          },
+          continued(3));
+      auto C = call(request("/slow/", "r1"));
+      runUntil([&C] { return count(C->Received, "data: x") == 1; });
+      Servers[firstUsed()]->sendLate(chunk(event(First == event(2) ? 1 : 2)) +
+                                     chunk(event(3)) + "0\r\n\r\n");
+      runUntil([&C] {
+        return C->IsEnded || C->Received.ends_with("\r\n0\r\n\r\n");
+      });
+      CPPUNIT_ASSERT_MESSAGE(First, C->IsEnded);
+      CPPUNIT_ASSERT_MESSAGE(First, C->Received.ends_with(chunk(First)));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(First, size_t(1), requestsSeen().size());
+    }
+  }
+
+  // Guards against the same where the events come in one write: the caller has
+  // nothing yet, so another server can start the stream.
+  void streamWhenItsFirstIdIsContradictedAtOnceIsStartedElsewhere() {
+    for (const std::string &Begin : {event(91) + event(2), event(2) + event(1),
+                                     "data: x\n\n" + event(2)}) {
+      tearDown();
+      setUp();
+      warmUp();
+      scriptFirst(
+          [&](const std::string &R) {
+            return streamHead(idOf(R)) + chunk(Begin + event(3)) + "0\r\n\r\n";
+          },
+          continued(3));
+      checkStream(exchange(request("/stream/", "r1")), 3);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Begin, size_t(2), requestsSeen().size());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+          Begin, size_t(0),
+          count(requestsSeen()[0] + requestsSeen()[1], "Last-Event-Id"));
+    }
+  }
+
+  // Guards against a continuation after an id that nothing confirms.
+  void streamWhenBrokenAfterItsOnlyIdIsCut() {
+    warmUp();
+    scriptFirst(
+        [](const std::string &R) {
+          return streamHead(idOf(R)) + chunk(event(91)) + ScriptedServer::Reset;
+        },
+        continued(3));
+    auto C = call(request("/stream/", "r1"));
+    runUntil([&C] { return C->IsEnded || C->Received.ends_with("0\r\n\r\n"); });
+    CPPUNIT_ASSERT(C->IsEnded);
+  }
+
   void answerWhenTooLargeIsReplacedByAnotherServers() {
     warmUp();
     scriptFirst(
