End a stream as complete only if no rejected event is missing

Callers saw: a stream that ends as complete without its last event. One server sent that event with a wrong id, and the next one had nothing to add.

Cause: an event that was rejected for its id or form was forgotten; only one that broke off halfway kept a stream from ending.

RequestFlow::onStreamEnd decides, as one more table of rows.

RequestFlowTest::streamEndWhenAnEventIsMissingIsNoEnd has the rows.

--- a/libs/gateway/include/ragwort/gateway/Attempt.h
+++ b/libs/gateway/include/ragwort/gateway/Attempt.h
@@ -89,7 +89,7 @@
   bool hasEvent() const { return Events.events() > 0; }
   /// The same, without comments.
   bool hasContent() const { return Events.hasContent(); }
-  bool hasPartialEvent() const { return Events.hasPartialEvent(); }
+  bool isEventMissing() const { return Events.isEventMissing(); }
   bool isPositionConfirmed() const { return Events.isPositionConfirmed(); }
   bool isEventStream() const { return IsEventStream; }
   uint64_t events() const { return Events.events(); }
--- a/libs/gateway/include/ragwort/gateway/EventStream.h
+++ b/libs/gateway/include/ragwort/gateway/EventStream.h
@@ -36,8 +36,9 @@
   bool push(std::string_view Bytes);
   /// \returns the complete events received since the last call, in order.
   std::string takeCompleteEvents();
-  /// Whether a part of an incomplete event is buffered.
-  bool hasPartialEvent() const;
+  /// Whether the server began an event, or sent one that was not accepted, that
+  /// is not among the complete ones. A repeated event is not missing.
+  bool isEventMissing() const;
   /// Whether there was an event; a comment is none.
   bool hasContent() const { return HasContent; }
   /// Id of the last complete event that had one.
@@ -75,6 +76,7 @@
   bool HasAnonymous = false;
   bool HasContent = false;
   bool IsConfirmed = false;
+  bool IsEventRejected = false;
 };
 
 } // namespace ragwort::gateway
--- a/libs/gateway/include/ragwort/gateway/Forwarding.h
+++ b/libs/gateway/include/ragwort/gateway/Forwarding.h
@@ -127,7 +127,8 @@
   bool IsPositionConfirmed = false;
   // Whether the caller has an event; a comment is none.
   bool HasContent = false;
-  // Whether an attempt broke off within an event that the caller lacks still.
+  // Whether an attempt broke off within an event, or sent one that was not
+  // accepted, and the caller has no event from after that.
   bool IsEventMissing = false;
   // Events and bytes of the answer that the caller was sent; Events without
   // those of the current attempt.
--- a/libs/gateway/include/ragwort/gateway/RequestFlow.h
+++ b/libs/gateway/include/ragwort/gateway/RequestFlow.h
@@ -78,6 +78,10 @@
   /// stream. \p IsFailure: it is a server error. Never joined to a stream that
   /// has begun, whatever its status and type.
   Step onWholeAnswer(bool IsFailure, RetryConditions Conditions);
+  /// The backend server's event stream has ended in order; RelayAnswer ends the
+  /// caller's. \p IsEventMissing: a server began or spoiled an event that none
+  /// has sent since.
+  Step onStreamEnd(bool IsEventMissing, RetryConditions Conditions);
   /// After a send the connection broke, timed out or returned invalid data.
   Step onBroken(RetryConditions Conditions);
   /// The response head is being sent to the caller.
--- a/libs/gateway/src/Attempt.cpp
+++ b/libs/gateway/src/Attempt.cpp
@@ -266,7 +266,7 @@
   if (http::isSuccess(H.Status) && Parser.isFramed())
     noteSurvival();
   if (IsEventStream) {
-    if (Events.hasPartialEvent())
+    if (Events.isEventMissing())
       fail(dispatch::ServerFault::Malformed, "incomplete-event");
     else
       end(AttemptEnd::StreamEnded);
--- a/libs/gateway/src/EventStream.cpp
+++ b/libs/gateway/src/EventStream.cpp
@@ -34,6 +34,7 @@
   /// belong to something else.
   bool IsMalformed = false;
   bool HasId = false;
+  bool HasData = false;
   /// Empty if the id is not a number.
   std::optional<uint64_t> Id;
 };
@@ -53,6 +54,7 @@
   size_t Colon = Line.find(':');
   std::string_view Name = Line.substr(0, Colon);
   Result.IsEvent |= Name != "retry";
+  Result.HasData |= Name == "data";
   // A field may have no value; others than these always have one.
   if (Colon == std::string_view::npos) {
     Result.IsMalformed |= Name != "data" && Name != "event" && Name != "id";
@@ -91,8 +93,11 @@
 
 bool EventStream::acceptEvent(std::string_view Event) {
   Block Read = readBlock(Event);
-  if (Read.IsMalformed || !isNext(Read.Id, Read.IsEvent))
+  if (Read.IsMalformed || !isNext(Read.Id, Read.IsEvent)) {
+    bool IsRepeated = Read.Id && LastId && *Read.Id <= *LastId;
+    IsEventRejected = !IsRepeated && (Read.HasId || Read.HasData);
     return false;
+  }
   if (Read.Id) {
     IsConfirmed = NextId.has_value() || *Read.Id == LowestFirstId;
     LastId = Read.Id;
@@ -123,7 +128,9 @@
   return Partial.size() <= MaxEventBytes;
 }
 
-bool EventStream::hasPartialEvent() const { return readBlock(Partial).IsEvent; }
+bool EventStream::isEventMissing() const {
+  return IsEventRejected || readBlock(Partial).IsEvent;
+}
 
 std::string EventStream::takeCompleteEvents() {
   std::string Result;
--- a/libs/gateway/src/EventStreamTest.cpp
+++ b/libs/gateway/src/EventStreamTest.cpp
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(positionWhenOnlyOneIdIsKnownIsUnconfirmed);
   CPPUNIT_TEST(eventWithAnIdAfterOneWithoutIsRejected);
   CPPUNIT_TEST(eventWhenItHoldsOtherBytesIsRejected);
+  CPPUNIT_TEST(eventWhenRejectedIsMissingUnlessItIsRepeated);
   CPPUNIT_TEST_SUITE_END();
 
   static std::string event(uint64_t Id) {
@@ -35,7 +36,7 @@
       CPPUNIT_ASSERT(Events.push(std::string_view(All).substr(Cut)));
       Out += Events.takeCompleteEvents();
       CPPUNIT_ASSERT_EQUAL(All, Out);
-      CPPUNIT_ASSERT(!Events.hasPartialEvent());
+      CPPUNIT_ASSERT(!Events.isEventMissing());
       CPPUNIT_ASSERT_EQUAL(uint64_t(3), *Events.lastId());
     }
   }
@@ -43,7 +44,7 @@
   void responseWhenInterruptedWithinAnEventDropsThePartialEvent() {
     EventStream Events;
     CPPUNIT_ASSERT(Events.push(event(1) + "id: 2\nda"));
-    CPPUNIT_ASSERT(Events.hasPartialEvent());
+    CPPUNIT_ASSERT(Events.isEventMissing());
     CPPUNIT_ASSERT_EQUAL(event(1), Events.takeCompleteEvents());
     EventStream Continued;
     Continued.resumeAfter(*Events.lastId());
@@ -161,6 +162,21 @@
     EventStream Sound;
     CPPUNIT_ASSERT(Sound.push("weight-versions: 3\nid: 2\nevent\ndata\n\n"));
   }
+
+  // Guards against a stream that ends without the event that was spoiled.
+  void eventWhenRejectedIsMissingUnlessItIsRepeated() {
+    const std::pair<std::string, bool> Rows[] = {{event(2), false},
+                                                 {event(1), false},
+                                                 {event(4), true},
+                                                 {"data: x\n\n", true},
+                                                 {"id: 2\nid: 3\n\n", true}};
+    for (const auto &[Text, IsMissing] : Rows) {
+      EventStream Events;
+      CPPUNIT_ASSERT(Events.push(event(1) + event(2)));
+      CPPUNIT_ASSERT_MESSAGE(Text, !Events.push(Text));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Text, IsMissing, Events.isEventMissing());
+    }
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(EventStreamTest);
 
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -293,7 +293,7 @@
   LongestGap = std::max(LongestGap, Current->longestGap());
   IsFramed = Current->isFramed();
   Events += Current->events();
-  IsEventMissing |= Current->hasPartialEvent();
+  IsEventMissing |= Current->isEventMissing();
   if (!Current->fault().empty())
     LastFault = Current->fault();
   return std::exchange(Current, nullptr);
@@ -364,10 +364,11 @@
 }
 
 void Forwarding::finishStream(const Attempt &Last) {
-  if (IsEventMissing) {
+  Step Next = Flow.onStreamEnd(IsEventMissing, retryConditions());
+  if (Next != Step::RelayAnswer) {
     LastFault = "event-missing";
     Excluded.push_back(ServerId);
-    carryOut(Flow.onBroken(retryConditions()));
+    carryOut(Next);
     return;
   }
   AnswerSink *To = std::exchange(Sink, nullptr);
--- a/libs/gateway/src/RequestFlow.cpp
+++ b/libs/gateway/src/RequestFlow.cpp
@@ -84,6 +84,10 @@
                                     : Step::RelayAnswer;
 }
 
+Step RequestFlow::onStreamEnd(bool IsEventMissing, RetryConditions Conditions) {
+  return IsEventMissing ? onBroken(Conditions) : Step::RelayAnswer;
+}
+
 Step RequestFlow::onBroken(RetryConditions Conditions) {
   if (isRepeatable() && canSendAgain(Conditions))
     return Step::TryAnother;
--- a/libs/gateway/src/RequestFlowTest.cpp
+++ b/libs/gateway/src/RequestFlowTest.cpp
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(failureAnswerWhenIdempotentIsRepeatedOnce);
   CPPUNIT_TEST(wholeAnswerWhenStreamHasBegunIsNeverRelayed);
   CPPUNIT_TEST(breakWhenPositionInTheStreamIsUnknownIsCut);
+  CPPUNIT_TEST(streamEndWhenAnEventIsMissingIsNoEnd);
   CPPUNIT_TEST(timeUpWhenSentIsUnknownOtherwiseNotRun);
   CPPUNIT_TEST(repeatWhenBudgetIsSpentIsNotMade);
   CPPUNIT_TEST(stepsWhenEventsAreRandomMatchWhatHasRun);
@@ -180,6 +181,35 @@
     checkStep(Step::CutAnswer, Flow.onBroken({true, true, false}));
   }
 
+  // Guards against a continuation without events that completes a stream whose
+  // last event was spoiled.
+  void streamEndWhenAnEventIsMissingIsNoEnd() {
+    struct Row {
+      Repeatability Repeat;
+      bool IsEventMissing;
+      RetryConditions Conditions;
+      Step Expected;
+    };
+    constexpr auto Once = Repeatability::AtMostOnce;
+    constexpr auto Stream = Repeatability::Resumable;
+    constexpr RetryConditions NoTime{false, true};
+    constexpr RetryConditions NoPosition{true, true, false};
+    const Row Rows[] = {{Once, false, Conditions, Step::RelayAnswer},
+                        {Once, true, Conditions, Step::CutAnswer},
+                        {Stream, false, Conditions, Step::RelayAnswer},
+                        {Stream, false, NoTime, Step::RelayAnswer},
+                        {Stream, false, NoPosition, Step::RelayAnswer},
+                        {Stream, true, Conditions, Step::TryAnother},
+                        {Stream, true, NoTime, Step::CutAnswer},
+                        {Stream, true, NoPosition, Step::CutAnswer}};
+    for (const Row &R : Rows) {
+      RequestFlow Flow(R.Repeat, 2);
+      Flow.onSent();
+      Flow.onAnswerBegun();
+      checkStep(R.Expected, Flow.onStreamEnd(R.IsEventMissing, R.Conditions));
+    }
+  }
+
   void timeUpWhenSentIsUnknownOtherwiseNotRun() {
     RequestFlow Waiting(Repeatability::AtMostOnce, 1);
     checkStep(Step::RefuseNotRun, Waiting.onTimeUp());
--- a/libs/gateway/src/SpoiledAnswerTest.cpp
+++ b/libs/gateway/src/SpoiledAnswerTest.cpp
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(streamWhenItsFirstIdIsContradictedLaterIsCut);
   CPPUNIT_TEST(streamWhenItsFirstIdIsContradictedAtOnceIsStartedElsewhere);
   CPPUNIT_TEST(streamWhenBrokenAfterItsOnlyIdIsCut);
+  CPPUNIT_TEST(streamWhenItsSpoiledEventNeverComesIsCut);
   CPPUNIT_TEST(answerWhenTooLargeIsReplacedByAnotherServers);
   CPPUNIT_TEST(streamWhenContinuedWithoutEventsIsCut);
   CPPUNIT_TEST(streamWhenItsNextEventNeverComesIsCut);
@@ -197,6 +198,16 @@
     CPPUNIT_ASSERT(C->IsEnded);
   }
 
+  // Guards against a stream that ends as complete without the event whose id
+  // was wrong.
+  void streamWhenItsSpoiledEventNeverComesIsCut() {
+    warmUp();
+    scriptFirst(begun(chunk(event(7)) + "0\r\n\r\n"), continued(2));
+    auto C = call(request("/stream/", "r1"));
+    runUntil([&C] { return C->IsEnded || C->Received.ends_with("0\r\n\r\n"); });
+    CPPUNIT_ASSERT(C->IsEnded);
+  }
+
   void answerWhenTooLargeIsReplacedByAnotherServers() {
     warmUp();
     scriptFirst(
