Learn with which id the streams of a service begin

Callers saw: a stream that ends as complete without its first event (a server that leaves it out), or whose only event has a wrong id. No other event contradicts these.

Cause: nothing was known of how a stream should begin.

Change: StreamStarts remembers for each service the first id of streams that a second event has confirmed.

Evidence: SpoiledAnswerTest::streamWhenItsFirstEventIsLostIsStartedElsewhere failed on (events 2 and 3 of 3, complete).

--- a/libs/gateway/include/ragwort/gateway/Attempt.h
+++ b/libs/gateway/include/ragwort/gateway/Attempt.h
@@ -134,6 +134,8 @@
   void noteStatement();
   void noteDecline();
   void noteEvents();
+  /// Records how a new stream has begun.
+  void noteStart(bool IsSound);
   void noteSurvival();
   void endConnect();
   void end(AttemptEnd How);
@@ -165,6 +167,8 @@
   bool IsEventStream = false;
   // Whether this send has counted as one that its server survived.
   bool HasSurvived = false;
+  // Whether the stream begins anew, and how has not been recorded yet.
+  bool IsStartOpen = false;
   bool IsServerUnavailable = false;
   ServerStatement Stated;
   EventStream Events;
--- a/libs/gateway/include/ragwort/gateway/EventStream.h
+++ b/libs/gateway/include/ragwort/gateway/EventStream.h
@@ -41,6 +41,8 @@
   bool isEventMissing() const;
   /// Whether there was an event; a comment is none.
   bool hasContent() const { return HasContent; }
+  /// Id of the first complete event that had one.
+  std::optional<uint64_t> firstId() const { return FirstId; }
   /// Id of the last complete event that had one.
   std::optional<uint64_t> lastId() const { return LastId; }
   /// Whether the stream can be continued after lastId(). That id must follow
@@ -55,6 +57,11 @@
     NextId = Id + 1;
     IsConfirmed = true;
   }
+  /// A new stream begins with the event \p Id.
+  void expectFirst(uint64_t Id) {
+    NextId = Id;
+    IsNumbered = true;
+  }
   /// Earlier events of the stream have ids, so each one must have one.
   void requireIds() { IsNumbered = true; }
   /// Number of complete events so far.
@@ -66,6 +73,7 @@
 
   std::string Partial;
   std::string Complete;
+  std::optional<uint64_t> FirstId;
   std::optional<uint64_t> LastId;
   // The id that the next event must have, if it is known.
   std::optional<uint64_t> NextId;
--- a/libs/gateway/include/ragwort/gateway/ForwardingContext.h
+++ b/libs/gateway/include/ragwort/gateway/ForwardingContext.h
@@ -8,6 +8,7 @@
 #include "ragwort/gateway/CrashDetector.h"
 #include "ragwort/gateway/ProtocolNames.h"
 #include "ragwort/gateway/RouteDurations.h"
+#include "ragwort/gateway/StreamStarts.h"
 #include "ragwort/observe/Metrics.h"
 #include "ragwort/quarantine/RequestQuarantine.h"
 #include <functional>
@@ -25,6 +26,7 @@
   quarantine::RequestQuarantine &Quarantine;
   CrashDetector &Crashes;
   RouteDurations &Durations;
+  StreamStarts &Starts;
   MetricsRegistry &Metrics;
   std::shared_ptr<dispatch::MemoryBudget> Memory;
   /// Registers a waiting request by its ticket, until it is dequeued.
--- a/libs/gateway/include/ragwort/gateway/Gateway.h
+++ b/libs/gateway/include/ragwort/gateway/Gateway.h
@@ -131,6 +131,7 @@
   quarantine::RequestQuarantine Quarantine;
   CrashDetector Crashes;
   RouteDurations Durations;
+  StreamStarts Starts;
   dispatch::BackendDirectory Directory;
   dispatch::Evacuations Evacuated;
   std::shared_ptr<const TrafficConfig> Config;
--- a/libs/gateway/src/Attempt.cpp
+++ b/libs/gateway/src/Attempt.cpp
@@ -82,6 +82,11 @@
   CurrentStage = Stage::Sent;
   if (After)
     Events.resumeAfter(*After);
+  else if (Request.Message.header(Context.Names.LastEventId).empty()) {
+    IsStartOpen = true;
+    if (auto First = Context.Starts.usual(Service))
+      Events.expectFirst(*First);
+  }
   if (After && IsContinuation)
     Events.requireIds();
   SentAt = now();
@@ -219,6 +224,7 @@
 
 void Attempt::readEvents(std::string_view Bytes) {
   bool IsSound = Events.push(Bytes);
+  noteStart(IsSound);
   // Those before a malformed event are part of the stream, unless the malformed
   // one contradicts the only id.
   std::string Complete = Events.takeCompleteEvents();
@@ -236,6 +242,16 @@
     fail(dispatch::ServerFault::Malformed, "malformed-event");
 }
 
+void Attempt::noteStart(bool IsSound) {
+  if (!IsStartOpen || (IsSound && !Events.isPositionConfirmed()))
+    return;
+  IsStartOpen = false;
+  if (Events.isPositionConfirmed())
+    Context.Starts.onConfirmed(Service, *Events.firstId());
+  else if (!Events.firstId())
+    Context.Starts.onRejected(Service);
+}
+
 void Attempt::noteEvents() {
   TimePoint Before = std::exchange(LastProgress, now());
   if (FirstEventAt == TimePoint()) {
--- a/libs/gateway/src/EventStream.cpp
+++ b/libs/gateway/src/EventStream.cpp
@@ -100,6 +100,8 @@
   }
   if (Read.Id) {
     IsConfirmed = NextId.has_value() || *Read.Id == LowestFirstId;
+    if (!FirstId)
+      FirstId = Read.Id;
     LastId = Read.Id;
     NextId = *Read.Id + 1;
     IsNumbered = true;
--- a/libs/gateway/src/EventStreamTest.cpp
+++ b/libs/gateway/src/EventStreamTest.cpp
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(streamWhenResumedStartsAfterTheCallersId);
   CPPUNIT_TEST(eventWhenItNeverEndsIsRejected);
   CPPUNIT_TEST(positionWhenOnlyOneIdIsKnownIsUnconfirmed);
+  CPPUNIT_TEST(positionWhenTheFirstIdWasExpectedIsConfirmed);
   CPPUNIT_TEST(eventWithAnIdAfterOneWithoutIsRejected);
   CPPUNIT_TEST(eventWhenItHoldsOtherBytesIsRejected);
   CPPUNIT_TEST(eventWhenRejectedIsMissingUnlessItIsRepeated);
@@ -134,12 +135,27 @@
     EventStream Sound;
     CPPUNIT_ASSERT(Sound.push(": first\n\n" + event(5) + event(6)));
     CPPUNIT_ASSERT(Sound.isPositionConfirmed());
+    CPPUNIT_ASSERT_EQUAL(uint64_t(5), *Sound.firstId());
     EventStream Continued;
     Continued.resumeAfter(3);
     CPPUNIT_ASSERT(Continued.push(event(4)));
     CPPUNIT_ASSERT(Continued.isPositionConfirmed());
   }
 
+  // Guards against a stream that has lost its first event.
+  void positionWhenTheFirstIdWasExpectedIsConfirmed() {
+    EventStream Events;
+    Events.expectFirst(0);
+    CPPUNIT_ASSERT(Events.push(": first\n\n" + event(0)));
+    CPPUNIT_ASSERT(Events.isPositionConfirmed());
+    for (const std::string &Text : {event(1), std::string("data: x\n\n")}) {
+      EventStream Other;
+      Other.expectFirst(0);
+      CPPUNIT_ASSERT(!Other.push(Text));
+      CPPUNIT_ASSERT(!Other.isPositionConfirmed());
+    }
+  }
+
   // Guards against a first event that has lost its id.
   void eventWithAnIdAfterOneWithoutIsRejected() {
     EventStream Events;
--- a/libs/gateway/src/Gateway.cpp
+++ b/libs/gateway/src/Gateway.cpp
@@ -90,6 +90,7 @@
               Quarantine,
               Crashes,
               Durations,
+              Starts,
               Metrics,
               Memory,
               [this](uint64_t Ticket, std::weak_ptr<Forwarding> Request) {
--- a/libs/gateway/src/SpoiledAnswerTest.cpp
+++ b/libs/gateway/src/SpoiledAnswerTest.cpp
@@ -21,6 +21,8 @@
   CPPUNIT_TEST(streamWhenItsFirstIdIsContradictedAtOnceIsStartedElsewhere);
   CPPUNIT_TEST(streamWhenBrokenAfterItsOnlyIdIsCut);
   CPPUNIT_TEST(streamWhenItsSpoiledEventNeverComesIsCut);
+  CPPUNIT_TEST(streamWhenItsFirstEventIsLostIsStartedElsewhere);
+  CPPUNIT_TEST(streamsWhenTheirNumberingChangesAreServedAgain);
   CPPUNIT_TEST(answerWhenTooLargeIsReplacedByAnotherServers);
   CPPUNIT_TEST(streamWhenContinuedWithoutEventsIsCut);
   CPPUNIT_TEST(streamWhenItsNextEventNeverComesIsCut);
@@ -208,6 +210,50 @@
     CPPUNIT_ASSERT(C->IsEnded);
   }
 
+  /// Serves as many streams as tell how those of the service begin.
+  void learnStarts() {
+    for (uint32_t I = 0; I < StreamStarts::MinStreams; ++I) {
+      scriptBoth(continued(2));
+      checkStream(exchange(request("/stream/", "l" + std::to_string(I))), 2);
+    }
+    for (auto &S : Servers) {
+      S->Script.clear();
+      S->Requests.clear();
+    }
+  }
+
+  // Guards against a stream that ends as complete without its first event.
+  void streamWhenItsFirstEventIsLostIsStartedElsewhere() {
+    for (const std::string &Begin :
+         {event(2), event(91), std::string("data: x\n\n")}) {
+      tearDown();
+      setUp();
+      warmUp();
+      learnStarts();
+      scriptFirst(
+          [&](const std::string &R) {
+            return streamHead(idOf(R)) + chunk(Begin) + "0\r\n\r\n";
+          },
+          continued(3));
+      checkStream(exchange(request("/stream/", "r1")), 3);
+    }
+  }
+
+  // Guards against refusing a service for ever that numbers its events anew.
+  void streamsWhenTheirNumberingChangesAreServedAgain() {
+    warmUp();
+    learnStarts();
+    for (auto &S : Servers)
+      S->Always = [](const std::string &R) {
+        return streamHead(idOf(R)) + chunk(event(5) + event(6)) + "0\r\n\r\n";
+      };
+    std::string Got;
+    for (uint32_t I = 0; I <= StreamStarts::MaxRejected; ++I)
+      Got = exchange(request("/stream/", "r" + std::to_string(I)));
+    CPPUNIT_ASSERT(Got.starts_with("HTTP/1.1 200 "));
+    CPPUNIT_ASSERT_EQUAL(size_t(1), count(Got, event(6)));
+  }
+
   void answerWhenTooLargeIsReplacedByAnotherServers() {
     warmUp();
     scriptFirst(
