Reject a response head that holds another status line

That cannot happen here: answerWhenItsHeadIsBrokenOffIsNotForwarded cuts the head after each byte, with a length, chunks or neither, closed and reset, for at-most-once, repeatable and streamed requests; it passed on. Places looked at: Attempt::onEnd (an end completes an answer only after its head), MessageParser, libs/http HttpClient.

Its neighbour did happen: a head that breaks off and is begun again on the same connection. Callers got an answer whose stamp was another one's beginning, or a status with the fields of another head.

Cause: within a field's value or the reason, a second status line is legal text.

Change: ResponseParser fails on it. Two parts of heads can then never become one: responseWhenItsHeadIsBrokenOffAndBegunAgainFails tries each byte.

--- a/libs/gateway/include/ragwort/gateway/MessageParser.h
+++ b/libs/gateway/include/ragwort/gateway/MessageParser.h
@@ -54,7 +54,8 @@
   std::unique_ptr<Impl> State;
 };
 
-/// Parses one response.
+/// Parses one response. A head that holds the status line of another response
+/// is malformed: the first one broke off there.
 class ResponseParser {
 public:
   ResponseParser();
--- a/libs/gateway/src/MessageParser.cpp
+++ b/libs/gateway/src/MessageParser.cpp
@@ -18,6 +18,28 @@
 // Largest chunk header and trailer section. Beast waits for the end of either
 // and limits only the length of heads.
 constexpr size_t MaxUnfinishedFramingBytes = 65536;
+constexpr std::string_view StatusLineBegin = "HTTP/1.";
+
+bool isDigit(char C) { return C >= '0' && C <= '9'; }
+
+bool isStatusLine(std::string_view Line) {
+  constexpr std::string_view Form = "HTTP/1.1 200";
+  if (!Line.starts_with(StatusLineBegin) || Line.size() < Form.size() ||
+      (Line.size() > Form.size() && Line[Form.size()] != ' '))
+    return false;
+  return isDigit(Line[7]) && Line[8] == ' ' && isDigit(Line[9]) &&
+         isDigit(Line[10]) && isDigit(Line[11]);
+}
+
+/// Whether a part of a head holds the status line of another response: the
+/// first one broke off there.
+bool holdsStatusLine(std::string_view Text) {
+  for (size_t At = Text.find(StatusLineBegin); At != std::string_view::npos;
+       At = Text.find(StatusLineBegin, At + 1))
+    if (isStatusLine(Text.substr(At)))
+      return true;
+  return false;
+}
 
 // Collects header fields and body bytes. Shared by requests and responses.
 template <bool IsRequest>
@@ -82,6 +104,10 @@
       Error = bhttp::error::bad_content_length;
       return;
     }
+    if (!IsRequest && holdsStatusLine({Value.data(), Value.size()})) {
+      Error = bhttp::error::bad_value;
+      return;
+    }
     Fields.push_back({std::string(Text), std::string(Value)});
   }
   void on_header_impl(error_code &) override { IsHeadDone = true; }
@@ -101,17 +127,6 @@
   void on_finish_impl(error_code &) override {}
 };
 
-bool isDigit(char C) { return C >= '0' && C <= '9'; }
-
-bool isStatusLine(std::string_view Line) {
-  constexpr std::string_view Form = "HTTP/1.1 200";
-  if (Line.size() < Form.size() ||
-      (Line.size() > Form.size() && Line[Form.size()] != ' '))
-    return false;
-  return isDigit(Line[7]) && Line[8] == ' ' && isDigit(Line[9]) &&
-         isDigit(Line[10]) && isDigit(Line[11]);
-}
-
 std::string_view withoutBlanks(std::string_view Text) {
   while (Text.starts_with(' '))
     Text.remove_prefix(1);
@@ -201,8 +216,10 @@
 
   void on_request_impl(bhttp::verb, beast::string_view, beast::string_view, int,
                        error_code &) override {}
-  void on_response_impl(int Code, beast::string_view, int,
-                        error_code &) override {
+  void on_response_impl(int Code, beast::string_view Reason, int,
+                        error_code &Error) override {
+    if (holdsStatusLine({Reason.data(), Reason.size()}))
+      Error = bhttp::error::bad_reason;
     Head.Status = static_cast<unsigned>(Code);
   }
 
@@ -251,19 +268,18 @@
 
 bool holdsResponseHead(std::string_view Body, std::string_view Rest,
                        std::string_view Name, std::string_view Value) {
-  constexpr std::string_view Begin = "HTTP/1.";
   std::string Joined;
   std::string_view Text = Body;
   if (!Rest.empty()) {
     Joined.append(Body).append(Rest);
     Text = Joined;
   }
-  size_t At = Text.find(Begin);
+  size_t At = Text.find(StatusLineBegin);
   while (At < Body.size()) {
     size_t End = Text.find("\r\n", At);
     if (End == std::string_view::npos)
       return false;
-    size_t Next = At + Begin.size();
+    size_t Next = At + StatusLineBegin.size();
     if (isStatusLine(Text.substr(At, End - At))) {
       FieldSearch Search = findField(Text.substr(End + 2), Name, Value);
       if (Search.IsFound)
@@ -271,7 +287,7 @@
       // The lines after a later head would be the same.
       Next = End + 2 + Search.Length;
     }
-    At = Text.find(Begin, Next);
+    At = Text.find(StatusLineBegin, Next);
   }
   return false;
 }
--- a/libs/gateway/src/MessageParserTest.cpp
+++ b/libs/gateway/src/MessageParserTest.cpp
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(responseWhenInterimIsReportedAsInterim);
   CPPUNIT_TEST(messageWhenItsFramingNeverEndsFails);
   CPPUNIT_TEST(bodyWhenAnotherHeadBeginsInItIsFound);
+  CPPUNIT_TEST(responseWhenItsHeadIsBrokenOffAndBegunAgainFails);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr uint32_t MaxHead = 1024;
@@ -187,6 +188,19 @@
       Many += "HTTP/1.1 200 a:b\r\n";
     CPPUNIT_ASSERT(!holdsResponseHead(Many, "", "Request-Id"));
   }
+
+  // Guards against one head that is made of parts of two.
+  void responseWhenItsHeadIsBrokenOffAndBegunAgainFails() {
+    const std::string Whole =
+        "HTTP/1.1 200 OK\r\nServer: s\r\n"
+        "Server-Stamp: s1\r\nContent-Length: 4\r\n\r\nbody";
+    for (size_t Cut = 1; Cut < Whole.find("\r\n\r\n") + 4; ++Cut) {
+      ResponseParser P;
+      P.feed(Whole.substr(0, Cut) + Whole);
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(Cut),
+                             P.stage() == ParseStage::Failed);
+    }
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(MessageParserTest);
 
--- a/libs/gateway/src/SpoiledAnswerTest.cpp
+++ b/libs/gateway/src/SpoiledAnswerTest.cpp
@@ -34,6 +34,8 @@
   CPPUNIT_TEST(answerWhenItHoldsAnEarlierOneIsNotForwarded);
   CPPUNIT_TEST(answerWhenBrokenOffAndRepeatedIsNotForwarded);
   CPPUNIT_TEST(streamWhenBrokenOffAndRepeatedIsContinuedElsewhere);
+  CPPUNIT_TEST(answerWhenItsHeadIsBrokenOffIsNotForwarded);
+  CPPUNIT_TEST(answerWhenItsHeadIsBrokenOffAndBegunAgainIsNotForwarded);
   CPPUNIT_TEST(answerWhenItQuotesAnAnswerIsForwarded);
   CPPUNIT_TEST(answerWhenRepeatedLateIsNotTakenForTheNext);
   CPPUNIT_TEST(answerWhenRepeatedWithinTheNextIsNotForwarded);
@@ -462,6 +464,62 @@
     checkStream(C->Received, 3);
   }
 
+  // Guards against a success with an empty or short body after a server that
+  // stops within its head and closes.
+  void answerWhenItsHeadIsBrokenOffIsNotForwarded() {
+    std::string Framings[] = {"Content-Length: 4\r\n",
+                              "Transfer-Encoding: chunked\r\n", ""};
+    for (const std::string &Framing : Framings) {
+      std::string Fields = Stamp + Framing + "\r\n";
+      auto Head = [&](const std::string &R) {
+        return "HTTP/1.1 200 OK\r\nRagwort-Request-Id: " + idOf(R) + "\r\n" +
+               Fields;
+      };
+      size_t Size = Head(request("/", "r1")).size();
+      for (size_t Cut = 1; Cut < Size; ++Cut) {
+        bool IsReset = Cut % 2 == 0;
+        auto Broken = [&](const std::string &R) {
+          return Head(R).substr(0, Cut) +
+                 (IsReset ? ScriptedServer::Reset : ScriptedServer::Close);
+        };
+        std::string Text = Framing + std::to_string(Cut);
+        tearDown();
+        setUp();
+        scriptBoth(Broken);
+        std::string Got = exchange(request("/once/", "r1"));
+        CPPUNIT_ASSERT_MESSAGE(Text, Got.starts_with("HTTP/1.1 502 "));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(Text, size_t(1), requestsSeen().size());
+        for (auto &S : Servers)
+          S->Script.clear();
+        scriptFirst(Broken, served("second"));
+        Got = exchange(request("/safe/", "r2"));
+        CPPUNIT_ASSERT_MESSAGE(Text, Got.ends_with("\r\n\r\nsecond"));
+        for (auto &S : Servers)
+          S->Script.clear();
+        scriptFirst(Broken, continued(2));
+        checkStream(exchange(request("/stream/", "r3")), 2);
+      }
+    }
+  }
+
+  // Guards against an answer with the fields of a head that broke off.
+  void answerWhenItsHeadIsBrokenOffAndBegunAgainIsNotForwarded() {
+    auto Whole = [](const std::string &R) {
+      return answer("200 OK", idOf(R), Stamp, "first");
+    };
+    size_t Size = Whole(request("/", "r1")).find("\r\n\r\n") + 4;
+    for (size_t Cut = 1; Cut < Size; ++Cut) {
+      auto Twice = [&](const std::string &R) {
+        return Whole(R).substr(0, Cut) + Whole(R);
+      };
+      tearDown();
+      setUp();
+      scriptBoth(Twice);
+      std::string Got = exchange(request("/once/", "r1"));
+      CPPUNIT_ASSERT_MESSAGE(Got, Got.starts_with("HTTP/1.1 502 "));
+    }
+  }
+
   void answerWhenItQuotesAnAnswerIsForwarded() {
     const std::string Quote = "> HTTP/1.1 200 OK\r\n> Ragwort-Request-Id: a\r\n"
                               "HTTP/1.1 200 means success\r\nSee also 404.\r\n";
