Do not forward a body that ends within another head

Callers saw: an answer without a length, followed by the beginning of its second copy, as one whole body.

Cause: holdsResponseHead finds a copy by its request id, which a copy that is broken off before it does not have; and the first answer that lacks a few bytes ends within the copy's status line.

Change: a body that ends within a head is not forwarded: of an answer without a length from four bytes of the status line on, of one with a length from ten. Fewer could be text.

--- a/libs/gateway/include/ragwort/gateway/MessageParser.h
+++ b/libs/gateway/include/ragwort/gateway/MessageParser.h
@@ -94,6 +94,10 @@
 bool holdsResponseHead(std::string_view Body, std::string_view Rest,
                        std::string_view Name, std::string_view Value = {});
 
+/// Whether \p Body ends within the head of another response, of which at least
+/// \p Shortest bytes have arrived. Fewer could be text.
+bool endsInResponseHead(std::string_view Body, size_t Shortest);
+
 } // namespace ragwort::gateway
 
 #endif
--- a/libs/gateway/src/Attempt.cpp
+++ b/libs/gateway/src/Attempt.cpp
@@ -18,6 +18,11 @@
 // before the answer to a request.
 constexpr size_t MaxWholeAnswerBytes = 8 * MiB;
 
+// Bytes of another head at the end of a body that are taken for one. A text may
+// end in fewer; the end of an answer without a length shows less.
+constexpr size_t MinCopiedBytesFramed = std::string_view("HTTP/1.1 2").size();
+constexpr size_t MinCopiedBytesUnframed = std::string_view("HTTP").size();
+
 TimePoint now() { return SteadyClock().now(); }
 
 } // namespace
@@ -290,7 +295,9 @@
   }
   // A whole body may quote the answer to another request.
   bool MayQuote = Parser.isFramed() && Unparsed.empty();
-  if (holdsResponseHead(Body, Unparsed, Context.Names.RequestId,
+  if (endsInResponseHead(Body, Parser.isFramed() ? MinCopiedBytesFramed
+                                                 : MinCopiedBytesUnframed) ||
+      holdsResponseHead(Body, Unparsed, Context.Names.RequestId,
                         MayQuote ? std::string_view(Request.RequestId)
                                  : std::string_view())) {
     fail(dispatch::ServerFault::Malformed, "repeated-answer");
--- a/libs/gateway/src/MessageParser.cpp
+++ b/libs/gateway/src/MessageParser.cpp
@@ -19,13 +19,14 @@
 // and limits only the length of heads.
 constexpr size_t MaxUnfinishedFramingBytes = 65536;
 constexpr std::string_view StatusLineBegin = "HTTP/1.";
+constexpr std::string_view StatusLineForm = "HTTP/1.1 200";
 
 bool isDigit(char C) { return C >= '0' && C <= '9'; }
 
 bool isStatusLine(std::string_view Line) {
-  constexpr std::string_view Form = "HTTP/1.1 200";
-  if (!Line.starts_with(StatusLineBegin) || Line.size() < Form.size() ||
-      (Line.size() > Form.size() && Line[Form.size()] != ' '))
+  size_t Size = StatusLineForm.size();
+  if (!Line.starts_with(StatusLineBegin) || Line.size() < Size ||
+      (Line.size() > Size && Line[Size] != ' '))
     return false;
   return isDigit(Line[7]) && Line[8] == ' ' && isDigit(Line[9]) &&
          isDigit(Line[10]) && isDigit(Line[11]);
@@ -292,4 +293,34 @@
   return false;
 }
 
+bool endsInResponseHead(std::string_view Body, size_t Shortest) {
+  size_t At = Body.rfind(StatusLineBegin);
+  if (At == std::string_view::npos) {
+    size_t Size = std::min(StatusLineBegin.size(), Body.size());
+    while (Size >= Shortest && Size > 0 &&
+           !Body.ends_with(StatusLineBegin.substr(0, Size)))
+      --Size;
+    return Size >= Shortest && Size > 0;
+  }
+  std::string_view Text = Body.substr(At);
+  size_t End = Text.find("\r\n");
+  if (End == std::string_view::npos) {
+    std::string Line(Text);
+    if (Line.size() < StatusLineForm.size())
+      Line += StatusLineForm.substr(Line.size());
+    return Text.size() >= Shortest && isStatusLine(Line);
+  }
+  if (!isStatusLine(Text.substr(0, End)))
+    return false;
+  std::string_view Fields = Text.substr(End + 2);
+  for (size_t Next = 0; !Fields.empty(); Fields.remove_prefix(Next + 2)) {
+    Next = Fields.find("\r\n");
+    if (Next == std::string_view::npos)
+      return true;
+    if (Fields.substr(0, Next).find(':') == std::string_view::npos)
+      return false; // The empty line after the head, or no head at all.
+  }
+  return true;
+}
+
 } // namespace ragwort::gateway
--- a/libs/gateway/src/MessageParserTest.cpp
+++ b/libs/gateway/src/MessageParserTest.cpp
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(responseWhenInterimIsReportedAsInterim);
   CPPUNIT_TEST(messageWhenItsFramingNeverEndsFails);
   CPPUNIT_TEST(bodyWhenAnotherHeadBeginsInItIsFound);
+  CPPUNIT_TEST(bodyWhenItEndsInAnotherHeadIsFound);
   CPPUNIT_TEST(responseWhenItsHeadIsBrokenOffAndBegunAgainFails);
   CPPUNIT_TEST_SUITE_END();
 
@@ -189,6 +190,22 @@
     CPPUNIT_ASSERT(!holdsResponseHead(Many, "", "Request-Id"));
   }
 
+  // Guards against a body that takes in the beginning of a second answer.
+  void bodyWhenItEndsInAnotherHeadIsFound() {
+    const std::string Head =
+        "HTTP/1.1 200 OK\r\nServer: s\r\nRequest-Id: 7\r\n";
+    for (size_t Shortest : {1, 4, 10})
+      for (size_t Cut = 1; Cut <= Head.size(); ++Cut)
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(
+            Head.substr(0, Cut), Cut >= Shortest,
+            endsInResponseHead("body" + Head.substr(0, Cut), Shortest));
+    for (const std::string &Text :
+         {std::string(), std::string("HTTP/1.1 OK"),
+          std::string("HTTP/1.1 200 OK\r\nno field\r\n"), Head + "\r\n",
+          Head + "\r\nbody"})
+      CPPUNIT_ASSERT_MESSAGE(Text, !endsInResponseHead(Text, 1));
+  }
+
   // Guards against one head that is made of parts of two.
   void responseWhenItsHeadIsBrokenOffAndBegunAgainFails() {
     const std::string Whole =
--- a/libs/gateway/src/SpoiledAnswerTest.cpp
+++ b/libs/gateway/src/SpoiledAnswerTest.cpp
@@ -36,6 +36,7 @@
   CPPUNIT_TEST(streamWhenBrokenOffAndRepeatedIsContinuedElsewhere);
   CPPUNIT_TEST(answerWhenItsHeadIsBrokenOffIsNotForwarded);
   CPPUNIT_TEST(answerWhenItsHeadIsBrokenOffAndBegunAgainIsNotForwarded);
+  CPPUNIT_TEST(answerWhenACopyOfItIsBrokenOffIsNotForwarded);
   CPPUNIT_TEST(answerWhenItQuotesAnAnswerIsForwarded);
   CPPUNIT_TEST(answerWhenRepeatedLateIsNotTakenForTheNext);
   CPPUNIT_TEST(answerWhenRepeatedWithinTheNextIsNotForwarded);
@@ -520,6 +521,22 @@
     }
   }
 
+  // Guards against an answer without a length that takes in the beginning of a
+  // second one.
+  void answerWhenACopyOfItIsBrokenOffIsNotForwarded() {
+    for (size_t Copied : {4, 9, 10, 14, 17, 30, 50}) {
+      auto Twice = [&](const std::string &R) {
+        std::string Once = "HTTP/1.1 200 OK\r\nRagwort-Request-Id: " + idOf(R) +
+                           "\r\n" + Stamp + "\r\nfirst";
+        return Once + Once.substr(0, Copied) + ScriptedServer::Close;
+      };
+      tearDown();
+      setUp();
+      scriptFirst(Twice, served("second"));
+      CPPUNIT_ASSERT(exchange(request("/safe/", "r1")).ends_with("second"));
+    }
+  }
+
   void answerWhenItQuotesAnAnswerIsForwarded() {
     const std::string Quote = "> HTTP/1.1 200 OK\r\n> Ragwort-Request-Id: a\r\n"
                               "HTTP/1.1 200 means success\r\nSee also 404.\r\n";
