Send at a stopping node only what can end before it exits

Callers saw: in a planned stop, requests that may run only once were taken or sent up to 2.6 s after the signal, and ended 502 or cut 7.6 s after it. They could have been told "not run", and another node would have served them.

Cause: the time that is left was compared with the route's mean duration, an unknown one counted as zero, and the question was put once, when a request was read. What waited was sent whenever its turn came.

The question is put again at each send, retry and tick; what waits and cannot be sent any more, or is not expected to start in time, is refused at once. No run is given up for a retry that could not end.

A stream that has begun is continued while the process lives. Refusals close the connection as before.

--- a/libs/gateway/include/ragwort/gateway/Forwarding.h
+++ b/libs/gateway/include/ragwort/gateway/Forwarding.h
@@ -54,6 +54,12 @@
   /// Ends the request if one of its traits is quarantined. \returns whether
   /// one is.
   bool endIfQuarantined();
+  /// Until when the request may be sent to a server: a node that stops sends
+  /// only what can end before it exits.
+  TimePoint latestSend() const;
+  /// Ends the request if it cannot be sent to a server any more, although it
+  /// may wait until \p StartsAt. \returns whether it was ended.
+  bool endIfTooLate(TimePoint StartsAt);
   /// Places the request again if its server's data centre was evacuated while
   /// the connection was being opened. \returns whether it was.
   bool moveIfEvacuated();
@@ -68,7 +74,7 @@
   /// Decides how long reading from the server stays paused.
   void whilePaused(TimePoint At);
   void giveUpSlowCaller();
-  /// Records how long the request has taken, which is complete.
+  /// Records how long the request has taken, which has ended.
   void noteDuration();
   void finishStream(const Attempt &Last);
   void relayAnswer(const Attempt &Last);
@@ -134,6 +140,8 @@
   // those of the current attempt.
   uint64_t Events = 0;
   size_t AnswerBytes = 0;
+  // Time of the first send, or zero.
+  TimePoint FirstSentAt{};
   // Whether the last answer showed where it ends.
   bool IsFramed = true;
   // Time of the last event or send, as of the last attempt that has ended.
--- a/libs/gateway/include/ragwort/gateway/ForwardingContext.h
+++ b/libs/gateway/include/ragwort/gateway/ForwardingContext.h
@@ -8,6 +8,7 @@
 #include "ragwort/gateway/CrashDetector.h"
 #include "ragwort/gateway/ProtocolNames.h"
 #include "ragwort/gateway/RouteDurations.h"
+#include "ragwort/gateway/StopSchedule.h"
 #include "ragwort/gateway/StreamStarts.h"
 #include "ragwort/observe/Metrics.h"
 #include "ragwort/quarantine/RequestQuarantine.h"
@@ -27,6 +28,8 @@
   CrashDetector &Crashes;
   RouteDurations &Durations;
   StreamStarts &Starts;
+  /// Has a value while the node stops.
+  const std::optional<StopSchedule> &Stop;
   MetricsRegistry &Metrics;
   std::shared_ptr<dispatch::MemoryBudget> Memory;
   /// Registers a waiting request by its ticket, until it is dequeued.
--- a/libs/gateway/include/ragwort/gateway/Gateway.h
+++ b/libs/gateway/include/ragwort/gateway/Gateway.h
@@ -135,11 +135,11 @@
   dispatch::BackendDirectory Directory;
   dispatch::Evacuations Evacuated;
   std::shared_ptr<const TrafficConfig> Config;
+  // Has a value while the node drains.
+  std::optional<StopSchedule> Stop;
   ForwardingContext Context;
   std::set<std::shared_ptr<CallerSession>> Sessions;
   std::unordered_map<uint64_t, std::weak_ptr<Forwarding>> Waiting;
-  // Has a value while the node drains.
-  std::optional<StopSchedule> Stop;
   bool IsDispatchScheduled = false;
 };
 
--- a/libs/gateway/include/ragwort/gateway/StopSchedule.h
+++ b/libs/gateway/include/ragwort/gateway/StopSchedule.h
@@ -2,8 +2,8 @@
 #ifndef RAGWORT_GATEWAY_STOPSCHEDULE_H
 #define RAGWORT_GATEWAY_STOPSCHEDULE_H
 
-#include "ragwort/base/Time.h"
-#include <optional>
+#include "ragwort/gateway/RouteDurations.h"
+#include "ragwort/gateway/TrafficConfig.h"
 
 namespace ragwort::gateway {
 
@@ -12,7 +12,7 @@
 ///
 /// \code
 ///   StopSchedule Stop(Now, Grace);
-///   if (!Stop.admits(Now, Deadline, Usual))
+///   if (!Stop.admits(Now, Deadline, assumedDuration(Known, Route, Tokens)))
 ///     refuse(503, Stop.retryAfter(Now));
 /// \endcode
 class StopSchedule {
@@ -27,11 +27,13 @@
   /// The node exits then, whatever is left.
   TimePoint endsAt() const { return EndsAt; }
 
-  /// Whether a request that was read at \p Now is taken. \p Usual is how long
-  /// such requests have taken lately. Before noticedAt() it is taken if it
-  /// usually ends before endsAt(), later only if its deadline is before that.
-  bool admits(TimePoint Now, TimePoint Deadline,
-              std::optional<Duration> Usual) const;
+  /// Whether a request that was read at \p Now is taken. \p Assumed is its
+  /// assumed duration. Before noticedAt() it is taken if it may be sent, later
+  /// only if its deadline is before endsAt().
+  bool admits(TimePoint Now, TimePoint Deadline, Duration Assumed) const;
+  /// Until when a request may be sent to a server, so that it ends before
+  /// endsAt().
+  TimePoint latestSend(TimePoint Deadline, Duration Assumed) const;
   /// When a caller that was refused at \p Now should come back; other nodes
   /// serve it.
   Duration retryAfter(TimePoint Now) const;
@@ -42,6 +44,14 @@
   TimePoint EndsAt;
 };
 
+/// How long a request is assumed to last when its node stops. One that may run
+/// only once must not be cut: nearly all of its route end within this time, and
+/// it is endless if nothing is known. Others are run again elsewhere if they
+/// are cut: most of their route end within it, and it is zero if nothing is
+/// known.
+Duration assumedDuration(const RouteDurations &Known, const Route &Target,
+                         double AnswerTokens);
+
 } // namespace ragwort::gateway
 
 #endif
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -80,7 +80,8 @@
 RetryConditions Forwarding::retryConditions() {
   TimePoint At = now();
   RetryConditions Result;
-  Result.IsTimeLeft = Accepted.Deadline - At > MinRetryTime;
+  Result.IsTimeLeft =
+      Accepted.Deadline - At > MinRetryTime && At <= latestSend();
   Result.IsBudgetLeft =
       Flow.arrivals() == 0 || Context.Dispatch.hasRetryBudget(Service, At);
   Result.IsPositionKnown = !HasContent || IsPositionConfirmed;
@@ -99,6 +100,26 @@
   return true;
 }
 
+TimePoint Forwarding::latestSend() const {
+  // What has begun is continued as long as the process lives.
+  if (!Context.Stop || Flow.hasAnswerBegun())
+    return TimePoint::max();
+  double Tokens = readTokens(Accepted.Message, Context.Names).Answer;
+  return Context.Stop->latestSend(
+      Accepted.Deadline,
+      assumedDuration(Context.Durations, *Accepted.Target, Tokens));
+}
+
+bool Forwarding::endIfTooLate(TimePoint StartsAt) {
+  if (StartsAt <= latestSend())
+    return false;
+  LastFault = "stopping";
+  RetryAfter = Context.Stop->retryAfter(now());
+  abandonAttempt();
+  carryOut(Flow.onNoBackend());
+  return true;
+}
+
 bool Forwarding::moveIfEvacuated() {
   if (!Context.Dispatch.loadTracker().isEvacuated(ServerId))
     return false;
@@ -133,7 +154,7 @@
 }
 
 void Forwarding::place() {
-  if (endIfQuarantined())
+  if (endIfQuarantined() || endIfTooLate(now()))
     return;
   dispatch::Placement P = Context.Dispatch.place(placementRequest(), now());
   Work = P.Work;
@@ -144,6 +165,8 @@
     return;
   case dispatch::Placement::Decision::Wait:
     Ticket = P.Ticket;
+    if (P.Expected.Wait && endIfTooLate(now() + *P.Expected.Wait))
+      return;
     Context.OnQueued(Ticket, weak_from_this());
     armTimer();
     return;
@@ -161,7 +184,7 @@
     return;
   auto Self = shared_from_this();
   Ticket = 0;
-  if (endIfQuarantined())
+  if (endIfQuarantined() || (C.Server && endIfTooLate(now())))
     return;
   if (C.Server) {
     sendTo(*C.Server);
@@ -187,7 +210,7 @@
 
 void Forwarding::onConnected() {
   auto Self = shared_from_this();
-  if (!endIfQuarantined() && !moveIfEvacuated())
+  if (!endIfQuarantined() && !endIfTooLate(now()) && !moveIfEvacuated())
     writeRequest();
 }
 
@@ -208,6 +231,8 @@
     Context.Dispatch.onRetry(Service, now());
   std::string Head = requestHead();
   Flow.onSent();
+  if (FirstSentAt == TimePoint())
+    FirstSentAt = now();
   Current->send(Head, LastEventId, Flow.hasAnswerBegun());
   armTimer();
 }
@@ -380,7 +405,7 @@
 void Forwarding::noteDuration() {
   Context.Durations.add(Accepted.Target->Name,
                         readTokens(Accepted.Message, Context.Names).Answer,
-                        now() - Accepted.Arrived);
+                        now() - FirstSentAt);
 }
 
 void Forwarding::relayAnswer(const Attempt &Last) {
@@ -469,6 +494,8 @@
   auto Self = shared_from_this();
   if (isSent() && !Current->hasEvent() && endIfQuarantined())
     return;
+  if (Ticket != 0 && endIfTooLate(At))
+    return;
   if (isSent() && Current->isReadingPaused())
     whilePaused(At);
   if (isSent())
@@ -526,6 +553,9 @@
     if (LastFault.empty())
       LastFault = "deadline-reached";
     abandonAttempt();
+    // It would have taken longer still.
+    if (Flow.sends() > 0)
+      noteDuration();
     carryOut(Flow.onTimeUp());
     return;
   }
--- a/libs/gateway/src/Gateway.cpp
+++ b/libs/gateway/src/Gateway.cpp
@@ -91,6 +91,7 @@
               Crashes,
               Durations,
               Starts,
+              Stop,
               Metrics,
               Memory,
               [this](uint64_t Ticket, std::weak_ptr<Forwarding> Request) {
@@ -324,7 +325,7 @@
   Result.Deadline = Arrived + Time;
   TimePoint Now = SteadyClock().now();
   if (Stop && !Stop->admits(Now, Result.Deadline,
-                            Durations.usual(Target->Name,
+                            assumedDuration(Durations, *Target,
                                             readTokens(Message, Names).Answer)))
     return LocalReply{503, "stopping", Stop->retryAfter(Now)};
   Result.HasComeBack =
--- a/libs/gateway/src/StopSchedule.cpp
+++ b/libs/gateway/src/StopSchedule.cpp
@@ -24,14 +24,25 @@
       EndsAt(Begun + Grace - StopMargin) {}
 
 bool StopSchedule::admits(TimePoint Now, TimePoint Deadline,
-                          std::optional<Duration> Usual) const {
-  if (Deadline <= EndsAt)
-    return true;
-  return Now < NoticedAt && Now + Usual.value_or(Duration(0)) <= EndsAt;
+                          Duration Assumed) const {
+  return Deadline <= EndsAt ||
+         (Now < NoticedAt && Now <= latestSend(Deadline, Assumed));
+}
+
+TimePoint StopSchedule::latestSend(TimePoint Deadline, Duration Assumed) const {
+  return Deadline <= EndsAt ? TimePoint::max() : EndsAt - Assumed;
 }
 
 Duration StopSchedule::retryAfter(TimePoint Now) const {
   return std::clamp(StopsAcceptingAt - Now, Duration(0), MaxRetryAfter);
 }
 
+Duration assumedDuration(const RouteDurations &Known, const Route &Target,
+                         double AnswerTokens) {
+  if (Target.Repeat == Repeatability::AtMostOnce)
+    return Known.ofNearlyAll(Target.Name, AnswerTokens)
+        .value_or(Duration::max());
+  return Known.ofMost(Target.Name, AnswerTokens).value_or(Duration(0));
+}
+
 } // namespace ragwort::gateway
