Start nothing at a draining agent that it would cut at its exit

Callers saw: with a drain_timeout shorter than a request's deadline, a non-idempotent request that waited was started shortly before the exit and ended with an unknown outcome, and what still waited at the exit was lost without a refusal.

Cause: a queue that drains ran what waited whatever time was left.

Change: a non-idempotent request starts only if its deadline is before the end of the drain; what cannot start any more is refused as not run at once, the rest at the end, before the last messages are written.

--- a/libs/agent/src/AgentNode.cpp
+++ b/libs/agent/src/AgentNode.cpp
@@ -106,7 +106,8 @@
       std::lock_guard Lock(Mutex);
       if (std::exchange(IsDraining, true))
         return;
-      Queue.drain();
+      DrainEndsAt = Clock.now() + Context.Node.DrainTimeout;
+      Queue.drain(DrainEndsAt);
     }
     logEvent(LogLevel::Info, "drain-started", {});
     sendHeartbeats();
@@ -450,14 +451,13 @@
   //===--- Shutdown and administration ------------------------------------===//
 
   asio::awaitable<void> drainLoop() {
-    TimePoint Limit = Clock.now() + Context.Node.DrainTimeout;
     for (;;) {
       bool IsIdle = false;
       {
         std::lock_guard Lock(Mutex);
         IsIdle = Queue.isIdle();
       }
-      if (IsIdle || Clock.now() >= Limit)
+      if (IsIdle || Clock.now() >= DrainEndsAt)
         break;
       co_await sleepFor(DrainPollInterval);
     }
@@ -537,6 +537,8 @@
   uint64_t NextConnection = 1;
   uint64_t Sequence = 0;
   bool IsDraining = false;
+  // Set before the drain loop starts.
+  TimePoint DrainEndsAt{};
 
   ConfigUpdater Config;
   FrameServer Frames;
--- a/libs/agent/src/WorkQueue.cpp
+++ b/libs/agent/src/WorkQueue.cpp
@@ -75,12 +75,21 @@
       refuse(D, *Next, RefusalReason::DeadlineExceeded, Now);
       continue;
     }
+    if (startsTooLate(**Next, Now)) {
+      refuse(D, *Next, RefusalReason::Leaving, Now);
+      continue;
+    }
     ++Active;
     SlotTakenAt[(*Next)->Id] = Now;
     D.ToRun.push_back(std::move(*Next));
   }
 }
 
+bool WorkQueue::startsTooLate(const WorkItem &Item, TimePoint Now) const {
+  return Now >= DrainEndsAt ||
+         (Item.Request.NonIdempotent && Item.Deadline > DrainEndsAt);
+}
+
 bool WorkQueue::tryStart(const WorkItem &Item) {
   return !Item.Request.NonIdempotent || Attempts.start(Item.Request.Attempt);
 }
@@ -144,6 +153,11 @@
   Decisions D;
   for (const WorkItemPtr &Item : Queue.expire(Now))
     refuse(D, Item, RefusalReason::DeadlineExceeded, Now);
+  while (std::optional<WorkItemPtr> Found =
+             Queue.remove([&](const WorkItemPtr &Item) {
+               return startsTooLate(*Item, Now);
+             }))
+    refuse(D, *Found, RefusalReason::Leaving, Now);
   return D;
 }
 
--- a/libs/agent/src/WorkQueue.h
+++ b/libs/agent/src/WorkQueue.h
@@ -82,13 +82,20 @@
   Decisions cancel(StreamId Id, TimePoint Now);
   /// Refuses all waiting requests of a lost connection.
   Decisions cancelConnection(uint64_t Connection, TimePoint Now);
-  /// Refuses all waiting requests whose deadline has passed.
+  /// Refuses all waiting requests whose deadline has passed, and while it
+  /// drains those that must not be started any more.
   Decisions expire(TimePoint Now);
   void setMaxQueued(uint32_t MaxQueued) {
     Queue.setMaxItems(MaxQueued + Limits.Capacity);
   }
-  /// Refuses new requests from now on. Queued requests still run.
-  void drain() { IsDraining = true; }
+  /// Refuses new requests from now on. The process exits at \p EndsAt: queued
+  /// requests still run until then, but non-idempotent ones only if their
+  /// deadline is before it, since a started one would end with an unknown
+  /// outcome.
+  void drain(TimePoint EndsAt) {
+    IsDraining = true;
+    DrainEndsAt = EndsAt;
+  }
 
   /// See AttemptTable::query().
   std::optional<attempts::Report> query(AttemptId Id, Incarnation AddressedTo,
@@ -104,6 +111,8 @@
   void refuse(Decisions &D, const WorkItemPtr &Item, RefusalReason Reason,
               TimePoint Now);
   void fillSlots(Decisions &D, TimePoint Now);
+  /// Whether the process exits too early for a request that starts now.
+  bool startsTooLate(const WorkItem &Item, TimePoint Now) const;
   void releaseSlot(const WorkItem &Item, TimePoint Now);
 
   const Incarnation Self;
@@ -117,6 +126,7 @@
   // first request has ended.
   double ServiceMicros = 0;
   bool IsDraining = false;
+  TimePoint DrainEndsAt = TimePoint::max();
 };
 
 } // namespace ragwort::agent
--- a/libs/agent/src/WorkQueueTest.cpp
+++ b/libs/agent/src/WorkQueueTest.cpp
@@ -11,6 +11,8 @@
   CPPUNIT_TEST(requestWhenSlotsAreTakenWaitsAndRunsLater);
   CPPUNIT_TEST(queueWhenFullRefusesTheLowestPriority);
   CPPUNIT_TEST(queueWhenDrainingRunsQueuedItemsAndRefusesNewOnes);
+  CPPUNIT_TEST(queueWhenDrainingRefusesWhatCannotEndInTime);
+  CPPUNIT_TEST(queueWhenItsDrainEndsRefusesAllThatWait);
   CPPUNIT_TEST(requestWhenItsDeadlinePassesInTheQueueIsRefused);
   CPPUNIT_TEST(attemptWhenQueriedWhileWaitingNeverStarts);
   CPPUNIT_TEST(attemptWhenDuplicateIsNeitherRunNorRefused);
@@ -60,7 +62,7 @@
     WorkItemPtr First = makeItem(1);
     submit(First);
     submit(makeItem(2));
-    Queue.drain();
+    Queue.drain(Clock.now() + 10s);
     CPPUNIT_ASSERT(submit(makeItem(3)).ToRefuse.at(0).Reason ==
                    RefusalReason::Leaving);
     Queue.tryStart(*First);
@@ -69,6 +71,38 @@
     CPPUNIT_ASSERT(!Queue.isIdle());
   }
 
+  // Guards against a non-idempotent request that is started and cut at the
+  // exit.
+  void queueWhenDrainingRefusesWhatCannotEndInTime() {
+    WorkItemPtr First = makeItem(1);
+    submit(First);
+    submit(makeItem(2));
+    WorkItemPtr Idempotent = makeItem(3);
+    Idempotent->Request.NonIdempotent = false;
+    Queue.setMaxQueued(2);
+    submit(Idempotent);
+    Queue.drain(Clock.now() + 5s);
+    Decisions D = Queue.expire(Clock.now());
+    CPPUNIT_ASSERT_EQUAL(size_t(1), D.ToRefuse.size());
+    CPPUNIT_ASSERT_EQUAL(uint64_t(2), D.ToRefuse.at(0).Id.Stream);
+    CPPUNIT_ASSERT(D.ToRefuse.at(0).Reason == RefusalReason::Leaving);
+    Queue.tryStart(*First);
+    D = Queue.finish(*First, true, {}, Clock.now());
+    CPPUNIT_ASSERT_EQUAL(uint64_t(3), D.ToRun.at(0)->Id.Stream);
+  }
+
+  // Guards against waiting requests that are lost without a refusal.
+  void queueWhenItsDrainEndsRefusesAllThatWait() {
+    submit(makeItem(1));
+    WorkItemPtr Idempotent = makeItem(2);
+    Idempotent->Request.NonIdempotent = false;
+    submit(Idempotent);
+    Queue.drain(Clock.now() + 5s);
+    CPPUNIT_ASSERT(Queue.expire(Clock.now()).ToRefuse.empty());
+    Clock.advance(5s);
+    CPPUNIT_ASSERT_EQUAL(size_t(1), Queue.expire(Clock.now()).ToRefuse.size());
+  }
+
   void requestWhenItsDeadlinePassesInTheQueueIsRefused() {
     submit(makeItem(1));
     submit(makeItem(2));
