Let the soak's servers spoil any event and the sizes of chunks

Events are swapped too, the first one of a new stream is spoiled like the others, sizes of chunks are wrong, and some streams are written in pieces. Only a missing first event is not played: a node that has seen few streams cannot tell.

--- a/testing/soak/answers.py
+++ b/testing/soak/answers.py
@@ -57,17 +57,20 @@
     return f"id: {number}\ndata: {request_id}-{number}\n\n".encode()
 
 
-def spoil_event(random, events, is_first_known):
-    """Returns the events with one of them wrong, repeated, missing or without its id.
+def spoil_event(random, events, is_continued):
+    """Returns the events with one of them wrong, repeated, missing, without its id or
+    before its predecessor.
 
-    Nothing shows that the first event of a new stream is not the one that it
-    should be, nor that a complete answer should have had one more.
+    Nothing shows that the first event of a new stream is missing, as long as its node
+    has seen few streams, nor that a complete answer should have had one more.
     """
-    at = random.randrange(0 if is_first_known else 1, len(events))
-    how = random.choice(["wrong", "repeated", "missing", "anonymous"])
+    at = random.randrange(len(events))
+    how = random.choice(["wrong", "repeated", "missing", "anonymous", "swapped"])
     event = events[at]
-    if how == "missing" and at + 1 < len(events):
+    if how == "missing" and (at > 0 or is_continued) and at + 1 < len(events):
         return events[:at] + events[at + 1:]
+    if how == "swapped" and at + 1 < len(events):
+        return events[:at] + [events[at + 1], event] + events[at + 2:]
     if how == "wrong":
         number, rest = event[4:].split(b"\n", 1)
         digit = random.randrange(len(number))
@@ -79,6 +82,16 @@
     return events[:at + 1] + events[at:]
 
 
+def spoil_size(random, chunk):
+    """Returns the chunk with a wrong digit in its size, or one digit more."""
+    size, rest = chunk.split(b"\r\n", 1)
+    if random.random() < 0.3:
+        return random.choice([b"1", b"f"]) + chunk
+    digit = random.randrange(len(size))
+    other = random.choice([d for d in b"123456789abcdef" if d != size[digit]])
+    return size[:digit] + bytes([other]) + size[digit + 1:] + b"\r\n" + rest
+
+
 @dataclass
 class Repetition:
     """Bytes that a server writes although they belong to no request in progress."""
--- a/testing/soak/backends.py
+++ b/testing/soak/backends.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 
 from answers import (Answer, Repetition, draw_continuation, draw_repetition, refusal,
-                     spoil_event, stream_event)
+                     spoil_event, spoil_size, stream_event)
 from links import Link, reset
 
 EVENT_INTERVAL_S = 0.02
@@ -19,13 +19,17 @@
 # are repeated.
 UNFRAMED_SHARE = 0.05
 UNFRAMED_REPEATED_SHARE = 0.4
+# Share of the other streams whose events are written in pieces.
+SPLIT_SHARE = 0.1
 # Share of the streams whose events are written at once.
 BURST_SHARE = 0.3
 # Faults that affect the response to a request after it has been executed.
 EXECUTED_FAULT_MODES = ["fail", "reset", "lose", "garble", "extra", "cut_event",
-                        "hang", "spoil_event", "repeat", "continue_otherwise"]
+                        "hang", "spoil_event", "spoil_size", "repeat",
+                        "continue_otherwise"]
 # What a server that spoils a share of its answers does with one.
-SPOILED_STREAM_MODES = ["spoil_event", "repeat", "cut_event", "continue_otherwise"]
+SPOILED_STREAM_MODES = ["spoil_event", "spoil_event", "spoil_size", "repeat",
+                        "cut_event", "continue_otherwise"]
 SPOILED_MODES = ["repeat", "repeat", "decline_again", "garble"]
 FAULT_MODES = EXECUTED_FAULT_MODES + ["decline", "decline_again", "pause"]
 # Pauses that a server asks for, in seconds.
@@ -73,6 +77,9 @@
         self.disturbed = set()
         # By request: the statuses of the stamped answers.
         self.statuses = {}
+        # By request: first events of spoiled new streams. A node may have forwarded
+        # one before the next event showed that it was wrong.
+        self.spoiled_first_events = {}
         # By request: the latest time at which a server was at work on it.
         self.worked_at = {}
 
@@ -302,6 +309,9 @@
         events = [stream_event(request_id, n) for n in range(first, count + 1)]
         if fault == "spoil_event" and len(events) > 1:
             events = spoil_event(self.random, events, first > 1)
+            if first == 1:
+                self.ledger.spoiled_first_events.setdefault(
+                    request_id, set()).add(events[0])
         answer = Answer(request_id, 200, f"{stamp}Content-Type: text/event-stream\r\n",
                         events, self._draw_framing("chunked", fault))
         self._record_status(answer)
@@ -309,7 +319,8 @@
         if fault == "repeat" and self.random.random() < 0.5:
             within, fault = self._draw_repetition(answer).data, None
         if not await self._write_events(channel, answer, interval_s, within,
-                                        self._cut_at(fault, events)):
+                                        self._cut_at(fault, events),
+                                        fault == "spoil_size"):
             return False
         return await self._end_answer(channel, answer, fault)
 
@@ -319,16 +330,23 @@
             return self.random.randrange(len(events)) if events else None
         return None
 
-    async def _write_events(self, channel, answer, interval_s, within, cut_at):
+    async def _write_events(self, channel, answer, interval_s, within, cut_at,
+                            has_wrong_size):
         """Writes a stream with other bytes among its events. Returns whether it is
         complete."""
-        if not within and cut_at is None and interval_s == EVENT_INTERVAL_S \
+        has_wrong_size = has_wrong_size and answer.framing == "chunked"
+        if not within and cut_at is None and not has_wrong_size \
+                and interval_s == EVENT_INTERVAL_S \
                 and self.random.random() < BURST_SHARE:
             return await self._write(channel, answer.whole())
         await self._write(channel, answer.head())
         within_at = self.random.randrange(len(answer.pieces)) if answer.pieces else None
+        wrong_at = within_at if has_wrong_size else None
+        is_split = self.random.random() < SPLIT_SHARE
         for number, event in enumerate(answer.pieces):
             data = answer.framed(event)
+            if number == wrong_at:
+                data = spoil_size(self.random, data)
             if number == cut_at:
                 await self._write(channel, data[:self.random.randrange(1, len(data))])
                 if answer.framing == "none":
@@ -337,7 +355,7 @@
             if within and number == within_at:
                 at = self.random.choice([0, self.random.randrange(len(data))])
                 data = data[:at] + within + data[at:]
-            await self._write(channel, data)
+            await self._write(channel, data, is_split)
             self.ledger.worked_at[answer.request_id] = time.monotonic()
             await asyncio.sleep(interval_s)
         await self._write(channel, answer.end())
