Do not forward an answer whose missing bytes a broken off copy fills

The server had broken off its answer nine bytes early and begun it again, and the copy broke off too.

Cause: the copy's head begins in the body and goes on in bytes that were left over; those were searched only for a request id, which the copy does not have.

Change: endsInResponseHead looks at both parts.

--- a/libs/gateway/include/ragwort/gateway/MessageParser.h
+++ b/libs/gateway/include/ragwort/gateway/MessageParser.h
@@ -94,9 +94,11 @@
 bool holdsResponseHead(std::string_view Body, std::string_view Rest,
                        std::string_view Name, std::string_view Value = {});
 
-/// Whether \p Body ends within the head of another response, of which at least
-/// \p Shortest bytes have arrived. Fewer could be text.
-bool endsInResponseHead(std::string_view Body, size_t Shortest);
+/// Whether the head of another response begins in \p Body and breaks off at the
+/// end of \p Rest, the bytes received after it. At least \p Shortest bytes of
+/// it must have arrived: fewer could be text.
+bool endsInResponseHead(std::string_view Body, std::string_view Rest,
+                        size_t Shortest);
 
 } // namespace ragwort::gateway
 
--- a/libs/gateway/src/Attempt.cpp
+++ b/libs/gateway/src/Attempt.cpp
@@ -295,8 +295,9 @@
   }
   // A whole body may quote the answer to another request.
   bool MayQuote = Parser.isFramed() && Unparsed.empty();
-  if (endsInResponseHead(Body, Parser.isFramed() ? MinCopiedBytesFramed
-                                                 : MinCopiedBytesUnframed) ||
+  if (endsInResponseHead(Body, Unparsed,
+                         Parser.isFramed() ? MinCopiedBytesFramed
+                                           : MinCopiedBytesUnframed) ||
       holdsResponseHead(Body, Unparsed, Context.Names.RequestId,
                         MayQuote ? std::string_view(Request.RequestId)
                                  : std::string_view())) {
--- a/libs/gateway/src/MessageParser.cpp
+++ b/libs/gateway/src/MessageParser.cpp
@@ -128,6 +128,15 @@
   void on_finish_impl(error_code &) override {}
 };
 
+/// \returns both texts in one, which may be in \p Copy.
+std::string_view join(std::string_view First, std::string_view Second,
+                      std::string &Copy) {
+  if (Second.empty())
+    return First;
+  Copy.append(First).append(Second);
+  return Copy;
+}
+
 std::string_view withoutBlanks(std::string_view Text) {
   while (Text.starts_with(' '))
     Text.remove_prefix(1);
@@ -269,12 +278,8 @@
 
 bool holdsResponseHead(std::string_view Body, std::string_view Rest,
                        std::string_view Name, std::string_view Value) {
-  std::string Joined;
-  std::string_view Text = Body;
-  if (!Rest.empty()) {
-    Joined.append(Body).append(Rest);
-    Text = Joined;
-  }
+  std::string Copy;
+  std::string_view Text = join(Body, Rest, Copy);
   size_t At = Text.find(StatusLineBegin);
   while (At < Body.size()) {
     size_t End = Text.find("\r\n", At);
@@ -293,16 +298,21 @@
   return false;
 }
 
-bool endsInResponseHead(std::string_view Body, size_t Shortest) {
-  size_t At = Body.rfind(StatusLineBegin);
-  if (At == std::string_view::npos) {
-    size_t Size = std::min(StatusLineBegin.size(), Body.size());
-    while (Size >= Shortest && Size > 0 &&
-           !Body.ends_with(StatusLineBegin.substr(0, Size)))
+bool endsInResponseHead(std::string_view Body, std::string_view Rest,
+                        size_t Shortest) {
+  if (Body.empty())
+    return false;
+  std::string Copy;
+  std::string_view Joined = join(Body, Rest, Copy);
+  size_t At = Joined.rfind(StatusLineBegin, Body.size() - 1);
+  if (At == std::string::npos) {
+    size_t Size = std::min(StatusLineBegin.size(), Joined.size());
+    while (Size > Rest.size() &&
+           !Joined.ends_with(StatusLineBegin.substr(0, Size)))
       --Size;
-    return Size >= Shortest && Size > 0;
+    return Size > Rest.size() && Size >= Shortest;
   }
-  std::string_view Text = Body.substr(At);
+  std::string_view Text = Joined.substr(At);
   size_t End = Text.find("\r\n");
   if (End == std::string_view::npos) {
     std::string Line(Text);
--- a/libs/gateway/src/MessageParserTest.cpp
+++ b/libs/gateway/src/MessageParserTest.cpp
@@ -198,12 +198,18 @@
       for (size_t Cut = 1; Cut <= Head.size(); ++Cut)
         CPPUNIT_ASSERT_EQUAL_MESSAGE(
             Head.substr(0, Cut), Cut >= Shortest,
-            endsInResponseHead("body" + Head.substr(0, Cut), Shortest));
+            endsInResponseHead("body" + Head.substr(0, Cut), "", Shortest));
     for (const std::string &Text :
          {std::string(), std::string("HTTP/1.1 OK"),
           std::string("HTTP/1.1 200 OK\r\nno field\r\n"), Head + "\r\n",
           Head + "\r\nbody"})
-      CPPUNIT_ASSERT_MESSAGE(Text, !endsInResponseHead(Text, 1));
+      CPPUNIT_ASSERT_MESSAGE(Text, !endsInResponseHead(Text, "", 1));
+    // A copy that begins after the body is none of its business.
+    const std::string Text = "body" + Head;
+    for (size_t Cut = 0; Cut < Text.size(); ++Cut)
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+          std::to_string(Cut), Cut > 4,
+          endsInResponseHead(Text.substr(0, Cut), Text.substr(Cut), 10));
   }
 
   // Guards against one head that is made of parts of two.
--- a/libs/gateway/src/SpoiledAnswerTest.cpp
+++ b/libs/gateway/src/SpoiledAnswerTest.cpp
@@ -37,6 +37,7 @@
   CPPUNIT_TEST(answerWhenItsHeadIsBrokenOffIsNotForwarded);
   CPPUNIT_TEST(answerWhenItsHeadIsBrokenOffAndBegunAgainIsNotForwarded);
   CPPUNIT_TEST(answerWhenACopyOfItIsBrokenOffIsNotForwarded);
+  CPPUNIT_TEST(answerWhenBrokenOffLikeItsCopyIsNotForwarded);
   CPPUNIT_TEST(answerWhenItQuotesAnAnswerIsForwarded);
   CPPUNIT_TEST(answerWhenRepeatedLateIsNotTakenForTheNext);
   CPPUNIT_TEST(answerWhenRepeatedWithinTheNextIsNotForwarded);
@@ -521,6 +522,23 @@
     }
   }
 
+  // Guards against an answer whose missing bytes a broken off copy fills.
+  void answerWhenBrokenOffLikeItsCopyIsNotForwarded() {
+    for (size_t Missing : {1, 9, 12, 15}) {
+      auto Twice = [&](const std::string &R) {
+        std::string Once = answer("200 OK", idOf(R), Stamp, "the first answer");
+        return Once.substr(0, Once.size() - Missing) +
+               Once.substr(0, Missing + 16);
+      };
+      tearDown();
+      setUp();
+      scriptFirst(Twice, served("second"));
+      CPPUNIT_ASSERT_MESSAGE(
+          std::to_string(Missing),
+          exchange(request("/safe/", "r1")).ends_with("second"));
+    }
+  }
+
   // Guards against an answer without a length that takes in the beginning of a
   // second one.
   void answerWhenACopyOfItIsBrokenOffIsNotForwarded() {
