Reject event ids with leading zeros

Cause: "01" was read as 1.

Change: such an id is no number. A service that pads all its ids is forwarded as one without ids: its streams cannot be continued.

Evidence: EventStreamTest::eventWhenItsIdIsNoNumberAfterOthersIsRejected has the case, which the code before accepted.

--- a/libs/gateway/src/EventStream.cpp
+++ b/libs/gateway/src/EventStream.cpp
@@ -39,7 +39,10 @@
   std::optional<uint64_t> Id;
 };
 
+// A number has no leading zeros: nothing would show that one was inserted.
 std::optional<uint64_t> parseId(std::string_view Text) {
+  if (Text.size() > 1 && Text.starts_with('0'))
+    return std::nullopt;
   uint64_t Id = 0;
   const char *Last = Text.data() + Text.size();
   auto Parsed = std::from_chars(Text.data(), Last, Id);
--- a/libs/gateway/src/EventStreamTest.cpp
+++ b/libs/gateway/src/EventStreamTest.cpp
@@ -70,7 +70,7 @@
 
   void eventWhenItsIdIsNoNumberAfterOthersIsRejected() {
     for (const char *Line :
-         {"id: 2x", "id: 2 3", "id:", "data: x", "HTTP/1.1 200 OK"}) {
+         {"id: 2x", "id: 2 3", "id: 02", "id:", "data: x", "HTTP/1.1 200 OK"}) {
       EventStream Events;
       CPPUNIT_ASSERT(Events.push(event(1)));
       CPPUNIT_ASSERT_MESSAGE(Line, !Events.push(std::string(Line) + "\n\n"));
