--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -17,6 +17,10 @@
 LATE_CALLER_COUNT = 8
 LATE_CALLER_LEAD_S = 0.3
 LATE_CALL_AFTER_STOP_S = (2.0, 4.0)
+# Time from the silence of the store's connections to a server's leaving, and time for
+# which a late node would still use that server.
+SILENT_BEFORE_LEAVE_S = (0.1, 0.6)
+SILENT_LEAVE_S = 5.0
 
 
 # What is drawn unless KNOWN-RED.txt lists a fault that it shows.
@@ -199,17 +203,28 @@
         for backend in backends:
             backend.fault_mode = None
 
-    async def fault_silence(self):
+    def silence(self, kind):
         """All connections of a kind that are open now forward nothing more and stay
-        open; new ones work."""
-        kind = self.random.choice(["store", "servers"])
+        open; new ones work. Returns whether it is played."""
         if kind == "store" and "silence of the store" in self.passed_over:
-            return
+            return False
         links = [n.store_link for n in self.nodes] if kind == "store" \
             else [b.link for b in self.backends]
         self.record_fault(f"silence {kind}", 0.0)
         for link in links:
             link.silence_all()
+        return True
+
+    async def fault_silent_leave(self):
+        """A server leaves before the nodes have replaced their silent connections to the
+        store."""
+        if self.silence("store"):
+            await asyncio.sleep(self.random.uniform(*SILENT_BEFORE_LEAVE_S))
+            await self.plan_drain()
+
+    async def fault_silence(self):
+        if not self.silence(self.random.choice(["store", "servers"])):
+            return
         if self.random.random() < 0.5:
             await asyncio.sleep(self.random.uniform(0.0, 1.0))
             await self.plan_drain()
@@ -243,7 +258,14 @@
         if self.has_brief_faults_only:
             kinds += [self.fault_silence, self.fault_silence, self.plan_drain]
         tasks = []
+        alone_until = 0.0
+        if self.has_brief_faults_only:
+            # Another silence would excuse what this one shows.
+            alone_until = time.monotonic() + SILENT_LEAVE_S
+            tasks.append(asyncio.create_task(self.fault_silent_leave()))
         while time.monotonic() < until:
-            tasks.append(asyncio.create_task(self.random.choice(kinds)()))
+            fault = self.random.choice(kinds)
+            if fault != self.fault_silence or time.monotonic() > alone_until:
+                tasks.append(asyncio.create_task(fault()))
             await asyncio.sleep(self.random.uniform(0.1, 0.9))
         await asyncio.gather(*tasks)
