--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -148,11 +148,13 @@
             await self.change_config()
             await asyncio.sleep(0.3)
 
-    async def plan_drain(self):
-        """Drains one backend server and replaces it by a new one."""
+    async def plan_drain(self, is_silent=None):
+        """Drains one backend server and replaces it by a new one. It may be drawn whether
+        the server says that it leaves."""
         old = self.random.choice([b for b in self.backends if b.state == "ready"])
         # Some servers never say that they leave.
-        is_silent = self.random.random() < 0.4
+        if is_silent is None:
+            is_silent = self.random.random() < 0.4
         old.announces_leaving = old.announces_leaving and not is_silent
         old.state = "leaving"
         await self.add_backend(old.service)
@@ -216,11 +218,11 @@
         return True
 
     async def fault_silent_leave(self):
-        """A server leaves before the nodes have replaced their silent connections to the
-        store."""
+        """A server leaves without a word before the nodes have replaced their silent
+        connections to the store."""
         if self.silence("store"):
             await asyncio.sleep(self.random.uniform(*SILENT_BEFORE_LEAVE_S))
-            await self.plan_drain()
+            await self.plan_drain(is_silent=True)
 
     async def fault_silence(self):
         if not self.silence(self.random.choice(["store", "servers"])):
