--- a/testing/soak/crashing_prompts.py
+++ b/testing/soak/crashing_prompts.py
@@ -11,7 +11,6 @@
 served at the first attempt at least half as often as before.
 """
 
-import argparse
 import asyncio
 import signal
 import sys
@@ -19,6 +18,7 @@
 from types import SimpleNamespace
 
 from backends import Backend, read_head
+from seeds import play_seeds
 from soak import Run
 
 PART = "dead"
@@ -164,8 +164,8 @@
         return found
 
 
-async def run_seed(build, seed):
-    run = CrashingRun(build, seed, slot=11)
+async def run_seed(options, seed):
+    run = CrashingRun(options.build, seed, slot=11)
     failures = await run.execute()
     print(f"seed {seed}: {len(run.crashes)} crashes, {run.crashing_arrivals(0)} crashing "
           f"requests at servers, {len(run.harmless)} harmless ones, "
@@ -175,17 +175,5 @@
     return not failures
 
 
-def main():
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("build")
-    parser.add_argument("--seeds", default="1")
-    options = parser.parse_args()
-    first, _, last = options.seeds.partition("-")
-    results = [asyncio.run(run_seed(options.build, seed))
-               for seed in range(int(first), int(last or first) + 1)]
-    print(f"{sum(results)} passed, {len(results) - sum(results)} failed")
-    return 0 if all(results) else 1
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(play_seeds(__doc__, run_seed))
--- a/testing/soak/stopping.py
+++ b/testing/soak/stopping.py
@@ -11,7 +11,6 @@
 cut, and that refusals are true.
 """
 
-import argparse
 import asyncio
 import signal
 import sys
@@ -22,6 +21,7 @@
 from answers import Answer, stream_event
 from backends import Backend, read_head
 from nodes import SHUTDOWN_GRACE_S
+from seeds import play_seeds
 from soak import Run
 
 WARM_UP_S = 8.0
@@ -255,8 +255,8 @@
         return found
 
 
-async def run_seed(build, seed):
-    run = StoppingRun(build, seed)
+async def run_seed(options, seed):
+    run = StoppingRun(options.build, seed)
     failures = await run.execute()
     print(f"seed {seed}: {len(run.sent)} requests, {len(run.stops)} stops, "
           f"{len(failures)} rules violated", flush=True)
@@ -267,17 +267,5 @@
     return not failures
 
 
-def main():
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("build")
-    parser.add_argument("--seeds", default="1")
-    options = parser.parse_args()
-    first, _, last = options.seeds.partition("-")
-    results = [asyncio.run(run_seed(options.build, seed))
-               for seed in range(int(first), int(last or first) + 1)]
-    print(f"{sum(results)} passed, {len(results) - sum(results)} failed")
-    return 0 if all(results) else 1
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(play_seeds(__doc__, run_seed))
--- a/testing/soak/stutter.py
+++ b/testing/soak/stutter.py
@@ -9,7 +9,6 @@
 the body. Checks what callers got, as soak.py does.
 """
 
-import argparse
 import asyncio
 import sys
 import time
@@ -19,6 +18,7 @@
 from backends import Backend
 from callers import Caller, PatientCaller
 from nodes import Node
+from seeds import play_seeds
 from soak import PATHS, PATIENT_PATHS, Run
 
 START_S, PLAY_S = 2.5, 25.0
@@ -103,8 +103,8 @@
             self.kill_all()
 
 
-async def run_seed(build, seed, share, node_count):
-    run = StutterRun(build, seed, share, node_count)
+async def run_seed(options, seed):
+    run = StutterRun(options.build, seed, options.share, options.nodes)
     failures = await run.execute()
     repeated = len(run.ledger.disturbed)
     print(f"seed {seed}: {len(run.requests)} requests, {repeated} beside repetitions, "
@@ -117,19 +117,10 @@
     return not failures
 
 
-def main():
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("build")
-    parser.add_argument("--seeds", default="1")
+def add_options(parser):
     parser.add_argument("--nodes", type=int, default=3)
     parser.add_argument("--share", type=float, default=0.03)
-    options = parser.parse_args()
-    first, _, last = options.seeds.partition("-")
-    results = [asyncio.run(run_seed(options.build, seed, options.share, options.nodes))
-               for seed in range(int(first), int(last or first) + 1)]
-    print(f"{sum(results)} passed, {len(results) - sum(results)} failed")
-    return 0 if all(results) else 1
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(play_seeds(__doc__, run_seed, add_options))
