--- a/review/lib-2/harness.py
+++ b/review/lib-2/harness.py
@@ -96,9 +96,7 @@
                 first, _, body = await read_message(reader)
                 method, target, _ = first.split(" ")
                 status, answer = await self._answer(method, target, body)
-                data = json.dumps(answer).encode()
-                writer.write(f"HTTP/1.1 {status} X\r\nContent-Type: application/json"
-                             f"\r\nContent-Length: {len(data)}\r\n\r\n".encode() + data)
+                self.reply(writer, status, answer)
                 await writer.drain()
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass  # The node has closed the connection, or the script ends.
@@ -106,6 +104,12 @@
             self.writers.discard(writer)
             writer.transport.abort()
 
+    @staticmethod
+    def reply(writer, status, answer):
+        data = json.dumps(answer).encode()
+        writer.write(f"HTTP/1.1 {status} X\r\nContent-Type: application/json"
+                     f"\r\nContent-Length: {len(data)}\r\n\r\n".encode() + data)
+
     async def _answer(self, method, target, body):
         path, _, query = target.partition("?")
         args = {}
@@ -143,6 +147,9 @@
 class Server:
     """A backend server. serve(first, headers, body, reader, writer) answers."""
 
+    # Time after which an idle channel is closed, in seconds.
+    idle_s = 60.0
+
     def __init__(self, service, zone="z1", slots=16, ip="127.0.0.1"):
         self.service, self.zone, self.slots, self.ip = service, zone, slots, ip
         self.id = "i-" + os.urandom(4).hex()
@@ -167,17 +174,20 @@
         self.writers.add(writer)
         try:
             while True:
-                first, headers, body = await read_message(reader)
+                first, headers, body = await asyncio.wait_for(read_message(reader),
+                                                              self.idle_s)
                 if headers.get("expect-instance", self.id) != self.id:
                     self.write(writer, headers, 421, b"", "Instance-Id: %s\r\n" % self.id)
                     continue
                 if not await self.answer(first, headers, body, reader, writer):
+                    writer.close()
                     break
+        except asyncio.TimeoutError:
+            writer.close()
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
-            pass  # The node has closed the connection, or the script ends.
+            writer.transport.abort()  # The node has closed it, or the script ends.
         finally:
             self.writers.discard(writer)
-            writer.transport.abort()
 
     def note_run(self, first, headers, body):
         self.runs.append((time.monotonic(), headers.get("request-id"), first, headers,
@@ -208,8 +218,12 @@
         self.ips = [f"127.{net}.1.{i + 1}" for i in range(nodes)]
         self.commands = deploy_commands()
 
-    async def start(self, config, servers):
-        await self.store.start()
+    async def start(self, config, servers, store_ports=None):
+        """store_ports: a port of the store for each node, if it has several."""
+        if store_ports is None:
+            await self.store.start()
+            store_ports = [self.store.port] * len(self.ips)
+        self.store_ports = store_ports
         self.ports = [free_port(self.ips[0]) for _ in range(4)]
         self.store.put("op", "config", config)
         self.servers = servers
@@ -232,7 +246,7 @@
                 "heartbeatMs=1200\nbounds.drainMs=2000\n"
                 f"bounds.graceS={self.grace_s}\nbounds.lostMs=200\nbounds.configMs=2000\n"
                 "bounds.retryBudgetRatio=0.2\nbounds.budgetWindowS=10\n"
-                f"bounds.budgetSlack=184\nprovider.address=127.0.0.1:{self.store.port}\n"
+                f"bounds.budgetSlack=184\nprovider.address=127.0.0.1:{self.store_ports[i]}\n"
                 "provider.form=table\n")
 
     def start_entry(self, i):
