--- a/review/lib-2/harness.py
+++ b/review/lib-2/harness.py
@@ -220,6 +220,13 @@
 
     async def start(self, config, servers, store_ports=None):
         """store_ports: a port of the store for each node, if it has several."""
+        try:
+            await self._start(config, servers, store_ports)
+        except BaseException:
+            self.stop()
+            raise
+
+    async def _start(self, config, servers, store_ports):
         if store_ports is None:
             await self.store.start()
             store_ports = [self.store.port] * len(self.ips)
