--- a/review/lib-2/harness.py
+++ b/review/lib-2/harness.py
@@ -1,7 +1,8 @@
-"""Loopback stand-ins of the platform for the review's scripts.
+"""What the scripts of the cases 6 to 9 share.
 
-A store with the row calls, servers, and the project's own entry nodes and
-agents as separate processes, started with the commands of the deploy file.
+Stand-ins of the platform's store and of servers, in the script's own process, and
+the project's entry nodes as separate processes, started with the command of the
+deploy file. All addresses are loopback addresses.
 """
 
 import asyncio
@@ -10,9 +11,9 @@
 import os
 import re
 import shutil
-import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 
@@ -25,10 +26,29 @@
         return dict(re.findall(r'\[roles\.(\w+)\]\s*\nrun = "([^"]*)"', text.read()))
 
 
-def free_port(ip="127.0.0.1"):
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return probe.getsockname()[1]
+def free_ports(ips, count):
+    """Returns ports that are free at all the addresses, and different."""
+    ports, probes = [], []
+    try:
+        while len(ports) < count:
+            port = 0
+            taken = []
+            try:
+                for ip in ips:
+                    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                        probe = socket.socket(socket.AF_INET, kind)
+                        taken.append(probe)
+                        probe.bind((ip, port))
+                        port = probe.getsockname()[1]
+                ports.append(port)
+            except OSError:
+                pass  # Another program has the port at one of the addresses.
+            # Kept until all ports are known, so that none is returned twice.
+            probes += taken
+    finally:
+        for probe in probes:
+            probe.close()
+    return ports
 
 
 async def read_message(reader):
@@ -62,14 +82,13 @@
         self.log = []
         self.changed = asyncio.Event()
         self.port = 0
-        self.up = True
-        self.writers = set()
 
     async def start(self):
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         self.port = self.server.sockets[0].getsockname()[1]
 
     def put(self, table, key, value):
+        """Writes a row. Bytes are written as they are, anything else as JSON."""
         data = value if isinstance(value, bytes) else json.dumps(value).encode()
         self.ver += 1
         row = {"table": table, "part": "", "key": key,
@@ -90,7 +109,6 @@
         self.changed = asyncio.Event()
 
     async def _serve(self, reader, writer):
-        self.writers.add(writer)
         try:
             while True:
                 first, _, body = await read_message(reader)
@@ -101,7 +119,6 @@
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass  # The node has closed the connection, or the script ends.
         finally:
-            self.writers.discard(writer)
             writer.transport.abort()
 
     @staticmethod
@@ -145,39 +162,38 @@
 
 
 class Server:
-    """A backend server. serve(first, headers, body, reader, writer) answers."""
+    """A server of a service. Subclasses override answer()."""
 
-    # Time after which an idle channel is closed, in seconds.
+    # Time after which an idle connection is closed, in seconds.
     idle_s = 60.0
 
-    def __init__(self, service, zone="z1", slots=16, ip="127.0.0.1"):
-        self.service, self.zone, self.slots, self.ip = service, zone, slots, ip
+    def __init__(self, service, slots=16):
+        self.service, self.slots = service, slots
         self.id = "i-" + os.urandom(4).hex()
         self.born = int(time.time() * 1000)
-        self.runs = []       # (time, request id, first line, headers, body)
-        self.writers = set()
+        # Of each request that was run: time, id, first line, headers, body.
+        self.runs = []
         self.port = 0
         self.sequence = 0
 
     async def start(self):
-        self.server = await asyncio.start_server(self._serve, self.ip, self.port)
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         self.port = self.server.sockets[0].getsockname()[1]
 
-    def row(self, state="ready"):
+    def row(self):
+        """Returns its entry in the list of servers."""
         self.sequence += 1
-        return {"service": self.service, "address": f"{self.ip}:{self.port}",
-                "zone": self.zone, "version": "v1", "slots": self.slots,
-                "state": state, "coldMs": 0, "sequence": self.sequence,
-                "born": self.born}
+        return {"service": self.service, "address": f"127.0.0.1:{self.port}",
+                "zone": "z1", "version": "v1", "slots": self.slots, "state": "ready",
+                "coldMs": 0, "sequence": self.sequence, "born": self.born}
 
     async def _serve(self, reader, writer):
-        self.writers.add(writer)
         try:
             while True:
                 first, headers, body = await asyncio.wait_for(read_message(reader),
                                                               self.idle_s)
                 if headers.get("expect-instance", self.id) != self.id:
-                    self.write(writer, headers, 421, b"", "Instance-Id: %s\r\n" % self.id)
+                    self.write(writer, headers, 421, b"", f"Instance-Id: {self.id}\r\n")
                     continue
                 if not await self.answer(first, headers, body, reader, writer):
                     writer.close()
@@ -186,8 +202,6 @@
             writer.close()
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             writer.transport.abort()  # The node has closed it, or the script ends.
-        finally:
-            self.writers.discard(writer)
 
     def note_run(self, first, headers, body):
         self.runs.append((time.monotonic(), headers.get("request-id"), first, headers,
@@ -200,6 +214,7 @@
                       f"Content-Length: {len(body)}\r\n\r\n").encode() + body)
 
     async def answer(self, first, headers, body, reader, writer):
+        """Runs a request and answers it. Returns whether the connection stays open."""
         self.note_run(first, headers, body)
         await asyncio.sleep(0.02)
         self.write(writer, headers, 200, b"done " + headers["request-id"].encode())
@@ -208,10 +223,12 @@
 
 
 class Fleet:
-    """A store, servers and entry nodes, each of which may be killed."""
+    """A store, servers and entry nodes.
+
+    The entry nodes have the addresses 127.NET.1.1, 127.NET.1.2 and so on.
+    """
 
-    def __init__(self, net, nodes=2, grace_s=8):
-        self.net, self.grace_s = net, grace_s
+    def __init__(self, net, nodes):
         self.dir = tempfile.mkdtemp(prefix="ragwort-review-")
         self.store = Store()
         self.processes = []
@@ -231,18 +248,17 @@
             await self.store.start()
             store_ports = [self.store.port] * len(self.ips)
         self.store_ports = store_ports
-        self.ports = [free_port(self.ips[0]) for _ in range(4)]
+        self.ports = free_ports(self.ips, 5)
         self.store.put("op", "config", config)
-        self.servers = servers
         for server in servers:
-            if not server.port:
-                await server.start()
+            await server.start()
             self.store.put("servers", server.id, server.row())
-        self.nodes = [self.start_entry(i) for i in range(len(self.ips))]
         for i in range(len(self.ips)):
-            await self.wait_ready(i)
+            self._start_entry(i)
+        for i in range(len(self.ips)):
+            await self._wait_ready(i)
 
-    def settings(self, i):
+    def _settings(self, i):
         ip, p = self.ips[i], self.ports
         return (f"node=edge-z1-{i + 1}\nrole=entry\nmachineClass=edge\nserves=edge,control\n"
                 f"ip={ip}\nzone=z1\nregion=r1\nzones.z1=r1\n"
@@ -251,29 +267,31 @@
                 f"seeds={','.join(f'{x}:{p[2]}' for x in self.ips)}\nbootstrap=true\n"
                 "limits.memoryMb=182\nlimits.maxFds=2870\nlimits.linkMbps=700.0\n"
                 "heartbeatMs=1200\nbounds.drainMs=2000\n"
-                f"bounds.graceS={self.grace_s}\nbounds.lostMs=200\nbounds.configMs=2000\n"
+                "bounds.graceS=8\nbounds.lostMs=200\nbounds.configMs=2000\n"
                 "bounds.retryBudgetRatio=0.2\nbounds.budgetWindowS=10\n"
                 f"bounds.budgetSlack=184\nprovider.address=127.0.0.1:{self.store_ports[i]}\n"
                 "provider.form=table\n")
 
-    def start_entry(self, i):
+    def _start_entry(self, i):
         path = os.path.join(self.dir, f"entry-{i}.conf")
         with open(path, "w", encoding="utf-8") as out:
-            out.write(self.settings(i))
+            out.write(self._settings(i))
         # The metrics port of the deploy file is replaced by a free one.
         words = self.commands["entry"].split()
         if "--metrics" in words:
-            words[words.index("--metrics") + 1] = str(free_port(self.ips[i]))
-        with open(os.path.join(self.dir, f"entry-{i}.log"), "ab") as log:
+            words[words.index("--metrics") + 1] = str(self.ports[4])
+        with open(self._log_path(i), "wb") as log:
             process = subprocess.Popen(
                 words, cwd=ROOT, stdout=log, stderr=log, stdin=subprocess.DEVNULL,
                 env={"RAGWORTTHREAD_NODE_FILE": path, "PATH": os.environ["PATH"]})
         self.processes.append(process)
-        return process
 
-    async def wait_ready(self, i, limit_s=10):
-        end = time.monotonic() + limit_s
-        while time.monotonic() < end:
+    def _log_path(self, i):
+        return os.path.join(self.dir, f"entry-{i}.log")
+
+    async def _wait_ready(self, i):
+        end = time.monotonic() + 10
+        while time.monotonic() < end and self.processes[i].poll() is None:
             try:
                 reader, writer = await asyncio.open_connection(self.ips[i], self.ports[1])
                 writer.write(b"GET /ready HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n")
@@ -284,25 +302,26 @@
             except OSError:
                 pass
             await asyncio.sleep(0.05)
-        raise RuntimeError("entry node does not become ready")
+        with open(self._log_path(i), encoding="utf-8", errors="replace") as log:
+            raise RuntimeError(f"entry node {i + 1} is not ready: {log.read()[-500:]}")
 
     def front(self, i):
+        """Returns the address at which entry node I takes requests."""
         return self.ips[i], self.ports[0]
 
     def stop(self):
+        """Ends all processes and removes their files."""
         for process in self.processes:
-            if process.poll() is None:
-                process.send_signal(signal.SIGCONT)
-                process.kill()
+            process.kill()
             process.wait()
         shutil.rmtree(self.dir, ignore_errors=True)
 
 
 def route(name, kind, service, attempts=1, **other):
+    """Returns a route for the paths that begin with /NAME/."""
     return {"name": name, "host": "h.example", "pathPrefix": f"/{name}/", "kind": kind,
             "timeoutMs": 4000, "targetLatencyMs": 300, "priority": 1, "service": service,
-            "maxAttempts": attempts, "public": False,
-            "resumable": False, **other}
+            "maxAttempts": attempts, "public": False, "resumable": False, **other}
 
 
 def config(version, routes, services, tenants=None):
@@ -314,7 +333,10 @@
 
 
 class Record:
-    """record.txt beside the script: what was sent, answered and run."""
+    """record.txt beside the script: what was sent, answered and run.
+
+    Each line begins with the seconds since the start of the script.
+    """
 
     def __init__(self, script):
         self.path = os.path.join(os.path.dirname(os.path.abspath(script)), "record.txt")
@@ -326,15 +348,25 @@
         self.file.flush()
 
 
+    def runs(self, servers):
+        """Lists what the servers ran."""
+        for server in servers:
+            for at, request_id, first, headers, body in server.runs:
+                self(f"at {at - self.begun:.3f} server {server.id} ({server.service}) ran "
+                     f"{request_id}: {first}, {len(body)} B of body, tenant "
+                     f"{headers.get('tenant')}")
+
+
 def run_case(main, script):
-    """Runs main(record, trouble) and exits with what it returns: 1 broken, 0 held.
-    2 if the case could not run."""
+    """Runs main(record, trouble) and exits with its result: 1 if the rule was broken, 0
+    if it held; 2 if the case could not run. The script's argument is the value of
+    TROUBLE: with 0, main() leaves the disruption out."""
+    trouble = sys.argv[1:2] != ["0"]
     record = Record(script)
-    trouble = os.environ.get("TROUBLE", "1") != "0"
-    record(f"trouble={int(trouble)}")
+    record(f"TROUBLE={int(trouble)}")
     try:
         code = asyncio.run(asyncio.wait_for(main(record, trouble), 110))
-    except Exception as error:  # Whatever it is, the case has shown nothing.
+    except Exception as error:  # Whatever failed, the case has shown nothing.
         record(f"could not run: {error!r}")
         code = 2
     record(f"exit {code}")
