--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
-# Builds the stand-ins of the cases 6 to 10. They are Python programs without
-# dependencies, so there is only their syntax to check.
+# Builds the stand-ins of the cases 6 to 9. They are Python programs without
+# dependencies, so only their syntax is checked.
 set -e
 cd "$(dirname "$0")"
 for file in lib-2/harness.py 6/case.py 7/case.py 8/case.py 9/case.py; do
