Followers of the store tell each other that it is back

Cause: nodes that are not store watchers poll the configuration for 10 s. A poll whose answer an outage has lost, or that began during the outage, was repeated only 10.4 s after it began. The same process had read the list of servers from the store for seconds by then; each follower decided alone. The watchers could not pass the version on, since the store rejected them.

Change: while the store is lost, a follower asks for immediate answers. The first follower of a process that reaches the store again makes the others repeat the calls that they have in progress (FollowerGroup).

Related places looked at: evacuation rows (same follower, mended with it), QuarantineTable, findPeers, the agents' lookups and lists, libs/config and libs/node (short calls, not affected).

--- a/libs/fleet/include/ragwort/fleet/RowStore.h
+++ b/libs/fleet/include/ragwort/fleet/RowStore.h
@@ -44,8 +44,9 @@
 /// A store that can list a table and report its changes after the version with
 /// a given number, waiting up to a given time for one; its answer is overdue if
 /// it comes later than that by more than a margin. An error status means that
-/// the store did not respond in time or not with a valid response, or, with
-/// ResourceExhausted, that it refused the request.
+/// the store did not respond in time or not with a valid response, that the
+/// call was cancelled, or, with ResourceExhausted, that the store refused the
+/// request. cancel() ends the call in progress.
 template <class T>
 concept RowStore = requires(T &Store, std::string Table, uint64_t After,
                             Duration Wait, Duration Margin) {
@@ -55,6 +56,7 @@
   {
     Store.follow(Table, After, Wait, Margin)
     } -> std::same_as<asio::awaitable<absl::StatusOr<RowChanges>>>;
+  Store.cancel();
 };
 
 } // namespace ragwort::fleet
--- a/libs/fleet/include/ragwort/fleet/TableFollower.h
+++ b/libs/fleet/include/ragwort/fleet/TableFollower.h
@@ -9,10 +9,15 @@
 // follower knows is bounded: a poll without an answer in time is repeated at
 // once on a new connection, and only if that fails too is it an outage.
 //
+// While the store is lost, the follower asks for immediate answers. Once it has
+// one, the other followers of the process repeat their polls, and it does so
+// when one of them has reached the store again.
+//
 //===----------------------------------------------------------------------===//
 #ifndef RAGWORT_FLEET_TABLEFOLLOWER_H
 #define RAGWORT_FLEET_TABLEFOLLOWER_H
 
+#include "ragwort/fleet/FollowerGroup.h"
 #include "ragwort/fleet/RowStore.h"
 #include "ragwort/observe/Log.h"
 #include <algorithm>
@@ -41,8 +46,9 @@
   Duration MaxAge = Duration::max();
   /// Time after the end of a poll at which its connection counts as silent.
   Duration AnswerMargin = std::chrono::milliseconds(400);
-  /// Time for the first answer on the connection that replaces a silent one.
-  /// Longer, since a store that is only slow must not seem to be away.
+  /// Time for the first answer on the connection that replaces a silent one,
+  /// and for any answer while the store is lost. Longer, since a store that is
+  /// only slow must not seem to be away.
   Duration ReplacementMargin = std::chrono::milliseconds(700);
   /// Entries of live servers do not expire in an outage shorter than this.
   Duration LapseTime = std::chrono::milliseconds(2400);
@@ -62,37 +68,55 @@
 };
 
 /// Reads one table until stop() is called, and passes rows and changes to a
-/// sink.
+/// sink. \p Clock measures the time; tests replace it.
 ///
 /// \code
-///   TableFollower Follower(Io, Store, "servers", Sink, Timing, Seed);
+///   TableFollower Follower(Io, Store, Group, "servers", Sink, Timing, Seed);
 ///   asio::co_spawn(Io, Follower.run(), asio::detached);
 /// \endcode
-template <RowStore Store, TableSink Sink> class TableFollower {
+template <RowStore Store, TableSink Sink,
+          class Clock = std::chrono::steady_clock>
+class TableFollower final : public GroupedFollower {
 public:
-  TableFollower(asio::io_context &Io, Store &From, std::string Table, Sink &To,
-                FollowerTiming Timing, uint64_t Seed)
-      : Io(Io), From(From), Table(std::move(Table)), To(To), Timing(Timing),
-        Random(Seed) {}
+  TableFollower(asio::io_context &Io, Store &From, FollowerGroup &Group,
+                std::string Table, Sink &To, FollowerTiming Timing,
+                uint64_t Seed)
+      : From(From), Group(Group), Table(std::move(Table)), To(To),
+        Timing(Timing), Random(Seed), Timer(Io) {
+    Group.add(*this);
+  }
+  ~TableFollower() override { Group.remove(*this); }
 
   asio::awaitable<void> run() {
     while (!IsStopped) {
-      TimePoint Begun = Clock.now();
+      TimePoint Begun = now();
+      IsCalling = true;
       absl::Status Result = co_await step();
+      IsCalling = false;
       if (IsStopped)
         co_return;
+      if (std::exchange(IsInterrupted, false))
+        continue;
       if (Result.ok())
         onReached();
       else
         onFailed(Result);
-      Duration Elapsed = Clock.now() - Begun;
-      Duration Delay =
-          Result.ok() ? Timing.MinInterval - Elapsed : nextBackoff();
-      if (Delay.count() > 0)
-        co_await sleepFor(Delay);
+      Duration Elapsed = now() - Begun;
+      co_await wait(Result.ok() ? Timing.MinInterval - Elapsed : nextBackoff());
     }
   }
   void stop() { IsStopped = true; }
+  /// Repeats a call in progress at once, and ends the delay after a failure.
+  void onStoreReturned() override {
+    HasLost = false;
+    if (IsCalling) {
+      IsInterrupted = true;
+      IsAnswerNeeded = true;
+      From.cancel();
+    } else if (!IsReached) {
+      Timer.cancel();
+    }
+  }
   /// The store's era as of its last answer.
   uint64_t era() const { return Version.Era; }
 
@@ -108,15 +132,7 @@
       To.onList(std::move(*List), graceUntil());
       co_return absl::OkStatus();
     }
-    absl::StatusOr<RowChanges> Changes = co_await From.follow(
-        Table, Version.Number, pollTimeout(), Timing.AnswerMargin);
-    if (IsReached && isConnectionLost(Changes.status())) {
-      absl::Status Lost = Changes.status();
-      Changes = co_await From.follow(Table, Version.Number, Duration(0),
-                                     Timing.ReplacementMargin);
-      if (Changes.ok())
-        onConnectionReplaced(Lost);
-    }
+    absl::StatusOr<RowChanges> Changes = co_await poll();
     if (!Changes.ok())
       co_return Changes.status();
     bool IsRestored = Changes->Version.Era > Version.Era;
@@ -125,7 +141,7 @@
       // The numbers up to the last known version have been given out again:
       // these changes may lack some, so they are not applied.
       IsListed = false;
-      co_await sleepFor(randomUpTo(Timing.RestoredListSpread));
+      co_await wait(randomUpTo(Timing.RestoredListSpread));
       co_return absl::OkStatus();
     }
     if (Changes->IsHistoryLost) {
@@ -139,6 +155,34 @@
     co_return absl::OkStatus();
   }
 
+  /// Waits for changes. While it is not known that the connection works, asks
+  /// for an immediate answer instead.
+  asio::awaitable<absl::StatusOr<RowChanges>> poll() {
+    std::string Reason = "another connection was lost";
+    if (IsReached && !IsAnswerNeeded) {
+      absl::StatusOr<RowChanges> Changes = co_await From.follow(
+          Table, Version.Number, pollTimeout(), Timing.AnswerMargin);
+      if (IsInterrupted || !isConnectionLost(Changes.status()))
+        co_return Changes;
+      HasLost = true;
+      Reason = std::string(Changes.status().message());
+    }
+    absl::StatusOr<RowChanges> Changes = co_await From.follow(
+        Table, Version.Number, Duration(0), Timing.ReplacementMargin);
+    if (Changes.ok() && IsReached)
+      onConnectionReplaced(Reason);
+    co_return Changes;
+  }
+
+  /// Returns early once the store has returned.
+  asio::awaitable<void> wait(Duration Delay) {
+    if (Delay.count() <= 0)
+      co_return;
+    Timer.expires_after(Delay);
+    error_code Ended;
+    co_await Timer.async_wait(asio::redirect_error(asio::use_awaitable, Ended));
+  }
+
   Duration pollTimeout() const {
     if (Timing.IsRelaxed())
       return Timing.RelaxedPollTimeout;
@@ -148,7 +192,7 @@
   }
 
   /// Age of what the follower knows, as of the store's last answer.
-  Duration age() const { return Clock.now() - LastAnswerAt; }
+  Duration age() const { return now() - LastAnswerAt; }
 
   static bool isConnectionLost(const absl::Status &Result) {
     // ResourceExhausted: the store has answered.
@@ -156,11 +200,11 @@
   }
 
   // The store was not away, or not for long enough that entries expired.
-  void onConnectionReplaced(const absl::Status &Reason) {
+  void onConnectionReplaced(const std::string &Reason) {
     logEvent(LogLevel::Info, "store-connection-replaced",
              {{"table", Table},
               {"age_ms", age().count() / 1000},
-              {"reason", std::string(Reason.message())}});
+              {"reason", Reason}});
     IsReached = age() < Timing.LapseTime;
   }
 
@@ -172,9 +216,10 @@
           LogLevel::Warning, "store-restored",
           {{"table", Table}, {"version", toString(Version)}, {"era", Era}});
     if (IsRestored || (!IsReached && WasReached))
-      RecoveredAt = Clock.now();
+      RecoveredAt = now();
     Version.Era = std::max(Version.Era, Era);
-    LastAnswerAt = Clock.now();
+    LastAnswerAt = now();
+    IsAnswerNeeded = false;
   }
 
   Duration randomUpTo(Duration Limit) {
@@ -184,7 +229,7 @@
 
   std::optional<TimePoint> graceUntil() const {
     TimePoint Until = RecoveredAt + dispatch::StoreRecoveryGrace;
-    bool IsRecovering = RecoveredAt != TimePoint() && Clock.now() < Until;
+    bool IsRecovering = RecoveredAt != TimePoint() && now() < Until;
     return IsRecovering ? std::optional(Until) : std::nullopt;
   }
 
@@ -195,6 +240,8 @@
                {{"table", Table}, {"version", toString(Version)}});
     IsReached = true;
     WasReached = true;
+    if (std::exchange(HasLost, false))
+      Group.announceReturn(*this);
   }
 
   void onFailed(const absl::Status &Reason) {
@@ -205,6 +252,7 @@
                 {"reason", std::string(Reason.message())}});
     IsReached = false;
     WasTried = true;
+    HasLost = true;
   }
 
   Duration nextBackoff() {
@@ -217,13 +265,17 @@
 
   static constexpr Duration MinPollTimeout = std::chrono::milliseconds(100);
 
-  asio::io_context &Io;
+  static TimePoint now() {
+    return std::chrono::time_point_cast<Duration>(Clock::now());
+  }
+
   Store &From;
+  FollowerGroup &Group;
   const std::string Table;
   Sink &To;
   const FollowerTiming Timing;
   std::mt19937_64 Random;
-  SteadyClock Clock;
+  asio::basic_waitable_timer<Clock> Timer;
   // The last version that the sink has received; its era may be newer while the
   // table has to be listed again.
   dispatch::StoreVersion Version;
@@ -234,6 +286,14 @@
   bool IsReached = false;
   bool WasReached = false;
   bool WasTried = false;
+  bool IsCalling = false;
+  // Whether the call in progress was ended to be repeated.
+  bool IsInterrupted = false;
+  // Whether an answer may have been lost on the connection.
+  bool IsAnswerNeeded = false;
+  // Whether the followers of the process have to be told once a call succeeds:
+  // this one has lost the store, and none of them has reached it since.
+  bool HasLost = false;
   bool IsStopped = false;
 };
 
--- a/libs/fleet/src/TableFollowerTest.cpp
+++ b/libs/fleet/src/TableFollowerTest.cpp
@@ -17,7 +17,9 @@
     /// The store answers that it does not serve the call.
     Refuse,
     HistoryLost,
-    Restored
+    Restored,
+    /// Calls OnWaiting and answers after the requested time.
+    Waiting
   };
 
   asio::awaitable<absl::StatusOr<RowList>> list(std::string) {
@@ -37,6 +39,17 @@
     LastAfter = After;
     Waits.push_back(Wait);
     Answer Next = next();
+    if (Next == Answer::Waiting) {
+      asio::steady_timer Wakeup(co_await asio::this_coro::executor, Wait);
+      Pending = &Wakeup;
+      asio::post(Wakeup.get_executor(), OnWaiting);
+      error_code Cancelled;
+      co_await Wakeup.async_wait(
+          asio::redirect_error(asio::use_awaitable, Cancelled));
+      Pending = nullptr;
+      if (Cancelled)
+        co_return absl::UnavailableError("cancelled");
+    }
     if (Next == Answer::Fail)
       co_return absl::UnavailableError("store is unavailable");
     if (Next == Answer::Refuse)
@@ -53,6 +66,11 @@
     co_return Changes;
   }
 
+  void cancel() {
+    if (Pending)
+      Pending->cancel();
+  }
+
   dispatch::StoreVersion nextVersion() {
     ++Version.Number;
     return Version;
@@ -76,6 +94,8 @@
 
   std::deque<Answer> Script;
   std::function<void()> OnScriptEnd;
+  std::function<void()> OnWaiting;
+  asio::steady_timer *Pending = nullptr;
   dispatch::StoreVersion Version{1, 40};
   uint64_t LastAfter = 0;
   std::vector<Duration> Waits;
@@ -112,6 +132,9 @@
   CPPUNIT_TEST(storeWhenItRefusesACallIsInAnOutage);
   CPPUNIT_TEST(pollWhenWhatIsKnownIsOldEndsSooner);
   CPPUNIT_TEST(connectionWhenSilentForAsLongAsEntriesLapseSetsTheGracePeriod);
+  CPPUNIT_TEST(pollWhenAnotherFollowerReachesTheStoreAgainIsRepeatedAtOnce);
+  CPPUNIT_TEST(pollWhileTheStoreIsLostAsksForAnImmediateAnswer);
+  CPPUNIT_TEST(followerWhenItReachesTheStoreAgainTellsTheOthersOnce);
   CPPUNIT_TEST_SUITE_END();
 
   using Answer = ScriptedStore::Answer;
@@ -130,15 +153,25 @@
     Timing.MaxBackoff = Duration(10);
     Timing.RestoredListSpread = Duration(10);
     Timing.IsRelaxed = [IsRelaxed] { return IsRelaxed; };
-    TableFollower Follower(Io, Store, "t", Sink, Timing, 1);
+    TableFollower Follower(Io, Store, Group, "t", Sink, Timing, 1);
+    Group.add(Other);
     Store.OnScriptEnd = [&Follower] { Follower.stop(); };
+    Store.OnWaiting = [this] { Group.announceReturn(Other); };
     asio::co_spawn(Io, Follower.run(), asio::detached);
     Io.run();
     return Sink.Seen;
   }
 
+  /// Another follower of the process.
+  struct OtherFollower final : GroupedFollower {
+    void onStoreReturned() override { ++Returns; }
+    int Returns = 0;
+  };
+
   static constexpr Duration LapseTime = std::chrono::milliseconds(50);
   ScriptedStore Store;
+  FollowerGroup Group;
+  OtherFollower Other;
   FollowerTiming Timing;
 
 public:
@@ -211,6 +244,32 @@
     CPPUNIT_ASSERT(Store.Waits[0] > Most - std::chrono::milliseconds(30));
   }
 
+  // Guards against a long poll that waits for an answer which an outage lost.
+  void pollWhenAnotherFollowerReachesTheStoreAgainIsRepeatedAtOnce() {
+    Timing.RelaxedPollTimeout = std::chrono::seconds(60);
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("lccc"),
+        seen({Answer::Ok, Answer::Ok, Answer::Waiting, Answer::Ok, Answer::Ok},
+             true));
+    CPPUNIT_ASSERT(Store.Waits[1] == Timing.RelaxedPollTimeout);
+    CPPUNIT_ASSERT(Store.Waits[2] == Duration(0));
+    CPPUNIT_ASSERT(Store.Waits[3] == Timing.RelaxedPollTimeout);
+    // The others know already.
+    CPPUNIT_ASSERT_EQUAL(0, Other.Returns);
+  }
+
+  // Guards against a long poll that begins in an outage and outlasts it.
+  void pollWhileTheStoreIsLostAsksForAnImmediateAnswer() {
+    seen({Answer::Ok, Answer::Refuse, Answer::Ok, Answer::Ok}, true);
+    CPPUNIT_ASSERT(Store.Waits[1] == Duration(0));
+    CPPUNIT_ASSERT(Store.Waits[2] == Timing.RelaxedPollTimeout);
+  }
+
+  void followerWhenItReachesTheStoreAgainTellsTheOthersOnce() {
+    seen({Answer::Ok, Answer::Fail, Answer::Fail, Answer::Ok, Answer::Ok});
+    CPPUNIT_ASSERT_EQUAL(1, Other.Returns);
+  }
+
   void followerWhenTheFirstCallFailsListsWithoutGrace() {
     CPPUNIT_ASSERT_EQUAL(std::string("lc"),
                          seen({Answer::Fail, Answer::Ok, Answer::Ok}));
