Answers with a status that HTTP lacks are malformed

What callers saw: statuses 600 to 999 of a server were forwarded; 000 to 099 and unknown interim statuses counted as interim answers, so that requests waited for their whole time and got 504.

Cause: the parser under both gateways takes any three digits for a status; the code asked only whether it is below 200.

Change: an answer has a status from 200 to 599; 100, 102 and 103 may precede it, at most eight times. Anything else is a malformed response: another server where the route allows it, else 502 at once. libs/http fails the call.

--- a/libs/gateway/include/ragwort/gateway/Attempt.h
+++ b/libs/gateway/include/ragwort/gateway/Attempt.h
@@ -162,6 +162,7 @@
   std::string Unparsed;
   // Bytes of answers to other requests.
   size_t SkippedBytes = 0;
+  uint32_t InterimAnswers = 0;
   bool HasBytes = false;
   bool HasHead = false;
   bool IsEventStream = false;
--- a/libs/gateway/include/ragwort/gateway/MessageParser.h
+++ b/libs/gateway/include/ragwort/gateway/MessageParser.h
@@ -54,8 +54,9 @@
   std::unique_ptr<Impl> State;
 };
 
-/// Parses one response. A head that holds the status line of another response
-/// is malformed: the first one broke off there.
+/// Parses one response. A status that HTTP lacks is malformed, and so is a head
+/// that holds the status line of another response: the first one broke off
+/// there.
 class ResponseParser {
 public:
   ResponseParser();
--- a/libs/gateway/src/Attempt.cpp
+++ b/libs/gateway/src/Attempt.cpp
@@ -17,6 +17,8 @@
 // Maximum size of an answer that is not an event stream, and of what may come
 // before the answer to a request.
 constexpr size_t MaxWholeAnswerBytes = 8 * MiB;
+// A server that sends more interim responses than this never answers.
+constexpr uint32_t MaxInterimAnswers = 8;
 
 // Bytes of another head at the end of a body that are taken for one. A text may
 // end in fewer; the end of an answer without a length shows less.
@@ -162,8 +164,10 @@
 
 bool Attempt::skipAnswer(size_t Taken) {
   SkippedBytes += Taken;
+  InterimAnswers += Parser.isInterim();
   // Without an end of its own it would take in the answer to this request.
-  if (!Parser.isFramed() || SkippedBytes > MaxWholeAnswerBytes) {
+  if (!Parser.isFramed() || SkippedBytes > MaxWholeAnswerBytes ||
+      InterimAnswers > MaxInterimAnswers) {
     fail(dispatch::ServerFault::Malformed, "malformed-response");
     return false;
   }
--- a/libs/gateway/src/MessageParser.cpp
+++ b/libs/gateway/src/MessageParser.cpp
@@ -228,9 +228,12 @@
                        error_code &) override {}
   void on_response_impl(int Code, beast::string_view Reason, int,
                         error_code &Error) override {
-    if (holdsStatusLine({Reason.data(), Reason.size()}))
-      Error = bhttp::error::bad_reason;
     Head.Status = static_cast<unsigned>(Code);
+    if (!http::isFinalStatus(Head.Status) &&
+        !http::isInterimStatus(Head.Status))
+      Error = bhttp::error::bad_status;
+    else if (holdsStatusLine({Reason.data(), Reason.size()}))
+      Error = bhttp::error::bad_reason;
   }
 
   http::ResponseHead Head;
@@ -273,7 +276,7 @@
 bool ResponseParser::isFramed() const { return !State->need_eof(); }
 
 bool ResponseParser::isInterim() const {
-  return State->IsHeadDone && State->Head.Status < 200;
+  return State->IsHeadDone && http::isInterimStatus(State->Head.Status);
 }
 
 bool holdsResponseHead(std::string_view Body, std::string_view Rest,
--- a/libs/http/src/HttpClient.cpp
+++ b/libs/http/src/HttpClient.cpp
@@ -136,6 +136,11 @@
     co_return ioError("receive head", Error);
   ResponseHead Head;
   Head.Status = Parser.get().result_int();
+  if (!isFinalStatus(Head.Status) && !isInterimStatus(Head.Status)) {
+    close();
+    co_return absl::DataLossError("response with status " +
+                                  std::to_string(Head.Status));
+  }
   for (const auto &Field : Parser.get())
     Head.Headers.push_back(
         {std::string(Field.name_string()), std::string(Field.value())});
--- a/libs/http/src/HttpClientTest.cpp
+++ b/libs/http/src/HttpClientTest.cpp
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(bodyWhenSentForHeadIsNotTheNextAnswer);
   CPPUNIT_TEST(answerWhenItFollowsAnInterimOneIsNotTheNext);
   CPPUNIT_TEST(answerWhenItsHeadIsBrokenOffIsAnError);
+  CPPUNIT_TEST(answerWhenItsStatusIsNotOfHttpIsAnError);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr auto TestTimeout = 5s;
@@ -136,6 +137,22 @@
       CPPUNIT_ASSERT_EQUAL(std::string("second"), Second->Body);
     });
   }
+
+  // Guards against status 000 that counts as an answer.
+  void answerWhenItsStatusIsNotOfHttpIsAnError() {
+    for (const char *Status : {"000", "099", "101", "600", "999", "2x0"})
+      Server.Script.push_back([Status](const std::string &) {
+        return "HTTP/1.1 " + std::string(Status) +
+               " X\r\nContent-Length: 0\r\n\r\n";
+      });
+    run([&](ClientConnection &Client) -> asio::awaitable<void> {
+      while (!Server.Script.empty()) {
+        auto Answer = co_await Client.exchange(Request(), TestTimeout);
+        CPPUNIT_ASSERT(!Answer.ok());
+        Client.close();
+      }
+    });
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpClientTest);
 
--- a/testing/soak/answers.py
+++ b/testing/soak/answers.py
@@ -17,6 +17,8 @@
     (500, "Content-Type: text/plain\r\n", b"failed"),
     (503, "Not-Executed: 1\r\n", b""),
 ]
+# Statuses that no answer has: HTTP lacks them, or nothing asked for them.
+MALFORMED_STATUSES = ["000", "001", "099", "101", "199", "600", "999", "20", "2000"]
 
 
 @dataclass
--- a/testing/soak/backends.py
+++ b/testing/soak/backends.py
@@ -6,7 +6,7 @@
 import time
 from dataclasses import dataclass, field
 
-from answers import (Answer, Repetition, draw_continuation, draw_repetition, refusal,
+from answers import (MALFORMED_STATUSES, Answer, Repetition, draw_continuation, draw_repetition, refusal,
                      spoil_event, spoil_size, stream_event)
 from links import Link, reset
 
@@ -26,11 +26,11 @@
 # Faults that affect the response to a request after it has been executed.
 EXECUTED_FAULT_MODES = ["fail", "reset", "lose", "garble", "extra", "cut_event",
                         "hang", "spoil_event", "spoil_size", "repeat",
-                        "continue_otherwise"]
+                        "continue_otherwise", "malformed_status"]
 # What a server that spoils a share of its answers does with one.
 SPOILED_STREAM_MODES = ["spoil_event", "spoil_event", "spoil_size", "repeat",
-                        "cut_event", "continue_otherwise"]
-SPOILED_MODES = ["repeat", "repeat", "decline_again", "garble"]
+                        "cut_event", "continue_otherwise", "malformed_status"]
+SPOILED_MODES = ["repeat", "repeat", "decline_again", "garble", "malformed_status"]
 FAULT_MODES = EXECUTED_FAULT_MODES + ["decline", "decline_again", "pause"]
 # Pauses that a server asks for, in seconds.
 PAUSES_S = [0.8, 1.5, 3.0]
@@ -199,6 +199,10 @@
             await asyncio.sleep(30)
         if fault in ("reset", "lose"):
             return False
+        if fault == "malformed_status":
+            return await self._write(channel, Answer(
+                request_id, self.random.choice(MALFORMED_STATUSES),
+                self._stamp_header(request_id), [b"no answer"]).whole())
         if is_stream(target):
             return await self._write_stream(channel, target, request_id, headers, fault,
                                             due)
