Calls and requests of libs/http bound what they buffer and how long they last

What callers saw: nothing yet. One peer that writes a chunk's size, its extension or a trailer without an end filled an entry node with 3.5 to 4.0 GB within 6 s, from the store's answers as well as through the ports for peers and readiness probes (x86_64, trials; a node has 182 MB). A process that runs out of memory ends with all its callers' requests.

Cause: the parser waits for the whole of a chunk header or a trailer section; the buffers of client and server had no limit. The timeout of a call counted anew for each piece of the answer.

Change: the buffers hold at most MaxUnfinishedFramingBytes, which the gateway has already; a call ends by one time; each caller states the body it takes.

--- a/libs/control/src/FleetCommands.cpp
+++ b/libs/control/src/FleetCommands.cpp
@@ -26,7 +26,8 @@
   R.Method = std::move(Method);
   R.Target = std::move(Target);
   R.Headers.push_back({"Authorization", "Bearer " + Context.AdminToken});
-  co_return co_await http::fetch(Admin, std::move(R), AdminTimeout);
+  co_return co_await http::fetch(Admin, std::move(R), AdminTimeout,
+                                 http::MaxListBody);
 }
 
 asio::awaitable<absl::StatusOr<settings::FleetSettings>>
--- a/libs/fleet/src/PeerExchange.cpp
+++ b/libs/fleet/src/PeerExchange.cpp
@@ -339,7 +339,7 @@
   // inside a co_await expression twice.
   Address From{Ip, Options.Listen.Port};
   absl::StatusOr<http::Response> Answer =
-      co_await http::fetch(From, std::move(R), FetchTimeout);
+      co_await http::fetch(From, std::move(R), FetchTimeout, http::MaxListBody);
   IsFetchingDirectory = false;
   absl::StatusOr<DirectorySnapshot> Snapshot =
       Answer.ok() ? decodeDirectory(Answer->Body) : Answer.status();
--- a/libs/gateway/src/MessageParser.cpp
+++ b/libs/gateway/src/MessageParser.cpp
@@ -15,9 +15,6 @@
 // Responses come from the deployment's own backend servers; their heads are
 // small.
 constexpr uint32_t MaxResponseHeadBytes = 65536;
-// Largest chunk header and trailer section. Beast waits for the end of either
-// and limits only the length of heads.
-constexpr size_t MaxUnfinishedFramingBytes = 65536;
 constexpr std::string_view StatusLineBegin = "HTTP/1.";
 constexpr std::string_view StatusLineForm = "HTTP/1.1 200";
 
@@ -70,8 +67,10 @@
       if (Now == 0)
         break;
     }
+    // Beast waits for the end of a chunk header or a trailer section and limits
+    // only the length of heads.
     if (IsHeadDone && !this->is_done() &&
-        Bytes.size() - Taken > MaxUnfinishedFramingBytes)
+        Bytes.size() - Taken > http::MaxUnfinishedFramingBytes)
       Failed = true;
     return Taken;
   }
--- a/libs/http/include/ragwort/http/HttpClient.h
+++ b/libs/http/include/ragwort/http/HttpClient.h
@@ -17,6 +17,11 @@
 
 namespace ragwort::http {
 
+/// Most bytes of a body that lists no nodes, servers or rows.
+inline constexpr size_t MaxSmallBody = 1 * MiB;
+/// Most bytes of a list of all servers or instances.
+inline constexpr size_t MaxListBody = 16 * MiB;
+
 /// A connection to one server. All calls must come from one strand. It is not
 /// reused once the server has written more than it was asked for.
 ///
@@ -49,9 +54,9 @@
   receiveChunk(Duration Timeout);
 
   /// Connects if needed, sends \p R and receives the complete response, whose
-  /// body may have at most \p MaxBody bytes. \p Timeout applies to each step.
+  /// body may have at most \p MaxBody bytes; all of it within \p Timeout.
   asio::awaitable<absl::StatusOr<Response>>
-  exchange(const Request &R, Duration Timeout, size_t MaxBody = 16 * MiB);
+  exchange(const Request &R, Duration Timeout, size_t MaxBody = MaxSmallBody);
 
   /// Closes immediately. Call it on the connection's strand.
   void close();
@@ -63,9 +68,10 @@
   std::unique_ptr<Impl> State;
 };
 
-/// Sends one request on a new connection.
+/// Sends one request on a new connection, as ClientConnection::exchange().
 asio::awaitable<absl::StatusOr<Response>> fetch(Address Server, Request R,
-                                                Duration Timeout);
+                                                Duration Timeout,
+                                                size_t MaxBody = MaxSmallBody);
 
 } // namespace ragwort::http
 
--- a/libs/http/include/ragwort/http/HttpTypes.h
+++ b/libs/http/include/ragwort/http/HttpTypes.h
@@ -7,12 +7,17 @@
 #ifndef RAGWORT_HTTP_HTTPTYPES_H
 #define RAGWORT_HTTP_HTTPTYPES_H
 
+#include "ragwort/base/Bytes.h"
 #include "ragwort/base/HeaderField.h"
 #include <string>
 #include <string_view>
 
 namespace ragwort::http {
 
+/// Most bytes of a message that are kept while they are not yet a complete
+/// head, chunk header or trailer section, which parsers need as a whole.
+inline constexpr size_t MaxUnfinishedFramingBytes = 64 * KiB;
+
 /// A request with its complete body.
 struct Request {
   std::string Method = "GET";
--- a/libs/http/src/HttpClient.cpp
+++ b/libs/http/src/HttpClient.cpp
@@ -44,7 +44,8 @@
   // Empty if answers are not told apart by an id.
   const std::string IdHeader;
   beast::tcp_stream Stream;
-  beast::flat_buffer Buffer;
+  // A response whose framing does not fit is an error.
+  beast::flat_buffer Buffer{MaxUnfinishedFramingBytes};
   std::optional<Parser> Body;
   // Id of the last request; empty if it has none.
   std::string SentId;
@@ -195,24 +196,31 @@
 
 asio::awaitable<absl::StatusOr<Response>>
 ClientConnection::exchange(const Request &R, Duration Timeout, size_t MaxBody) {
+  const TimePoint Deadline = SteadyClock().now() + Timeout;
+  auto TimeLeft = [Deadline] {
+    return std::max(Duration(0), Deadline - SteadyClock().now());
+  };
   absl::Status Connected = co_await connect(Timeout);
   if (!Connected.ok())
     co_return Connected;
-  absl::StatusOr<ResponseHead> Head = co_await sendForHead(R, Timeout);
+  absl::Status Sent = co_await send(R, TimeLeft());
+  if (!Sent.ok())
+    co_return Sent;
+  absl::StatusOr<ResponseHead> Head = co_await receiveHead(TimeLeft());
   if (!Head.ok())
     co_return Head.status();
   Response Result;
   Result.Head = std::move(*Head);
   for (;;) {
     absl::StatusOr<std::optional<std::string>> Chunk =
-        co_await receiveChunk(Timeout);
+        co_await receiveChunk(TimeLeft());
     if (!Chunk.ok())
       co_return Chunk.status();
     if (!Chunk->has_value())
       co_return Result;
-    Result.Body += **Chunk;
-    if (Result.Body.size() > MaxBody)
+    if (Result.Body.size() + (*Chunk)->size() > MaxBody)
       co_return absl::ResourceExhaustedError("response body is too large");
+    Result.Body += **Chunk;
   }
 }
 
@@ -224,12 +232,12 @@
   State->Stream.close();
 }
 
-asio::awaitable<absl::StatusOr<Response>> fetch(Address Server, Request R,
-                                                Duration Timeout) {
+asio::awaitable<absl::StatusOr<Response>>
+fetch(Address Server, Request R, Duration Timeout, size_t MaxBody) {
   ClientConnection Connection(co_await asio::this_coro::executor,
                               std::move(Server));
   R.Headers.push_back({"Connection", "close"});
-  co_return co_await Connection.exchange(R, Timeout);
+  co_return co_await Connection.exchange(R, Timeout, MaxBody);
 }
 
 } // namespace ragwort::http
--- a/libs/http/src/HttpServer.cpp
+++ b/libs/http/src/HttpServer.cpp
@@ -228,7 +228,8 @@
 
   // The members below are used on the strand only.
   beast::tcp_stream Stream;
-  beast::flat_buffer Buffer;
+  // A message whose framing does not fit is refused.
+  beast::flat_buffer Buffer{MaxUnfinishedFramingBytes};
   std::shared_ptr<ServerState> Owner;
   Request Current;
   bool IsOpen = true;
--- a/libs/platform/src/InstanceList.cpp
+++ b/libs/platform/src/InstanceList.cpp
@@ -9,8 +9,8 @@
   using Json = nlohmann::json;
   http::Request R;
   R.Target = "/instances?data_centre=" + DataCentre;
-  absl::StatusOr<http::Response> Answer =
-      co_await http::fetch(std::move(Platform), std::move(R), Timeout);
+  absl::StatusOr<http::Response> Answer = co_await http::fetch(
+      std::move(Platform), std::move(R), Timeout, http::MaxListBody);
   if (!Answer.ok())
     co_return Answer.status();
   Json Parsed = Json::parse(Answer->Body, nullptr, false);
--- a/testing/soak/backends.py
+++ b/testing/soak/backends.py
@@ -26,12 +26,24 @@
 # Faults that affect the response to a request after it has been executed.
 EXECUTED_FAULT_MODES = ["fail", "reset", "lose", "garble", "extra", "cut_event",
                         "hang", "spoil_event", "spoil_size", "repeat",
-                        "continue_otherwise", "malformed_status"]
+                        "continue_otherwise", "malformed_status", "endless"]
 # What a server that spoils a share of its answers does with one.
 SPOILED_STREAM_MODES = ["spoil_event", "spoil_event", "spoil_size", "repeat",
-                        "cut_event", "continue_otherwise", "malformed_status"]
-SPOILED_MODES = ["repeat", "repeat", "decline_again", "garble", "malformed_status"]
+                        "cut_event", "continue_otherwise", "malformed_status",
+                        "endless"]
+SPOILED_MODES = ["repeat", "repeat", "decline_again", "garble", "malformed_status",
+                 "endless"]
 FAULT_MODES = EXECUTED_FAULT_MODES + ["decline", "decline_again", "pause"]
+# What a server writes without an end: the first bytes, and those that follow.
+ENDLESS = [(b"", b"0" * 65536), (b"HTTP/1.1 200 OK\r\nX: ", b"x" * 65536),
+           (b"HTTP/1.1 200 OK\r\n", b"X: y\r\n" * 8192),
+           (b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: s\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n", b"0" * 65536),
+           (b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: s\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n1;", b"x" * 65536),
+           (b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: s\r\n\r\n",
+            b"x" * 65536)]
+ENDLESS_BLOCKS = 512
 # Pauses that a server asks for, in seconds.
 PAUSES_S = [0.8, 1.5, 3.0]
 
@@ -199,6 +211,8 @@
             await asyncio.sleep(30)
         if fault in ("reset", "lose"):
             return False
+        if fault == "endless":
+            return await self._write_endless(channel, request_id)
         if fault == "malformed_status":
             return await self._write(channel, Answer(
                 request_id, self.random.choice(MALFORMED_STATUSES),
@@ -234,6 +248,14 @@
                     await asyncio.sleep(self.random.choice([0, 0.003, 0.02]))
         return True
 
+    async def _write_endless(self, channel, request_id):
+        """Writes until the node closes the connection."""
+        first, block = self.random.choice(ENDLESS)
+        await self._write(channel, first.replace(b"%s", request_id.encode()))
+        for _ in range(ENDLESS_BLOCKS):
+            await self._write(channel, block)
+        return False
+
     async def _write_late(self, channel, repetition):
         try:
             await asyncio.sleep(repetition.delay_s)
