Bodies of refused requests are released at once

Cause: a request that is refused for lack of memory ends its charge, but its body stayed until the connection was gone. And the charge of a body was its size, while its buffer holds up to twice as much.

Evidence: SlowCallerTest::bodiesWhenTheyNeverEndLeaveTheNodeWithinItsMemory failed before (40.6 MB allocated with a memory of 33.6 MB).

Change: a connection that closes after its answer drops what it has read; a body is charged with its capacity.

--- a/libs/gateway/src/CallerSession.cpp
+++ b/libs/gateway/src/CallerSession.cpp
@@ -91,7 +91,7 @@
 
 bool CallerSession::reserve(const http::Request &R) {
   size_t Needed =
-      RequestBytes + std::max<size_t>(declaredLength(R), R.Body.size());
+      RequestBytes + std::max<size_t>(declaredLength(R), R.Body.capacity());
   if (Needed <= Reserved)
     return true;
   if (!Handler.context().Memory->admits(Needed - Reserved))
@@ -294,6 +294,10 @@
       Socket->closeAfterReading(DiscardTime);
     else
       Socket->closeAfterWrite();
+    // Nothing more is read; what has been must not stay without a charge.
+    Parser.reset();
+    Unparsed = std::string();
+    updateCharge();
     return;
   }
   Socket->resumeReading();
--- a/libs/gateway/src/SlowCallerTest.cpp
+++ b/libs/gateway/src/SlowCallerTest.cpp
@@ -1,12 +1,15 @@
-//===- SlowCallerTest.cpp - Callers that do not read their answers --------===//
+//===- SlowCallerTest.cpp - Callers that fill the node's memory -----------===//
 //
-// A gateway on loopback with a small memory, callers that stop reading, and a
-// server that answers more than their connections hold.
+// A gateway on loopback with a small memory, callers that stop reading or never
+// end their requests, and a server that answers more than their connections
+// hold.
 //
 //===----------------------------------------------------------------------===//
 #include "LoopbackPeers.h"
 #include "ragwort/base/Bytes.h"
+#include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
+#include <malloc.h>
 
 namespace ragwort::gateway {
 
@@ -15,6 +18,7 @@
   CPPUNIT_TEST(callersWhenTheyReadNothingLeaveTheNodeWithinItsBudget);
   CPPUNIT_TEST(finishedAnswerWhenItsCallerReadsLaterArrivesWhole);
   CPPUNIT_TEST(bodyWhenThereIsNoRoomForItIsRefusedBeforeItArrives);
+  CPPUNIT_TEST(bodiesWhenTheyNeverEndLeaveTheNodeWithinItsMemory);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr size_t Memory = 32 * MiB;
@@ -76,6 +80,11 @@
     return C;
   }
 
+  static size_t allocatedBytes() {
+    auto Info = ::mallinfo2();
+    return Info.uordblks + Info.hblkhd;
+  }
+
   /// A stream of \p Events events of 32 KiB.
   static std::string stream(const std::string &Id, size_t Events) {
     std::string Text = "HTTP/1.1 200 OK\r\nRagwort-Request-Id: " + Id + "\r\n" +
@@ -142,6 +151,40 @@
     CPPUNIT_ASSERT(Server->Requests.empty());
     CPPUNIT_ASSERT(Node->memory().held() < MiB);
   }
+
+  // Guards against bodies of refused requests that are held without a charge.
+  void bodiesWhenTheyNeverEndLeaveTheNodeWithinItsMemory() {
+    constexpr size_t Callers = 100;
+    constexpr size_t ChunksPerCaller = 40;
+    const std::string Chunk = "8000\r\n" + std::string(32 * KiB, 'x') + "\r\n";
+    size_t Before = allocatedBytes();
+    size_t Peak = 0;
+    std::vector<std::unique_ptr<Caller>> Senders;
+    for (size_t I = 0; I < Callers; ++I) {
+      Senders.push_back(std::make_unique<Caller>(Io));
+      Senders[I]->ToSend = "POST / HTTP/1.1\r\nHost: h\r\n"
+                           "Transfer-Encoding: chunked\r\n\r\n";
+      Senders[I]->Socket->connect(
+          endpointOf<asio::ip::tcp>({"127.0.0.1", Node->port()}),
+          std::chrono::seconds(5));
+    }
+    Io.run_for(std::chrono::milliseconds(50));
+    for (size_t Round = 0; Round < ChunksPerCaller; ++Round) {
+      for (auto &Each : Senders)
+        if (!Each->IsEnded && Each->Socket->unsent() == 0)
+          Each->Socket->write(Chunk);
+      Io.run_for(std::chrono::milliseconds(2));
+      size_t Waiting = 0;
+      for (auto &Each : Senders)
+        Waiting += Each->Socket->unsent();
+      Peak = std::max(Peak, allocatedBytes() - Before - Waiting);
+    }
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(Peak), Peak < Memory);
+    CPPUNIT_ASSERT(
+        std::any_of(Senders.begin(), Senders.end(), [](const auto &Each) {
+          return Each->Received.starts_with("HTTP/1.1 503 ");
+        }));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SlowCallerTest);
