Messages that leave their end open are refused

Cause: the parser knows only "chunked" and takes any other coding for no body (a request) or a body up to the connection's end (an answer). Bytes after a whole answer only prevented that the connection was used again.

Change: http/MessageForm.h decides from a start line and its fields whether a message shows its end, for both parsers, the client and the server of libs/http. Bytes that follow an answer with a length and are no further answer make it malformed. Folded fields are malformed.

--- a/libs/gateway/include/ragwort/gateway/Attempt.h
+++ b/libs/gateway/include/ragwort/gateway/Attempt.h
@@ -131,6 +131,9 @@
   void readBody();
   void readEvents(std::string_view Bytes);
   void finishAnswer();
+  /// Whether bytes follow the answer that are no other one: the stated length
+  /// may be too small.
+  bool isLengthWrong() const;
   void noteStatement();
   void noteDecline();
   void noteEvents();
--- a/libs/gateway/include/ragwort/gateway/MessageParser.h
+++ b/libs/gateway/include/ragwort/gateway/MessageParser.h
@@ -22,9 +22,9 @@
 /// Why a request was not accepted.
 enum class ParseFailure : uint8_t { None, Malformed, HeadTooLarge };
 
-/// Parses one request. Conflicting or repeated length fields are malformed,
-/// since the gateway and a backend server could disagree on where the request
-/// ends (request smuggling).
+/// Parses one request. Fields that leave its end open (http::framingFault) are
+/// malformed, since the gateway and a backend server could disagree on where
+/// the request ends (request smuggling). So are folded fields.
 ///
 /// \code
 ///   RequestParser P(MaxHeaderBytes);
@@ -54,9 +54,9 @@
   std::unique_ptr<Impl> State;
 };
 
-/// Parses one response. A status that HTTP lacks is malformed, and so is a head
-/// that holds the status line of another response: the first one broke off
-/// there.
+/// Parses one response. A head with a http::responseFault is malformed, and so
+/// is one that holds a folded field or the status line of another response: the
+/// first one broke off there.
 class ResponseParser {
 public:
   ResponseParser();
--- a/libs/gateway/src/Attempt.cpp
+++ b/libs/gateway/src/Attempt.cpp
@@ -1,6 +1,7 @@
 //===- Attempt.cpp - One send of a request to one backend server ----------===//
 #include "ragwort/gateway/Attempt.h"
 #include "ragwort/base/Bytes.h"
+#include "ragwort/http/MessageForm.h"
 #include "ragwort/observe/Log.h"
 #include <algorithm>
 
@@ -287,6 +288,10 @@
     end(AttemptEnd::Declined);
     return;
   }
+  if (isLengthWrong()) {
+    fail(dispatch::ServerFault::Malformed, "bytes-after-answer");
+    return;
+  }
   // An answer that ends with its connection looks the same after a crash.
   if (http::isSuccess(H.Status) && Parser.isFramed())
     noteSurvival();
@@ -311,6 +316,13 @@
   end(AttemptEnd::Answered);
 }
 
+bool Attempt::isLengthWrong() const {
+  // A server may write a body for HEAD.
+  return !Unparsed.empty() && !http::beginsResponse(Unparsed) &&
+         !http::isHead(Request.Message.Method) &&
+         !Parser.head().header("Content-Length").empty();
+}
+
 void Attempt::noteDecline() {
   const http::ResponseHead &H = Parser.head();
   FaultText = "declined-" + std::to_string(H.Status);
--- a/libs/gateway/src/MessageParser.cpp
+++ b/libs/gateway/src/MessageParser.cpp
@@ -1,5 +1,6 @@
 //===- MessageParser.cpp - Incremental HTTP/1.1 parsing over Boost.Beast --===//
 #include "ragwort/gateway/MessageParser.h"
+#include "ragwort/http/MessageForm.h"
 #include <algorithm>
 #include <boost/beast/http/basic_parser.hpp>
 #include <limits>
@@ -52,6 +53,9 @@
 
   size_t feedBytes(std::string_view Bytes) {
     size_t Taken = 0;
+    if (size_t End = Bytes.find("\r\n\r\n");
+        !IsHeadDone && End != std::string_view::npos)
+      Failed |= http::hasFoldedField(Bytes.substr(0, End));
     while (Taken < Bytes.size() && !Failed && !this->is_done()) {
       error_code Error;
       size_t Now = this->put(
@@ -88,29 +92,26 @@
   bool Failed = false;
   error_code FailedBy;
   bool IsHeadDone = false;
-  uint32_t LengthFields = 0;
-  uint32_t EncodingFields = 0;
 
 protected:
-  void on_field_impl(bhttp::field Name, beast::string_view Text,
+  /// Why the head is malformed; empty if it is not.
+  virtual std::string_view headFault() const = 0;
+
+  void on_field_impl(bhttp::field, beast::string_view Text,
                      beast::string_view Value, error_code &Error) override {
     if (IsHeadDone)
       return; // Trailers are not forwarded.
-    LengthFields += Name == bhttp::field::content_length;
-    EncodingFields += Name == bhttp::field::transfer_encoding;
-    // With several framing fields, another parser could use a different one and
-    // disagree on where the message ends.
-    if (LengthFields + EncodingFields > 1) {
-      Error = bhttp::error::bad_content_length;
-      return;
-    }
     if (!IsRequest && holdsStatusLine({Value.data(), Value.size()})) {
       Error = bhttp::error::bad_value;
       return;
     }
     Fields.push_back({std::string(Text), std::string(Value)});
   }
-  void on_header_impl(error_code &) override { IsHeadDone = true; }
+  void on_header_impl(error_code &Error) override {
+    IsHeadDone = true;
+    if (!headFault().empty())
+      Error = bhttp::error::bad_value;
+  }
   void on_body_init_impl(boost::optional<uint64_t> const &,
                          error_code &) override {}
   size_t on_body_impl(beast::string_view Bytes, error_code &) override {
@@ -183,6 +184,9 @@
     Message.Target = std::string(TargetText);
   }
   void on_response_impl(int, beast::string_view, int, error_code &) override {}
+  std::string_view headFault() const override {
+    return http::framingFault(Fields);
+  }
 
   http::Request Message;
 };
@@ -228,12 +232,12 @@
   void on_response_impl(int Code, beast::string_view Reason, int,
                         error_code &Error) override {
     Head.Status = static_cast<unsigned>(Code);
-    if (!http::isFinalStatus(Head.Status) &&
-        !http::isInterimStatus(Head.Status))
-      Error = bhttp::error::bad_status;
-    else if (holdsStatusLine({Reason.data(), Reason.size()}))
+    if (holdsStatusLine({Reason.data(), Reason.size()}))
       Error = bhttp::error::bad_reason;
   }
+  std::string_view headFault() const override {
+    return http::responseFault(Head.Status, Fields);
+  }
 
   http::ResponseHead Head;
 };
--- a/libs/http/include/ragwort/http/HttpTypes.h
+++ b/libs/http/include/ragwort/http/HttpTypes.h
@@ -49,15 +49,6 @@
 constexpr bool isSuccess(unsigned Status) {
   return Status >= 200 && Status < 300;
 }
-/// Whether a response with the status precedes the final one. 101 does not: the
-/// system never asks for another protocol.
-constexpr bool isInterimStatus(unsigned Status) {
-  return Status == 100 || Status == 102 || Status == 103;
-}
-/// Whether HTTP allows the status in the response that ends a request.
-constexpr bool isFinalStatus(unsigned Status) {
-  return Status >= 200 && Status < 600;
-}
 /// A response to HEAD has a head only.
 constexpr bool isHead(std::string_view Method) { return Method == "HEAD"; }
 constexpr bool isServerFailure(unsigned Status) { return Status >= 500; }
--- a/libs/http/src/HttpClient.cpp
+++ b/libs/http/src/HttpClient.cpp
@@ -1,5 +1,6 @@
 //===- HttpClient.cpp - Client connection over Boost.Beast ----------------===//
 #include "ragwort/http/HttpClient.h"
+#include "ragwort/http/MessageForm.h"
 #include <algorithm>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -137,14 +138,14 @@
     co_return ioError("receive head", Error);
   ResponseHead Head;
   Head.Status = Parser.get().result_int();
-  if (!isFinalStatus(Head.Status) && !isInterimStatus(Head.Status)) {
-    close();
-    co_return absl::DataLossError("response with status " +
-                                  std::to_string(Head.Status));
-  }
   for (const auto &Field : Parser.get())
     Head.Headers.push_back(
         {std::string(Field.name_string()), std::string(Field.value())});
+  if (std::string_view Fault = responseFault(Head.Status, Head.Headers);
+      !Fault.empty()) {
+    close();
+    co_return absl::DataLossError("response with " + std::string(Fault));
+  }
   if (State->isOthersAnswer(Head)) {
     close();
     co_return absl::DataLossError("response to another request");
@@ -187,6 +188,11 @@
     Chunk.resize(Received);
     co_return std::optional<std::string>(std::move(Chunk));
   }
+  auto Rest = State->Buffer.data();
+  if (Rest.size() > 0 && !State->IsHead &&
+      !beginsResponse({static_cast<const char *>(Rest.data()), Rest.size()}) &&
+      Parser.get().find(bhttp::field::content_length) != Parser.get().end())
+    co_return absl::DataLossError("response is longer than stated");
   // Bytes that follow an answer, the body that a server wrote for HEAD, or the
   // final answer after an interim one would be read as the next answer.
   State->IsReusable = Parser.keep_alive() && State->Buffer.size() == 0 &&
--- a/libs/http/src/HttpClientTest.cpp
+++ b/libs/http/src/HttpClientTest.cpp
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(answerWhenItFollowsAnInterimOneIsNotTheNext);
   CPPUNIT_TEST(answerWhenItsHeadIsBrokenOffIsAnError);
   CPPUNIT_TEST(answerWhenItsStatusIsNotOfHttpIsAnError);
+  CPPUNIT_TEST(answerWhenItsFramingIsSpoiledIsAnError);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr auto TestTimeout = 5s;
@@ -153,6 +154,20 @@
       }
     });
   }
+
+  // Guards against a part of a body that counts as the whole one.
+  void answerWhenItsFramingIsSpoiledIsAnError() {
+    Server.setScript({"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n12",
+                      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunkee\r\n\r\n"
+                      "1\r\nx\r\n0\r\n\r\n"});
+    run([&](ClientConnection &Client) -> asio::awaitable<void> {
+      while (!Server.Script.empty()) {
+        auto Answer = co_await Client.exchange(Request(), TestTimeout);
+        CPPUNIT_ASSERT(absl::IsDataLoss(Answer.status()));
+        Client.close();
+      }
+    });
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpClientTest);
 
--- a/libs/http/src/HttpServer.cpp
+++ b/libs/http/src/HttpServer.cpp
@@ -1,5 +1,6 @@
 //===- HttpServer.cpp - Server connections over Boost.Beast ---------------===//
 #include "ragwort/http/HttpServer.h"
+#include "ragwort/http/MessageForm.h"
 #include "ragwort/transport/Listen.h"
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -181,6 +182,10 @@
       co_return false;
     }
     storeRequest(Parser.release());
+    if (!framingFault(Current.Headers).empty()) {
+      co_await refuse(bhttp::error::bad_value);
+      co_return false;
+    }
     co_return true;
   }
 
--- a/libs/http/src/HttpServerTest.cpp
+++ b/libs/http/src/HttpServerTest.cpp
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(requestWhenMalformedGetsAProblemDocument);
   CPPUNIT_TEST(requestWhenBodyIsTooLargeGets413);
   CPPUNIT_TEST(requestWhenHeaderIsTooLongGets431);
+  CPPUNIT_TEST(requestWhenItsEndIsOpenGets400AndHidesNoOther);
   CPPUNIT_TEST(responseWhenWithoutLengthOrChunksIsDataLoss);
   CPPUNIT_TEST_SUITE_END();
 
@@ -155,6 +156,18 @@
     });
   }
 
+  // Guards against requests that hide in the body of another one.
+  void requestWhenItsEndIsOpenGets400AndHidesNoOther() {
+    serve(echo);
+    run([&]() -> asio::awaitable<void> {
+      std::string Reply = co_await sendRaw(
+          "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: identity\r\n\r\n"
+          "POST /hidden HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n");
+      CPPUNIT_ASSERT_MESSAGE(Reply, Reply.starts_with("HTTP/1.1 400"));
+      CPPUNIT_ASSERT_EQUAL(Reply.find("HTTP/1.1"), Reply.rfind("HTTP/1.1"));
+    });
+  }
+
   void responseWhenWithoutLengthOrChunksIsDataLoss() {
     asio::ip::tcp::acceptor Acceptor(
         Io, endpointOf<asio::ip::tcp>(Address{"127.0.0.1", 0}));
--- a/testing/soak/answers.py
+++ b/testing/soak/answers.py
@@ -1,5 +1,6 @@
 """Answers of simulated backend servers: framing, spoiled events and repetition."""
 
+import re
 from dataclasses import dataclass, field
 
 # Pauses before a late repetition, in seconds.
@@ -94,6 +95,14 @@
     return size[:digit] + bytes([other]) + size[digit + 1:] + b"\r\n" + rest
 
 
+def spoil_framing(data):
+    """Returns an answer whose length has lost its last digit, or whose coding is none
+    that exists."""
+    head, body = data.split(b"\r\n\r\n", 1)
+    head = re.sub(rb"(Content-Length: \d+)\d$", rb"\1", head, flags=re.MULTILINE)
+    return head.replace(b": chunked", b": chunkee") + b"\r\n\r\n" + body
+
+
 @dataclass
 class Repetition:
     """Bytes that a server writes although they belong to no request in progress."""
--- a/testing/soak/backends.py
+++ b/testing/soak/backends.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 
 from answers import (MALFORMED_STATUSES, Answer, Repetition, draw_continuation, draw_repetition, refusal,
-                     spoil_event, spoil_size, stream_event)
+                     spoil_event, spoil_framing, spoil_size, stream_event)
 from links import Link, reset
 
 EVENT_INTERVAL_S = 0.02
@@ -26,11 +26,12 @@
 # Faults that affect the response to a request after it has been executed.
 EXECUTED_FAULT_MODES = ["fail", "reset", "lose", "garble", "extra", "cut_event",
                         "hang", "spoil_event", "spoil_size", "repeat",
-                        "continue_otherwise", "malformed_status", "endless"]
+                        "continue_otherwise", "malformed_status", "endless",
+                        "spoil_framing"]
 # What a server that spoils a share of its answers does with one.
 SPOILED_STREAM_MODES = ["spoil_event", "spoil_event", "spoil_size", "repeat",
                         "cut_event", "continue_otherwise", "malformed_status",
-                        "endless"]
+                        "endless", "spoil_framing"]
 SPOILED_MODES = ["repeat", "repeat", "decline_again", "garble", "malformed_status",
                  "endless"]
 FAULT_MODES = EXECUTED_FAULT_MODES + ["decline", "decline_again", "pause"]
@@ -229,6 +230,9 @@
                         self._draw_framing("length", fault))
         self._record_status(answer)
         data = answer.whole()
+        if fault == "spoil_framing" and answer.framing != "none":
+            await self._write(channel, spoil_framing(data))
+            return True
         if fault == "repeat" and self.random.random() < 0.3:
             # Broken off within the body, and begun again in the same bytes.
             cut_at = len(data) - self.random.randrange(1, len(text))
