Parsers: one copy of the status line's beginning, heads scanned once

Read-through: MessageForm.h holds what a status line begins with; folded fields are looked for in heads only, not in each read of a body.

--- a/libs/gateway/src/MessageParser.cpp
+++ b/libs/gateway/src/MessageParser.cpp
@@ -16,7 +16,7 @@
 // Responses come from the deployment's own backend servers; their heads are
 // small.
 constexpr uint32_t MaxResponseHeadBytes = 65536;
-constexpr std::string_view StatusLineBegin = "HTTP/1.";
+using http::StatusLineBegin;
 constexpr std::string_view StatusLineForm = "HTTP/1.1 200";
 
 bool isDigit(char C) { return C >= '0' && C <= '9'; }
@@ -53,9 +53,8 @@
 
   size_t feedBytes(std::string_view Bytes) {
     size_t Taken = 0;
-    if (size_t End = Bytes.find("\r\n\r\n");
-        !IsHeadDone && End != std::string_view::npos)
-      Failed |= http::hasFoldedField(Bytes.substr(0, End));
+    if (!IsHeadDone)
+      rejectFoldedFields(Bytes);
     while (Taken < Bytes.size() && !Failed && !this->is_done()) {
       error_code Error;
       size_t Now = this->put(
@@ -94,6 +93,11 @@
   bool IsHeadDone = false;
 
 protected:
+  void rejectFoldedFields(std::string_view Bytes) {
+    size_t HeadEnd = Bytes.find("\r\n\r\n");
+    if (HeadEnd != std::string_view::npos)
+      Failed |= http::hasFoldedField(Bytes.substr(0, HeadEnd));
+  }
   /// Why the head is malformed; empty if it is not.
   virtual std::string_view headFault() const = 0;
 
--- a/libs/http/include/ragwort/http/MessageForm.h
+++ b/libs/http/include/ragwort/http/MessageForm.h
@@ -15,6 +15,9 @@
 
 namespace ragwort::http {
 
+/// What the status line of each response begins with.
+inline constexpr std::string_view StatusLineBegin = "HTTP/1.";
+
 /// Whether a response with the status precedes the final one. 101 does not: the
 /// system never asks for another protocol.
 constexpr bool isInterimStatus(unsigned Status) {
--- a/libs/http/src/MessageForm.cpp
+++ b/libs/http/src/MessageForm.cpp
@@ -1,7 +1,6 @@
 //===- MessageForm.cpp - What a message must be beyond its syntax ---------===//
 #include "ragwort/http/MessageForm.h"
 #include <algorithm>
-#include <cstdint>
 
 namespace ragwort::http {
 
@@ -49,7 +48,7 @@
     return "unknown status";
   if (std::string_view Fault = framingFault(Fields); !Fault.empty())
     return Fault;
-  if (Status >= 200 && Status != StatusNoContent)
+  if (!isInterimStatus(Status) && Status != StatusNoContent)
     return "";
   std::string_view Length = findHeader(Fields, LengthField);
   bool HasBody = !findHeader(Fields, CodingField).empty() ||
@@ -66,8 +65,7 @@
 }
 
 bool beginsResponse(std::string_view Bytes) {
-  constexpr std::string_view Begin = "HTTP/1.";
-  return Begin.starts_with(Bytes.substr(0, Begin.size()));
+  return StatusLineBegin.starts_with(Bytes.substr(0, StatusLineBegin.size()));
 }
 
 } // namespace ragwort::http
