--- a/review/lib-3/standins.py
+++ b/review/lib-3/standins.py
@@ -74,11 +74,21 @@
         self.rows = {}
         self.changes = []
         self.changed = asyncio.Event()
-        self.port = 0
-
-    async def start(self):
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.port = self.server.sockets[0].getsockname()[1]
+        self.servers = []
+        # The open channels, as dictionaries with the name of the caller, the table and
+        # the wait of its last poll, and whether the channel has gone silent.
+        self.channels = []
+
+    async def port_for(self, name):
+        """Returns a port of its own for the caller of the name."""
+        async def serve(reader, writer):
+            channel = {"name": name, "table": "", "wait_ms": 0, "is_silent": False}
+            self.channels.append(channel)
+            await self._serve(reader, writer, channel)
+            self.channels.remove(channel)
+
+        self.servers.append(await asyncio.start_server(serve, "127.0.0.1", 0))
+        return self.servers[-1].sockets[0].getsockname()[1]
 
     def put(self, table, key, value):
         self.version += 1
@@ -99,10 +109,13 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
-    async def _serve(self, reader, writer):
+    async def _serve(self, reader, writer, channel):
         try:
             while message := await read_message(reader):
-                status, answer = await self._answer(message[0], message[2])
+                status, answer = await self._answer(message[0], message[2], channel)
+                if channel["is_silent"]:
+                    await reader.read()
+                    break
                 body = json.dumps(answer).encode()
                 writer.write(f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
                              f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
@@ -112,7 +125,7 @@
         finally:
             writer.close()
 
-    async def _answer(self, first, body):
+    async def _answer(self, first, body, channel):
         method, target, _ = first.split(" ")
         path, _, query = target.partition("?")
         fields = dict(part.split("=", 1) for part in query.split("&") if "=" in part)
@@ -122,6 +135,7 @@
             return 200, self._page(rows)
         if path == "/rows-feed":
             after, end = int(fields["after"]), now() + int(fields["waitMs"]) / 1000
+            channel |= {"table": fields["table"], "wait_ms": int(fields["waitMs"])}
             while True:
                 rows = [row for row in self.changes
                         if row["ver"] > after and row["table"] == fields["table"]]
@@ -236,6 +250,7 @@
         self.ip = f"127.{fleet.net}.{1 if role == 'entry' else 2}.{index}"
         self.settings = os.path.join(fleet.folder, f"{self.name}.conf")
         self.process = None
+        self.store_port = 0
 
     def write_settings(self, extra=""):
         ports = self.fleet.ports
@@ -265,7 +280,7 @@
 bounds.budgetWindowS=10
 bounds.budgetSlack=180
 bounds.recoverS=12
-provider.address=127.0.0.1:{self.fleet.store.port}
+provider.address=127.0.0.1:{self.store_port}
 """
         if self.role == "entry":
             lines += (f"listen.front={self.ip}:{ports[0]}\n"
@@ -323,18 +338,19 @@
     async def start(self, config, replicas, beside=()):
         """Starts the store, the replicas and the entry nodes, and an agent beside each
         replica of the list beside, in the order of their side machines."""
-        await self.store.start()
         self.store.put("op", "config", config)
         for replica in replicas:
             await replica.start()
             self.store.put("servers", replica.id, replica.entry())
         for number, replica in enumerate(beside, 1):
             agent = Node(self, "agent", number)
+            agent.store_port = await self.store.port_for(agent.name)
             agent.write_settings(f"app={replica.ip}:{replica.port}\n"
                                  f"service={replica.service}\n")
             agent.start()
         self.nodes = [Node(self, "entry", i + 1) for i in range(self.entries)]
         for node in self.nodes:
+            node.store_port = await self.store.port_for(node.name)
             node.write_settings()
             node.start()
         await self.wait_ready(self.nodes, 15)
