--- a/review/lib-3/standins.py
+++ b/review/lib-3/standins.py
@@ -12,6 +12,7 @@
 import os
 import random
 import signal
+import socket
 import subprocess
 import tempfile
 import time
@@ -314,6 +315,20 @@
             return False
 
 
+def free_ports():
+    """Returns the ports of callers, readiness, between nodes and of control, none of
+    which is in use on any loopback address."""
+    while True:
+        base = random.randrange(20000, 30000)
+        try:
+            for port in range(base, base + 24):
+                with socket.socket() as probe:
+                    probe.bind(("0.0.0.0", port))
+            return base, base + 1, base + 2, base + 8
+        except OSError:
+            continue
+
+
 class Fleet:
     """The store, the processes and their folder."""
 
@@ -322,8 +337,7 @@
         self.entries = entries
         self.folder = tempfile.mkdtemp(prefix="ragwort-review-")
         self.net = random.randrange(10, 250)
-        base = random.randrange(20000, 30000)
-        self.ports = (base, base + 1, base + 2, base + 8)
+        self.ports = free_ports()
         self.processes = []
         self.store = Store()
         with open(os.path.join(REPOSITORY, "deploy", "system.toml"), "rb") as deploy:
