--- a/review/lib-3/standins.py
+++ b/review/lib-3/standins.py
@@ -11,15 +11,19 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
 
 REPOSITORY = os.path.realpath(os.path.join(os.path.dirname(__file__), "..", ".."))
 GRACE_S = 8
+# A case may run for 120 s.
+TIME_LIMIT_S = 110
 
 
 def now():
@@ -32,11 +36,11 @@
 
     def __init__(self, folder):
         self.began = now()
-        self.out = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+        self.out = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8",
+                        buffering=1)
 
     def __call__(self, text):
         self.out.write(f"{now() - self.began:9.3f} {text}\n")
-        self.out.flush()
 
 
 async def read_message(reader):
@@ -315,15 +319,15 @@
             return False
 
 
-def free_ports():
-    """Returns the ports of callers, readiness, between nodes and of control, none of
-    which is in use on any loopback address."""
+def free_ports(ip):
+    """Returns the ports of requesters, of readiness, between nodes and of control. All
+    are free at the address, which stands for the others of its run."""
     while True:
         base = random.randrange(20000, 30000)
         try:
             for port in range(base, base + 24):
                 with socket.socket() as probe:
-                    probe.bind(("0.0.0.0", port))
+                    probe.bind((ip, port))
             return base, base + 1, base + 2, base + 8
         except OSError:
             continue
@@ -337,7 +341,7 @@
         self.entries = entries
         self.folder = tempfile.mkdtemp(prefix="ragwort-review-")
         self.net = random.randrange(10, 250)
-        self.ports = free_ports()
+        self.ports = free_ports(f"127.{self.net}.1.1")
         self.processes = []
         self.store = Store()
         with open(os.path.join(REPOSITORY, "deploy", "system.toml"), "rb") as deploy:
@@ -377,10 +381,14 @@
             await asyncio.sleep(0.1)
 
     def end(self):
+        """Ends all processes, also those that stand still, and removes their folder
+        unless KEEP_LOGS is set."""
         for process in self.processes:
             if process.poll() is None:
                 process.kill()
                 process.wait()
+        if "KEEP_LOGS" not in os.environ:
+            shutil.rmtree(self.folder, ignore_errors=True)
 
 
 class CannotRun(Exception):
@@ -458,9 +466,13 @@
     fleets = []
 
     async def main():
+        loop = asyncio.get_running_loop()
         # Channels that are open at the end are of no interest.
-        asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
-        return await asyncio.wait_for(play(record, has_trouble, fleets), 115)
+        loop.set_exception_handler(lambda loop, context: None)
+        case = asyncio.ensure_future(play(record, has_trouble, fleets))
+        for number in (signal.SIGINT, signal.SIGTERM):
+            loop.add_signal_handler(number, case.cancel)
+        return await asyncio.wait_for(case, TIME_LIMIT_S)
 
     code = 2
     try:
@@ -470,10 +482,11 @@
             print(violation)
         code = 1 if violations else 0
         record("the rule was broken" if violations else "the rule held")
-    except (CannotRun, OSError, asyncio.TimeoutError) as error:
+    except BaseException as error:  # Whatever it is, the processes must end.
         record(f"the case could not run: {error!r}")
         print(f"cannot run: {error!r}")
     finally:
         for fleet in fleets:
             fleet.end()
+    sys.stdout.flush()
     os._exit(code)
