--- a/review/lib-3/standins.py
+++ b/review/lib-3/standins.py
@@ -205,8 +205,9 @@
             while message := await read_message(reader):
                 first, fields, body = message
                 id = fields.get("request-id", "")
-                if first.startswith("GET /report "):
-                    text = json.dumps(self.report()).encode()
+                if first.startswith(("GET /report ", "GET /picked")):
+                    text = json.dumps(self.report() if " /report " in first
+                                      else self.picked()).encode()
                     self._head(writer, 200, id, "Content-Type: application/json\r\n",
                                len(text))
                     writer.write(text)
@@ -238,6 +239,11 @@
     async def run(self, writer, first, fields, body):
         self.answer(writer, fields["request-id"], b"ok")
 
+    def picked(self):
+        """It has no sets of experts."""
+        return {"step": 0, "epoch": 1, "counts": [], "map": {"version": 0, "experts": []},
+                "prepared": {"version": 0, "experts": []}}
+
     def report(self):
         return {"stage": "both", "models": [{"name": "m", "version": 1, "adapters": []}],
                 "busy": False, "sequence": 0, "queued": 0, "running": 0, "kvUsed": 0,
